Add the design page, build skeleton and core module

Cause: the repository was empty. Change: design.md with requirements, modules, messages and failure behaviour; CMake skeleton, formatter and linter settings, scripts; core module with ids, units, the closed error list, log events, strict JSON reading, crypto, metrics. Result: not built yet in this commit.

--- /dev/null
+++ b/scripts/run_ctest.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs every CTest test. Tests listed in KNOWN-RED.txt are run and printed, but do not fail the run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+known=()
+if [ -f KNOWN-RED.txt ]; then
+    mapfile -t known < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+fi
+pattern=$(IFS='|'; echo "${known[*]:-}")
+if [ -n "$pattern" ]; then
+    echo "known failures (KNOWN-RED.txt): ${known[*]}"
+    ctest --test-dir build --output-on-failure -R "^($pattern)\$" || true
+    ctest --test-dir build --output-on-failure -j 4 -E "^($pattern)\$"
+else
+    ctest --test-dir build --output-on-failure -j 4
+fi
--- /dev/null
+++ b/src/core/itimer_service.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "core/types/units.h"
+
+namespace anvillead {
+
+using timer_token = std::uint64_t;
+
+/// Time source and timers that parts of a process subscribe to. Callbacks run on the worker pool.
+class itimer_service
+{
+public:
+    virtual ~itimer_service() = default;
+
+    virtual instant now() const = 0;
+    virtual wall_time wall_now() const = 0;
+    /// Calls `callback` once after `delay`.
+    virtual timer_token after(milliseconds delay, std::function<void()> callback) = 0;
+    /// Calls `callback` every `period` until it is cancelled; calls of one subscription never overlap.
+    virtual timer_token every(milliseconds period, std::function<void()> callback) = 0;
+    virtual void cancel(timer_token token) = 0;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/core/ranked_mutex.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <mutex>
+
+namespace anvillead {
+
+/// Order in which one thread may take mutexes: strictly rising. docs/design.md section 5.8 lists the tables.
+enum class lock_rank {
+    configuration = 10,
+    members = 20,
+    grants = 30,
+    streams = 40,
+    registry = 50,
+    claims = 60,
+    transport = 70,
+    metrics = 80,
+    log = 90,
+};
+
+/// A mutex that aborts the process when a thread takes it out of rank order (unless NDEBUG is defined).
+class ranked_mutex
+{
+public:
+    explicit ranked_mutex(lock_rank rank) : rank_(rank) {}
+    ranked_mutex(const ranked_mutex&) = delete;
+    ranked_mutex& operator=(const ranked_mutex&) = delete;
+
+    void lock();
+    void unlock();
+
+private:
+    std::mutex mutex_;
+    lock_rank rank_;
+    lock_rank previous_ = {};
+};
+
+} // namespace anvillead
