--- /dev/null
+++ b/src/admission/ischeduler_core.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <vector>
+
+#include "admission/types/engine_load.h"
+#include "admission/types/scheduler_action.h"
+#include "configuration/types/document.h"
+
+namespace anvillead {
+
+/// Decisions of one scheduler: which request starts when on which engine. Sans-I/O: time, messages and load reports
+/// go in, actions come out in the order in which they must be carried out. Every request gets one final answer.
+class ischeduler_core
+{
+public:
+    virtual ~ischeduler_core() = default;
+
+    /// A new configuration; `owned` are the engines that this scheduler is responsible for. `leaving` get no new work.
+    virtual scheduler_actions on_configuration(instant now, const document& value,
+                                               const std::vector<upstream_id>& owned) = 0;
+    virtual scheduler_actions on_leaving(instant now, const std::vector<upstream_id>& leaving) = 0;
+    virtual scheduler_actions on_request(instant now, const gateway_identity& gateway, const grant_request& value) = 0;
+    virtual scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const request_id& request) = 0;
+    virtual scheduler_actions on_progress(instant now, const gateway_identity& gateway,
+                                          const progress_report& value) = 0;
+    virtual scheduler_actions on_gateway_lost(instant now, const gateway_identity& gateway) = 0;
+    virtual scheduler_actions on_load(instant now, const engine_load& value) = 0;
+    /// Called every few tens of milliseconds.
+    virtual scheduler_actions on_tick(instant now) = 0;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/types/engine_load.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/types/ids.h"
+#include "core/types/units.h"
+
+namespace anvillead {
+
+/// Load as an engine reports it, with a lag.
+struct engine_load
+{
+    upstream_id engine;
+    /// Tokens of key-value cache in use.
+    tokens used;
+    tokens capacity;
+    int running = 0;
+    int waiting = 0;
+    std::int64_t preemptions = 0;
+    /// Age of the report when it was taken, as far as the engine says.
+    milliseconds lag{0};
+    bool leaving = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/common/daemon.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/field_reader.h"
+#include "core/types/ids.h"
+#include "core/types/units.h"
+#include "transport/ilink.h"
+
+namespace anvillead {
+
+/// Exit codes of every binary.
+inline constexpr int exit_ok = 0;
+inline constexpr int exit_failure = 1;
+inline constexpr int exit_usage = 2;
+
+/// Settings that every daemon has.
+struct common_settings
+{
+    host_id host;
+    zone_name availability_zone;
+    std::vector<std::string> fleet_keys;
+    /// "address:port" of the platform's object API.
+    std::string platform;
+    unsigned worker_threads = 2;
+    std::string log_level;
+};
+
+/// Reads the fields of common_settings from a daemon's settings object.
+common_settings read_common_settings(field_reader& reader);
+
+/// Parses `--settings FILE`, `--help` and `--version`. Exits with code 2 and one line on a bad flag.
+std::string parse_daemon_command_line(int argc, char** argv, const std::string& program, const std::string& summary);
+
+/// Loads a settings file with `read`; prints one line per problem and exits with code 2 when it is not valid.
+template <typename Settings>
+Settings load_settings(const std::string& path, Settings (*read)(field_reader&));
+
+[[noreturn]] void reject_settings(const std::string& problem);
+
+/// Number of this process start: milliseconds since the Unix epoch, so that a restart uses a higher one.
+incarnation new_incarnation();
+/// Handshake identity "role/host/incarnation" and keys of a daemon's links.
+link_options make_link_options(const common_settings& settings, const std::string& role, incarnation number);
+/// Sets up the log of a daemon from its settings.
+void configure_daemon_log(const common_settings& settings, const std::string& role);
+
+template <typename Settings>
+Settings load_settings(const std::string& path, Settings (*read)(field_reader&))
+{
+    const auto root = read_json_file(path);
+    if (!root) {
+        reject_settings(root.error().message);
+    }
+    std::vector<field_problem> problems;
+    field_reader reader(root.value(), path, "", problems);
+    Settings out = read(reader);
+    reader.reject_unknown();
+    const auto checked = problems_to_result(problems);
+    if (!checked) {
+        reject_settings(checked.error().message);
+    }
+    return out;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/engine_call.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "routing/request_flow.h"
+#include "streams/sse.h"
+#include "transport/ihttp_client.h"
+
+namespace anvillead {
+
+/// One HTTP call to an engine whose answer is an event stream. Callbacks run on the sequence given to start().
+class engine_call : public std::enable_shared_from_this<engine_call>
+{
+public:
+    struct callbacks
+    {
+        std::function<void(const stream_event& event)> on_event;
+        std::function<void(engine_end end)> on_end;
+    };
+
+    explicit engine_call(callbacks handlers);
+
+    void start(ihttp_client& client, http_call_request request, const std::shared_ptr<isequence>& sequence);
+    /// Drops the link. No callback follows.
+    void abandon();
+    void pause();
+    void resume();
+
+private:
+    void event(const std::string& type, const std::string& id, std::string data);
+    void ended(const http_call_end& end);
+
+    callbacks callbacks_;
+    sse_parser parser_;
+    std::shared_ptr<ihttp_call> call_;
+    int status_ = 0;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_context.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+
+#include "apps/gateway/gateway_settings.h"
+#include "apps/gateway/progress_table.h"
+#include "apps/gateway/scheduler_links.h"
+#include "core/metrics.h"
+#include "streams/response_id.h"
+#include "transport/ihttp_client.h"
+
+namespace anvillead {
+
+/// What every request of a gateway uses. Owned by the daemon; outlives all exchanges.
+struct gateway_context
+{
+    worker_pool& pool;
+    const gateway_settings& settings;
+    metrics& counters;
+    ihttp_client& client;
+    scheduler_links& schedulers;
+    progress_table& progress;
+    const response_id_codec& ids;
+    std::function<view_ptr()> view;
+    std::function<bool()> allow_retry;
+    /// Called for each request that completed, to refill the retry budget.
+    std::function<void()> on_success;
+    /// Requests that were not answered in full yet, streams without a caller included.
+    std::atomic<std::size_t> open_requests{0};
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -0,0 +1,242 @@
+#include "apps/gateway/gateway_daemon.h"
+
+#include <algorithm>
+
+#include "apps/gateway/response_stream.h"
+#include "core/bounded_json.h"
+#include "core/crypto.h"
+#include "core/log.h"
+#include "routing/rendezvous.h"
+
+namespace anvillead {
+
+namespace {
+
+// Share of completed requests that refills the retry budget, and the most that it can hold.
+constexpr double retry_share = 0.1;
+constexpr double retry_budget_limit = 20;
+constexpr milliseconds drain_check_period{50};
+constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
+constexpr std::string_view responses_path = "/v1/responses/";
+constexpr std::string_view services_path = "/services/";
+constexpr std::string_view cancel_suffix = "/cancel";
+
+const http_headers json_headers = {{"Content-Type", "application/json"}};
+
+bool starts_with(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+} // namespace
+
+gateway_daemon::gateway_daemon(worker_pool& pool, gateway_settings settings)
+    : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), client_(make_http_client(pool)),
+      retry_budget_(retry_budget_limit)
+{
+    const auto options = make_link_options(settings_.common, "gateway", new_incarnation());
+    schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
+    context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
+                                       [this] { return agent_->current(); }, [this] { return allow_retry(); },
+                                       [this] {
+                                           const std::lock_guard lock(budget_mutex_);
+                                           retry_budget_ = std::min(retry_budget_ + retry_share, retry_budget_limit);
+                                       }});
+    services_ = std::make_unique<service_proxy>(*context_);
+    links_ = make_link_server(pool, settings_.link_listen, options, {}, counters_);
+    server_ = make_http_server(
+        pool, {settings_.listen, settings_.http},
+        [this](http_request request, const std::shared_ptr<ihttp_exchange>& exchange) {
+            handle(std::move(request), exchange);
+        },
+        counters_);
+    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_,
+                                          [this](const view_ptr& view) { schedulers_->apply_view(view); });
+    agent_->report({"gateway", false, 0, server_->address(), links_->address()});
+    log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
+}
+
+gateway_daemon::~gateway_daemon() = default;
+
+void gateway_daemon::run()
+{
+    pool_.on_stop_signal([this] { stop_requested(); });
+    pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    pool_.run();
+    log(log_level::info, log_event::process_stopped, {});
+}
+
+bool gateway_daemon::ready() const
+{
+    return agent_->current()->configuration->generation > 0 && !leaving_;
+}
+
+bool gateway_daemon::allow_retry()
+{
+    const std::lock_guard lock(budget_mutex_);
+    if (retry_budget_ < 1) {
+        return false;
+    }
+    retry_budget_ -= 1;
+    counters_.add("retries_total");
+    return true;
+}
+
+void gateway_daemon::handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto path = request.path();
+    counters_.add("requests_total");
+    if (path == "/healthz") {
+        exchange->reply(200, {}, "ok\n");
+    } else if (path == "/readyz") {
+        exchange->reply(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
+    } else if (path == "/metrics") {
+        counters_.set("open_requests", static_cast<double>(context_->open_requests));
+        exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
+    } else if (agent_->current()->configuration->generation == 0) {
+        auto reason = make_error(error_kind::not_ready, "no configuration has been accepted yet");
+        reason.retry_after = milliseconds(1000);
+        reply_error(*exchange, reason);
+    } else if (path == "/v1/endpoints" && request.method == "GET") {
+        endpoints(request, exchange);
+    } else if (path == "/v1/responses" && request.method == "POST") {
+        create_response(request, exchange);
+    } else if (starts_with(path, responses_path)) {
+        existing_response(request, exchange);
+    } else if (starts_with(path, services_path)) {
+        services_->handle(std::move(request), exchange);
+    } else {
+        reply_error(*exchange, make_error(error_kind::not_found, "no such path"));
+    }
+}
+
+void gateway_daemon::create_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto view = agent_->current();
+    auto parsed = parse_response_request(request, view->configuration->merged);
+    if (!parsed) {
+        reply_error(*exchange, parsed.error());
+        return;
+    }
+    if (context_->open_requests >= settings_.open_requests) {
+        auto reason = make_error(error_kind::overloaded, "the gateway has too many open requests");
+        reason.retry_after = milliseconds(1000);
+        reply_error(*exchange, reason);
+        return;
+    }
+    std::make_shared<response_stream>(*context_, exchange)->start(std::move(parsed.value()));
+}
+
+void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto view = agent_->current();
+    const auto& configuration = view->configuration->merged;
+    const auto owner = authenticate_caller(request, configuration);
+    if (!owner) {
+        reply_error(*exchange, owner.error());
+        return;
+    }
+    auto id = request.path().substr(responses_path.size());
+    const bool cancel = id.size() > cancel_suffix.size() && id.substr(id.size() - cancel_suffix.size()) == cancel_suffix;
+    if (cancel) {
+        id.remove_suffix(cancel_suffix.size());
+    }
+    const auto location = ids_.decode(id);
+    // An id of another organisation gets the same answer as an unknown one.
+    if (!location || location.value().organisation != owner.value()->id) {
+        reply_error(*exchange, make_error(error_kind::not_found, "no response with this id"));
+        return;
+    }
+    const auto* engine = configuration.find_upstream(location.value().engine);
+    if (engine == nullptr) {
+        reply_error(*exchange, make_error(error_kind::generation_lost, "the engine is no longer part of the service"));
+        return;
+    }
+    if ((cancel && request.method != "POST") || (!cancel && request.method != "GET")) {
+        reply_error(*exchange, make_error(error_kind::invalid_request, "the method is not allowed for this path"));
+        return;
+    }
+    if (cancel || request.query("stream") != "true") {
+        fetch_response(location.value(), engine->address, cancel, exchange);
+        return;
+    }
+    const auto after = parse_starting_after(request);
+    if (!after) {
+        reply_error(*exchange, after.error());
+        return;
+    }
+    std::make_shared<response_stream>(*context_, exchange)->resume(location.value(), engine->address, after.value());
+}
+
+void gateway_daemon::fetch_response(const response_location& location, const std::string& address, bool cancel,
+                                    const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    http_call_request call;
+    call.address = address;
+    call.method = cancel ? "POST" : "GET";
+    call.target = std::string(responses_path) + location.generation.str() + std::string(cancel ? cancel_suffix : "");
+    call.reuse_connection = true;
+    client_->fetch(std::move(call), answer_bytes, exchange->sequence(),
+                   [this, location, exchange](const http_call_end& end, const http_answer& answer) {
+                       auto body = parse_bounded_json(answer.body);
+                       if (end.end != http_end::complete || answer.status != 200 || !body || !body->is_object()) {
+                           reply_error(*exchange, make_error(answer.status == 404 ? error_kind::generation_lost
+                                                                                  : error_kind::upstream_failed,
+                                                             "the engine did not return the response"));
+                           return;
+                       }
+                       (*body)["id"] = ids_.encode(location);
+                       exchange->reply(200, json_headers, body->dump());
+                   });
+}
+
+void gateway_daemon::endpoints(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto view = agent_->current();
+    const auto owner = authenticate_caller(request, view->configuration->merged);
+    if (!owner) {
+        reply_error(*exchange, owner.error());
+        return;
+    }
+    auto members = rank_members(view->members, request.peer_address + owner.value()->id.str());
+    const std::string zone(request.query("availability_zone"));
+    std::stable_partition(members.begin(), members.end(),
+                          [&](const member& it) { return it.availability_zone.str() == zone; });
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& it : members) {
+        if (it.addresses.gateway_http.empty() || it.state != member_state::alive) {
+            continue;
+        }
+        list.push_back({{"address", it.addresses.gateway_http}, {"availability_zone", it.availability_zone.str()}});
+    }
+    exchange->reply(200, json_headers,
+                    nlohmann::json({{"endpoints", list}, {"ttl_ms", settings_.endpoints_ttl.count()}}).dump());
+}
+
+void gateway_daemon::stop_requested()
+{
+    if (leaving_.exchange(true)) {
+        log(log_level::warning, log_event::shutdown_forced,
+            {{"open_requests", std::to_string(context_->open_requests)}});
+        pool_.stop();
+        return;
+    }
+    log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(context_->open_requests)}});
+    agent_->report({"gateway", true, 0, server_->address(), links_->address()});
+    // Callers keep the address for the time to live of their last answer.
+    pool_.timers().after(settings_.endpoints_ttl + settings_.shutdown_skew, [this] {
+        server_->stop_accepting();
+        exit_when_drained();
+    });
+}
+
+void gateway_daemon::exit_when_drained()
+{
+    if (context_->open_requests == 0 && server_->open_exchanges() == 0) {
+        pool_.stop();
+        return;
+    }
+    pool_.timers().after(drain_check_period, [this] { exit_when_drained(); });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_daemon.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+
+#include "apps/gateway/gateway_context.h"
+#include "apps/gateway/service_proxy.h"
+#include "transport/ihttp_server.h"
+#include "transport/ilink.h"
+
+namespace anvillead {
+
+/// Routes callers' requests and keeps the gateway's shared tables.
+class gateway_daemon
+{
+public:
+    gateway_daemon(worker_pool& pool, gateway_settings settings);
+    ~gateway_daemon();
+
+    /// Runs until a stop signal has been handled.
+    void run();
+
+private:
+    void handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange);
+    void create_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
+    void existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
+    void fetch_response(const response_location& location, const std::string& address, bool cancel,
+                        const std::shared_ptr<ihttp_exchange>& exchange);
+    void endpoints(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
+    bool ready() const;
+    bool allow_retry();
+    void stop_requested();
+    void exit_when_drained();
+
+    worker_pool& pool_;
+    gateway_settings settings_;
+    metrics counters_;
+    response_id_codec ids_;
+    progress_table progress_;
+    std::unique_ptr<ihttp_client> client_;
+    std::unique_ptr<scheduler_links> schedulers_;
+    std::unique_ptr<agent_link> agent_;
+    std::unique_ptr<gateway_context> context_;
+    std::unique_ptr<service_proxy> services_;
+    std::unique_ptr<ilink_server> links_;
+    std::unique_ptr<ihttp_server> server_;
+    ranked_mutex budget_mutex_{lock_rank::streams};
+    double retry_budget_;
+    std::atomic<bool> leaving_{false};
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -0,0 +1,53 @@
+#include "apps/gateway/gateway_settings.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr number_range period_range{1, 3'600'000};
+constexpr number_range byte_range{1024, 256 * 1024 * 1024};
+constexpr number_range count_range{1, 1'000'000};
+
+http_limits read_http_limits(field_reader& reader)
+{
+    http_limits out;
+    out.header_bytes = static_cast<std::size_t>(reader.number_or("header_bytes", byte_range, 16 * 1024));
+    out.body_bytes = static_cast<std::size_t>(reader.number_or("body_bytes", byte_range, 4 * 1024 * 1024));
+    out.connections = static_cast<std::size_t>(reader.number_or("connections", count_range, 4096));
+    out.request_timeout = milliseconds(reader.number_or("request_timeout_ms", period_range, 10'000));
+    out.write_timeout = milliseconds(reader.number_or("write_timeout_ms", period_range, 30'000));
+    out.keep_alive = milliseconds(reader.number_or("keep_alive_ms", period_range, 60'000));
+    return out;
+}
+
+flow_limits read_flow_limits(field_reader& reader)
+{
+    flow_limits out;
+    out.stall = milliseconds(reader.number_or("stall_ms", period_range, 2000));
+    out.loss = milliseconds(reader.number_or("loss_ms", period_range, 8000));
+    out.attach_backoff = milliseconds(reader.number_or("attach_backoff_ms", period_range, 100));
+    out.attempts = static_cast<int>(reader.number_or("attempts", {1, 10}, 3));
+    return out;
+}
+
+} // namespace
+
+gateway_settings read_gateway_settings(field_reader& reader)
+{
+    gateway_settings out;
+    out.common = read_common_settings(reader);
+    out.listen = reader.text("listen");
+    out.link_listen = reader.text("link_listen");
+    out.agent = reader.text("agent");
+    out.http = read_http_limits(reader);
+    out.flow = read_flow_limits(reader);
+    out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
+    out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
+    out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
+    out.shutdown_skew = milliseconds(reader.number_or("shutdown_skew_ms", period_range, 1000));
+    out.caller_buffer_bytes = static_cast<std::size_t>(reader.number_or("caller_buffer_bytes", byte_range, 256 * 1024));
+    out.open_requests = static_cast<std::size_t>(reader.number_or("open_requests", count_range, 4000));
+    return out;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "apps/common/daemon.h"
+#include "routing/request_flow.h"
+#include "transport/http_types.h"
+
+namespace anvillead {
+
+struct gateway_settings
+{
+    common_settings common;
+    /// "address:port" for callers; port 0 lets the kernel choose.
+    std::string listen;
+    /// "address:port" for links of other gateways.
+    std::string link_listen;
+    /// Link address of the agent on this host.
+    std::string agent;
+    http_limits http;
+    flow_limits flow;
+    milliseconds keep_alive_comment{5000};
+    milliseconds progress_period{100};
+    /// How long callers may keep an answer of /v1/endpoints.
+    milliseconds endpoints_ttl{5000};
+    /// Clock and delivery tolerance added to endpoints_ttl during a graceful shutdown.
+    milliseconds shutdown_skew{1000};
+    /// The engine link is not read while a caller has more unsent bytes than this.
+    std::size_t caller_buffer_bytes = 256 * 1024;
+    std::size_t open_requests = 4000;
+};
+
+gateway_settings read_gateway_settings(field_reader& reader);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/progress_table.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "core/ranked_mutex.h"
+#include "messages/types/messages.h"
+
+namespace anvillead {
+
+/// State of every grant that this gateway uses, for progress reports to schedulers.
+class progress_table
+{
+public:
+    /// `scheduler` is the link address of the scheduler that gave the grant.
+    void begin(const std::string& scheduler, const grant_progress& value);
+    void advance(const grant_id& id, std::int64_t output, instant now);
+    void end(const grant_id& id, grant_state state);
+    /// Reports by scheduler; ended grants are listed once and then removed.
+    std::map<std::string, progress_report> take_reports(instant now);
+    /// Running grants on the given engines, for a scheduler that has just taken over.
+    progress_report takeover_report(const std::vector<upstream_id>& engines, const std::string& scheduler, instant now);
+
+private:
+    struct entry
+    {
+        std::string scheduler;
+        grant_progress value;
+        instant last_token;
+    };
+
+    ranked_mutex mutex_{lock_rank::grants};
+    std::map<grant_id, entry> entries_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/response_stream.cpp
@@ -0,0 +1,384 @@
+#include "apps/gateway/response_stream.h"
+
+#include <fmt/format.h>
+
+#include "core/bounded_json.h"
+#include "core/crypto.h"
+#include "core/log.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr std::size_t id_bytes = 12;
+constexpr milliseconds engine_connect_timeout{1000};
+constexpr milliseconds engine_head_timeout{5000};
+constexpr std::size_t cancel_answer_bytes = 64 * 1024;
+
+const http_headers stream_headers = {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}};
+
+double elapsed_ms(instant from, instant to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+} // namespace
+
+response_stream::response_stream(gateway_context& context, std::shared_ptr<ihttp_exchange> exchange)
+    : context_(context), exchange_(std::move(exchange)), sequence_(exchange_->sequence()),
+      id_(request_id(random_hex(id_bytes)))
+{
+    ++context_.open_requests;
+}
+
+response_stream::~response_stream()
+{
+    --context_.open_requests;
+}
+
+void response_stream::prepare(bool idempotent, milliseconds deadline)
+{
+    started_ = context_.pool.timers().now();
+    last_token_ = started_;
+    view_ = context_.view();
+    flow_hooks hooks;
+    hooks.allow_retry = context_.allow_retry;
+    hooks.new_generation = [] { return generation_id(random_hex(id_bytes)); };
+    flow_.emplace(flow_request{id_, idempotent, deadline}, context_.settings.flow, std::move(hooks));
+    const auto weak = weak_from_this();
+    exchange_->on_closed([weak] {
+        if (const auto self = weak.lock()) {
+            self->caller_gone();
+        }
+    });
+    exchange_->on_drained([weak] {
+        const auto self = weak.lock();
+        if (self && std::exchange(self->engine_paused_, false) && self->call_) {
+            self->call_->resume();
+        }
+    });
+    // The timer keeps the stream alive until it ends, also without a caller.
+    comment_timer_ = context_.pool.timers().every(context_.settings.keep_alive_comment, [self = shared_from_this()] {
+        self->on_sequence([self] { self->keep_alive(); });
+    });
+}
+
+void response_stream::start(response_request request)
+{
+    request_ = std::move(request);
+    wants_stream_ = request_.stream;
+    prepare(request_.work->idempotent, request_.work->deadline);
+    location_.organisation = request_.owner->id;
+    carry_out(flow_->start(started_));
+}
+
+void response_stream::resume(const response_location& location, const std::string& address,
+                             sequence_number starting_after)
+{
+    location_ = location;
+    prepare(true, milliseconds(0));
+    carry_out(flow_->resume(started_, location.engine, address, location.generation, starting_after));
+}
+
+void response_stream::carry_out(flow_actions actions)
+{
+    for (const auto& it : actions) {
+        std::visit([this](const auto& action) { act(action); }, it);
+    }
+}
+
+void response_stream::on_sequence(std::function<void()> task)
+{
+    sequence_->post([self = shared_from_this(), task = std::move(task)] {
+        if (self->flow_ && !self->flow_->done()) {
+            task();
+        }
+    });
+}
+
+void response_stream::act(const ask_grant& action)
+{
+    grant_request out;
+    out.id = id_;
+    out.organisation = request_.owner->id;
+    out.workload = request_.work->name;
+    out.service = request_.target;
+    out.model = request_.model;
+    out.urgency = request_.work->urgency;
+    out.input = request_.input;
+    out.output_limit = request_.output_limit;
+    out.prefix_hash = request_.prefix_hash;
+    out.remaining = request_.work->deadline;
+    out.excluded = action.excluded;
+    const auto self = shared_from_this();
+    scheduler_links::grant_callbacks callbacks;
+    callbacks.on_grant = [self](const grant& value, const std::string& scheduler) {
+        self->sequence_->post([self, value, scheduler] {
+            self->scheduler_ = scheduler;
+            self->carry_out(self->flow_->on_grant(self->context_.pool.timers().now(), value));
+        });
+    };
+    callbacks.on_refusal = [self](const refusal& value) {
+        self->sequence_->post(
+            [self, value] { self->carry_out(self->flow_->on_refusal(self->context_.pool.timers().now(), value)); });
+    };
+    context_.schedulers.ask(out, std::move(callbacks));
+}
+
+void response_stream::act(const cancel_grant&)
+{
+    if (active_grant_) {
+        release_grant(grant_state::lost);
+        return;
+    }
+    context_.schedulers.cancel(id_);
+}
+
+void response_stream::act(const write_claim&)
+{
+    claim_answer answer{claim_answer::verdict::unavailable,
+                        make_error(error_kind::platform_unavailable, "claims are not available")};
+    on_sequence([this, answer] { carry_out(flow_->on_claim(context_.pool.timers().now(), answer)); });
+}
+
+void response_stream::act(const withdraw_claim&)
+{
+    on_sequence([this] {
+        carry_out(flow_->on_claim(context_.pool.timers().now(), {claim_answer::verdict::withdrawn, {}}));
+    });
+}
+
+void response_stream::act(const dispatch_generation& action)
+{
+    location_.engine = action.engine;
+    location_.generation = action.generation;
+    grant_progress progress;
+    progress.id = flow_->current_grant()->id;
+    progress.request = id_;
+    progress.engine = action.engine;
+    progress.organisation = request_.owner->id;
+    progress.workload = request_.work->name;
+    progress.model = request_.model;
+    progress.urgency = request_.work->urgency;
+    progress.input = request_.input;
+    context_.progress.begin(scheduler_, progress);
+    active_grant_ = progress.id;
+    context_.counters.observe_ms("grant_wait", elapsed_ms(started_, context_.pool.timers().now()));
+
+    auto body = request_.body;
+    body["stream"] = true;
+    body["priority"] = action.priority;
+    body["generation_id"] = action.generation.str();
+    body["max_output_tokens"] = request_.output_limit.count;
+    http_call_request call;
+    call.address = action.address;
+    call.method = "POST";
+    call.target = "/v1/responses";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    call_engine(std::move(call), action.generation);
+}
+
+void response_stream::act(const attach_generation& action)
+{
+    http_call_request call;
+    call.address = action.address;
+    call.target = fmt::format("/v1/responses/{}?stream=true", action.generation.str());
+    if (action.starting_after >= 0) {
+        call.target += fmt::format("&starting_after={}", action.starting_after);
+    }
+    log(log_level::info, log_event::engine_attached_again,
+        {{"request", id_.str()}, {"engine", action.engine.str()}, {"after", std::to_string(action.starting_after)}});
+    context_.counters.add("engine_attachments_total");
+    call_engine(std::move(call), action.generation);
+}
+
+void response_stream::call_engine(http_call_request request, const generation_id& generation)
+{
+    if (call_) {
+        call_->abandon();
+    }
+    engine_paused_ = false;
+    request.connect_timeout = engine_connect_timeout;
+    request.head_timeout = engine_head_timeout;
+    const auto weak = weak_from_this();
+    engine_call::callbacks callbacks;
+    callbacks.on_event = [weak, generation](const stream_event& event) {
+        if (const auto self = weak.lock()) {
+            self->engine_event(generation, event);
+        }
+    };
+    callbacks.on_end = [weak, generation](engine_end end) {
+        if (const auto self = weak.lock()) {
+            self->carry_out(self->flow_->on_engine_end(self->context_.pool.timers().now(), generation, end));
+        }
+    };
+    call_ = std::make_shared<engine_call>(std::move(callbacks));
+    call_->start(context_.client, std::move(request), sequence_);
+}
+
+void response_stream::engine_event(const generation_id& generation, const stream_event& event)
+{
+    const auto now = context_.pool.timers().now();
+    const auto before = flow_->output_tokens();
+    carry_out(flow_->on_event(now, generation, event));
+    const auto after = flow_->output_tokens();
+    if (after == before) {
+        return;
+    }
+    context_.counters.observe_ms(before == 0 ? "first_token" : "token_gap", elapsed_ms(last_token_, now));
+    last_token_ = now;
+    if (active_grant_) {
+        context_.progress.advance(*active_grant_, after, now);
+    }
+}
+
+void response_stream::act(const cancel_generation& action)
+{
+    http_call_request call;
+    call.address = action.address;
+    call.method = "POST";
+    call.target = fmt::format("/v1/responses/{}/cancel", action.generation.str());
+    call.reuse_connection = true;
+    context_.client.fetch(std::move(call), cancel_answer_bytes, sequence_,
+                          [](const http_call_end&, const http_answer&) {});
+}
+
+void response_stream::act(const deliver_event& action)
+{
+    const auto& event = action.event;
+    const bool carries_response = event.type == event_created || is_final(event);
+    if (!wants_stream_) {
+        if (is_final(event)) {
+            const auto body = parse_bounded_json(with_response_id(event));
+            exchange_->reply(200, {{"Content-Type", "application/json"}},
+                             body ? body->value("response", nlohmann::json::object()).dump() : "{}");
+        }
+        return;
+    }
+    begin_stream();
+    if (carries_response) {
+        exchange_->write(encode_sse({event.type, event.number, with_response_id(event)}));
+    } else {
+        exchange_->write(encode_sse(event));
+    }
+    if (exchange_->unsent_bytes() > context_.settings.caller_buffer_bytes && !engine_paused_ && call_) {
+        engine_paused_ = true;
+        call_->pause();
+    }
+}
+
+std::string response_stream::with_response_id(const stream_event& event) const
+{
+    auto value = parse_bounded_json(event.data);
+    if (!value || !value->is_object()) {
+        return event.data;
+    }
+    (*value)["response"]["id"] = context_.ids.encode(location_);
+    return value->dump();
+}
+
+void response_stream::begin_stream()
+{
+    if (!std::exchange(head_sent_, true)) {
+        exchange_->begin_stream(200, stream_headers);
+    }
+}
+
+void response_stream::keep_alive()
+{
+    if (caller_present_ && wants_stream_) {
+        begin_stream();
+        exchange_->write(encode_sse_comment("keep-alive"));
+    }
+}
+
+void response_stream::act(const fail_request& action)
+{
+    const auto& reason = action.reason;
+    context_.counters.add(fmt::format("requests_failed_total{{kind=\"{}\"}}", to_string(reason.kind)));
+    log(log_level::warning, log_event::request_failed,
+        {{"request", id_.str()},
+         {"kind", std::string(to_string(reason.kind))},
+         {"outcome", std::string(to_string(reason.outcome))},
+         {"delivered", std::to_string(action.delivered)},
+         {"reason", reason.message}});
+    if (caller_present_ && !head_sent_) {
+        reply_error(*exchange_, reason);
+    } else if (caller_present_) {
+        auto body = *parse_bounded_json(error_body(reason));
+        body["type"] = "error";
+        body["delivered"] = action.delivered;
+        exchange_->write(fmt::format("event: error\ndata: {}\n\n", body.dump()));
+        exchange_->end_stream();
+    }
+    release_grant(grant_state::lost);
+    close_timers();
+}
+
+void response_stream::act(const finish_request&)
+{
+    if (caller_present_ && head_sent_) {
+        exchange_->end_stream();
+    }
+    context_.counters.add("requests_completed_total");
+    context_.on_success();
+    release_grant(grant_state::finished);
+    close_timers();
+}
+
+void response_stream::act(const set_timer& action)
+{
+    if (timer_) {
+        context_.pool.timers().cancel(*timer_);
+    }
+    const auto now = context_.pool.timers().now();
+    const auto delay = std::chrono::duration_cast<milliseconds>(std::max(action.at - now, instant::duration(0)));
+    timer_ = context_.pool.timers().after(delay + milliseconds(1), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->on_sequence([raw = self.get()] {
+            raw->carry_out(raw->flow_->on_timer(raw->context_.pool.timers().now(), raw->engine_paused_));
+        });
+    });
+}
+
+void response_stream::caller_gone()
+{
+    caller_present_ = false;
+    // Without a caller nothing drains; the engine link is read on, so that progress reports stay true.
+    if (std::exchange(engine_paused_, false) && call_) {
+        call_->resume();
+    }
+    if (flow_ && !flow_->done()) {
+        carry_out(flow_->on_caller_gone(context_.pool.timers().now()));
+    }
+}
+
+void response_stream::release_grant(grant_state state)
+{
+    if (active_grant_) {
+        context_.progress.end(*active_grant_, state);
+        active_grant_.reset();
+    }
+}
+
+void response_stream::close_timers()
+{
+    if (call_) {
+        call_->abandon();
+        call_.reset();
+    }
+    if (timer_) {
+        context_.pool.timers().cancel(*timer_);
+        timer_.reset();
+    }
+    if (comment_timer_) {
+        context_.pool.timers().cancel(*comment_timer_);
+        comment_timer_.reset();
+    }
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/response_stream.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "apps/gateway/engine_call.h"
+#include "apps/gateway/gateway_context.h"
+#include "apps/gateway/response_request.h"
+#include "routing/request_flow.h"
+#include "transport/ihttp_server.h"
+
+namespace anvillead {
+
+/// Carries out the decisions of one request_flow: grants, engine calls and the caller's stream. Everything runs on the
+/// exchange's sequence.
+class response_stream : public std::enable_shared_from_this<response_stream>
+{
+public:
+    response_stream(gateway_context& context, std::shared_ptr<ihttp_exchange> exchange);
+    ~response_stream();
+    response_stream(const response_stream&) = delete;
+    response_stream& operator=(const response_stream&) = delete;
+
+    /// Starts a new generation for a checked request.
+    void start(response_request request);
+    /// Follows a generation that already runs.
+    void resume(const response_location& location, const std::string& address, sequence_number starting_after);
+
+private:
+    void prepare(bool idempotent, milliseconds deadline);
+    void carry_out(flow_actions actions);
+    void act(const ask_grant& action);
+    void act(const cancel_grant& action);
+    void act(const write_claim& action);
+    void act(const withdraw_claim& action);
+    void act(const dispatch_generation& action);
+    void act(const attach_generation& action);
+    void act(const cancel_generation& action);
+    void act(const deliver_event& action);
+    void act(const fail_request& action);
+    void act(const finish_request& action);
+    void act(const set_timer& action);
+
+    void call_engine(http_call_request request, const generation_id& generation);
+    void engine_event(const generation_id& generation, const stream_event& event);
+    void on_sequence(std::function<void()> task);
+    void begin_stream();
+    void keep_alive();
+    void caller_gone();
+    void release_grant(grant_state state);
+    std::string with_response_id(const stream_event& event) const;
+    void close_timers();
+
+    gateway_context& context_;
+    std::shared_ptr<ihttp_exchange> exchange_;
+    std::shared_ptr<isequence> sequence_;
+    std::optional<request_flow> flow_;
+    response_request request_;
+    /// Keeps the document alive that request_ points into.
+    view_ptr view_;
+    request_id id_;
+    response_location location_;
+    std::string scheduler_;
+    std::optional<grant_id> active_grant_;
+    std::shared_ptr<engine_call> call_;
+    std::optional<timer_token> timer_;
+    std::optional<timer_token> comment_timer_;
+    instant started_{};
+    instant last_token_{};
+    bool wants_stream_ = true;
+    bool head_sent_ = false;
+    bool caller_present_ = true;
+    bool engine_paused_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/scheduler_links.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "apps/common/agent_link.h"
+#include "apps/gateway/progress_table.h"
+
+namespace anvillead {
+
+/// Links to the schedulers of the cells in use, and the grant requests that wait for their answer.
+class scheduler_links
+{
+public:
+    struct grant_callbacks
+    {
+        /// `scheduler` is the link address that gave the grant.
+        std::function<void(const grant& value, const std::string& scheduler)> on_grant;
+        std::function<void(const refusal& value)> on_refusal;
+    };
+
+    scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress);
+
+    /// Follows the view: opens links to new cell owners and moves waiting requests to them.
+    void apply_view(const view_ptr& view);
+    /// Asks the scheduler of a cell of the request's service. Callbacks run on a transport thread.
+    void ask(const grant_request& request, grant_callbacks callbacks);
+    void cancel(const request_id& request);
+    void report_progress();
+
+private:
+    struct waiting
+    {
+        grant_request request;
+        grant_callbacks callbacks;
+        std::string scheduler;
+        /// Set once the grant was received; the entry stays until cancel() or the end of the grant.
+        std::optional<grant_id> granted;
+    };
+
+    std::shared_ptr<ilink_client> client_for(const std::string& address);
+    std::string owner_of(const grant_request& request) const;
+    void opened(const std::string& address, const link_ptr& link);
+    void received(const std::string& address, const link_ptr& link, const std::string& payload);
+    void send(const std::string& address, message value);
+
+    worker_pool& pool_;
+    link_options options_;
+    metrics& counters_;
+    progress_table& progress_;
+    mutable ranked_mutex mutex_{lock_rank::members};
+    view_ptr view_ = std::make_shared<view_snapshot>();
+    std::map<std::string, std::shared_ptr<ilink_client>> clients_;
+    std::map<request_id, waiting> waiting_;
+    /// Engines by the link address of their cell's owner.
+    std::map<std::string, std::vector<upstream_id>> owned_;
+    /// Link address of each cell's owner by service.
+    std::map<service_name, std::vector<std::string>> owners_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -0,0 +1,196 @@
+#include "apps/scheduler/scheduler_daemon.h"
+
+#include <algorithm>
+
+#include "admission/scheduler_core.h"
+#include "core/crypto.h"
+#include "core/log.h"
+#include "messages/codec.h"
+#include "routing/rendezvous.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr std::size_t load_report_bytes = 64 * 1024;
+// Time for other processes to hear that this scheduler leaves and for its last messages to be delivered.
+constexpr milliseconds leave_time{1500};
+
+engine_load read_load(const upstream_id& engine, const nlohmann::json& value)
+{
+    std::vector<field_problem> problems;
+    field_reader reader(value, "load", "", problems);
+    engine_load out;
+    out.engine = engine;
+    out.used = {reader.number_or("used_tokens", {}, 0)};
+    out.capacity = {reader.number_or("capacity_tokens", {}, 0)};
+    out.running = static_cast<int>(reader.number_or("running", {}, 0));
+    out.waiting = static_cast<int>(reader.number_or("waiting", {}, 0));
+    out.preemptions = reader.number_or("preemptions", {}, 0);
+    out.lag = milliseconds(reader.number_or("lag_ms", {}, 0));
+    out.leaving = reader.flag_or("leaving", false);
+    return out;
+}
+
+} // namespace
+
+scheduler_daemon::scheduler_daemon(worker_pool& pool, scheduler_settings settings)
+    : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()),
+      core_(std::make_unique<scheduler_core>(random_hex(6))), client_(make_http_client(pool))
+{
+    const auto options = make_link_options(settings_.common, "scheduler", new_incarnation());
+    link_handlers handlers;
+    handlers.on_open = [this](const link_ptr& link) {
+        sequence_->post([this, link] { gateways_[gateway_identity(link->peer())] = link; });
+    };
+    handlers.on_message = [this](const link_ptr& link, const std::string& payload) { received(link, payload); };
+    handlers.on_closed = [this](const link_ptr& link) {
+        sequence_->post([this, link] {
+            const gateway_identity gateway(link->peer());
+            const auto it = gateways_.find(gateway);
+            if (it != gateways_.end() && it->second == link) {
+                gateways_.erase(it);
+                carry_out(core_->on_gateway_lost(pool_.timers().now(), gateway));
+            }
+        });
+    };
+    server_ = make_link_server(pool, settings_.listen, options, std::move(handlers), counters_);
+    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
+        sequence_->post([this, view] { apply_view(view); });
+    });
+    agent_->report({"scheduler", false, 0, "", server_->address()});
+    log(log_level::info, log_event::process_started, {{"listen", server_->address()}});
+}
+
+scheduler_daemon::~scheduler_daemon() = default;
+
+void scheduler_daemon::run()
+{
+    pool_.on_stop_signal([this] { sequence_->post([this] { stop_requested(); }); });
+    pool_.timers().every(settings_.tick, [this] {
+        sequence_->post([this] { carry_out(core_->on_tick(pool_.timers().now())); });
+    });
+    pool_.timers().every(settings_.load_period, [this] { sequence_->post([this] { poll_loads(); }); });
+    pool_.run();
+    log(log_level::info, log_event::process_stopped, {});
+}
+
+void scheduler_daemon::apply_view(const view_ptr& view)
+{
+    std::map<upstream_id, std::string> owned;
+    for (const auto& it : view->configuration->merged.services) {
+        if (it.kind != service_kind::engine) {
+            continue;
+        }
+        for (const auto& group : cells_of(it)) {
+            const auto ranked = rank_members(view->members, placement_key(group));
+            if (ranked.empty() || ranked.front().host != settings_.common.host) {
+                continue;
+            }
+            for (const auto& id : group.engines) {
+                owned.emplace(id, view->configuration->merged.find_upstream(id)->address);
+            }
+        }
+    }
+    const auto now = pool_.timers().now();
+    if (owned != owned_ || applied_ != view->configuration->generation) {
+        log(log_level::info, log_event::scheduler_takeover, {{"engines", std::to_string(owned.size())}});
+        std::vector<upstream_id> ids;
+        for (const auto& [id, address] : owned) {
+            ids.push_back(id);
+        }
+        owned_ = std::move(owned);
+        applied_ = view->configuration->generation;
+        carry_out(core_->on_configuration(now, view->configuration->merged, ids));
+    }
+    carry_out(core_->on_leaving(now, view->leaving_upstreams));
+}
+
+void scheduler_daemon::received(const link_ptr& link, const std::string& payload)
+{
+    auto decoded = decode(payload);
+    if (!decoded) {
+        counters_.add("messages_rejected_total");
+        log(log_level::warning, log_event::message_rejected,
+            {{"peer", link->peer()}, {"problem", decoded.error().message}});
+        link->close("invalid message");
+        return;
+    }
+    sequence_->post([this, link, value = std::move(decoded.value())] { handle(link, value); });
+}
+
+void scheduler_daemon::handle(const link_ptr& link, const envelope& value)
+{
+    const gateway_identity gateway(link->peer());
+    const auto now = pool_.timers().now();
+    if (const auto* request = std::get_if<grant_request>(&value.body)) {
+        carry_out(core_->on_request(now, gateway, *request));
+    } else if (const auto* cancel = std::get_if<grant_cancel>(&value.body)) {
+        carry_out(core_->on_cancel(now, gateway, cancel->request));
+    } else if (const auto* report = std::get_if<progress_report>(&value.body)) {
+        carry_out(core_->on_progress(now, gateway, *report));
+    }
+}
+
+void scheduler_daemon::carry_out(scheduler_actions actions)
+{
+    for (auto& it : actions) {
+        std::visit([this](auto& action) { send(action.gateway, std::move(action.value)); }, it);
+    }
+}
+
+void scheduler_daemon::send(const gateway_identity& gateway, message value)
+{
+    const auto it = gateways_.find(gateway);
+    if (it != gateways_.end()) {
+        it->second->send(encode({applied_, std::move(value)}));
+    }
+}
+
+void scheduler_daemon::poll_loads()
+{
+    for (const auto& [id, address] : owned_) {
+        poll_engine(id, address);
+    }
+}
+
+void scheduler_daemon::poll_engine(const upstream_id& engine, const std::string& address)
+{
+    if (!polled_.insert(engine).second) {
+        return;
+    }
+    http_call_request request;
+    request.address = address;
+    request.target = "/load";
+    request.head_timeout = milliseconds(1000);
+    request.idle_timeout = milliseconds(1000);
+    request.reuse_connection = true;
+    client_->fetch(std::move(request), load_report_bytes, sequence_,
+                   [this, engine](const http_call_end& end, const http_answer& answer) {
+                       polled_.erase(engine);
+                       const auto value = nlohmann::json::parse(answer.body, nullptr, false);
+                       if (end.end != http_end::complete || answer.status != 200 || !value.is_object()) {
+                           counters_.add("load_reports_missed_total");
+                           return;
+                       }
+                       const auto load = read_load(engine, value);
+                       if (load.leaving) {
+                           agent_->send(upstream_report{engine});
+                       }
+                       carry_out(core_->on_load(pool_.timers().now(), load));
+                   });
+}
+
+void scheduler_daemon::stop_requested()
+{
+    if (std::exchange(stopping_, true)) {
+        log(log_level::warning, log_event::shutdown_forced, {});
+        pool_.stop();
+        return;
+    }
+    log(log_level::info, log_event::shutdown_began, {});
+    agent_->report({"scheduler", true, applied_, "", server_->address()});
+    pool_.timers().after(leave_time, [this] { pool_.stop(); });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/scheduler/scheduler_daemon.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "admission/ischeduler_core.h"
+#include "apps/common/agent_link.h"
+#include "apps/scheduler/scheduler_settings.h"
+#include "transport/ihttp_client.h"
+
+namespace anvillead {
+
+/// Connects the scheduler's decisions to links from gateways, engine load reports and the local agent.
+class scheduler_daemon
+{
+public:
+    scheduler_daemon(worker_pool& pool, scheduler_settings settings);
+    ~scheduler_daemon();
+
+    /// Runs until a stop signal has been handled.
+    void run();
+
+private:
+    void apply_view(const view_ptr& view);
+    void received(const link_ptr& link, const std::string& payload);
+    void handle(const link_ptr& link, const envelope& value);
+    void carry_out(scheduler_actions actions);
+    void send(const gateway_identity& gateway, message value);
+    void poll_loads();
+    void poll_engine(const upstream_id& engine, const std::string& address);
+    void stop_requested();
+
+    worker_pool& pool_;
+    scheduler_settings settings_;
+    metrics counters_;
+    /// All decisions and the tables below run on this sequence.
+    std::shared_ptr<isequence> sequence_;
+    std::unique_ptr<ischeduler_core> core_;
+    std::unique_ptr<ihttp_client> client_;
+    std::map<gateway_identity, link_ptr> gateways_;
+    std::map<upstream_id, std::string> owned_;
+    std::set<upstream_id> polled_;
+    config_generation applied_ = 0;
+    std::unique_ptr<ilink_server> server_;
+    std::unique_ptr<agent_link> agent_;
+    bool stopping_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/scheduler/scheduler_settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "apps/common/daemon.h"
+
+namespace anvillead {
+
+struct scheduler_settings
+{
+    common_settings common;
+    /// "address:port" for links of gateways; port 0 lets the kernel choose.
+    std::string listen;
+    /// Link address of the agent on this host.
+    std::string agent;
+    milliseconds load_period{200};
+    milliseconds tick{20};
+};
+
+scheduler_settings read_scheduler_settings(field_reader& reader);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/configuration/internal/parse.cpp
@@ -0,0 +1,323 @@
+#include "configuration/parse.h"
+
+#include <set>
+
+#include <fmt/format.h>
+
+#include "core/crypto.h"
+
+namespace anvillead {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr number_range count_range{0, 1'000'000'000};
+constexpr number_range batch_range{0, 100'000};
+constexpr number_range deadline_range{0, 86'400'000};
+constexpr double rate_limit = 1e9;
+
+/// Reads one file into the document and remembers which names were already used.
+class file_merger
+{
+public:
+    explicit file_merger(merge_result& out) : out_(out) {}
+
+    void merge(const json& root, const std::string& file)
+    {
+        field_reader reader(root, file, "", out_.problems);
+        each(reader, "services", [&](field_reader& it) { add_service(it); });
+        each(reader, "organisations", [&](field_reader& it) { add_organisation(it); });
+        each(reader, "workloads", [&](field_reader& it) { add_workload(it); });
+        each(reader, "models", [&](field_reader& it) { add_model(it); });
+        if (reader.has("drains")) {
+            field_reader drains(reader.object_or_empty("drains"), file, "drains", out_.problems);
+            for (const auto& it : drains.texts_or_empty("hosts")) {
+                out_.merged.drains.hosts.emplace_back(it);
+            }
+            for (const auto& it : drains.texts_or_empty("upstreams")) {
+                out_.merged.drains.upstreams.emplace_back(it);
+            }
+            drains.reject_unknown();
+        }
+        reader.reject_unknown();
+    }
+
+    void check_references()
+    {
+        for (const auto& it : workload_positions_) {
+            const auto& target = out_.merged.workloads[it.index].target;
+            if (out_.merged.find_service(target) == nullptr) {
+                out_.problems.push_back({it.file, it.path, "the name of a service in the folder"});
+            }
+        }
+        for (const auto& it : model_references_) {
+            if (models_.count(it.name) == 0) {
+                out_.problems.push_back({it.file, it.path, "the name of a model in the folder"});
+            }
+        }
+        for (const auto& it : out_.merged.drains.upstreams) {
+            if (upstreams_.count(it.str()) == 0) {
+                out_.problems.push_back({"(merged)", "drains.upstreams", fmt::format("an upstream id, not {}", it.str())});
+            }
+        }
+    }
+
+private:
+    struct position
+    {
+        std::size_t index = 0;
+        std::string name;
+        std::string file;
+        std::string path;
+    };
+
+    template <typename Function>
+    void each(field_reader& reader, const std::string& name, Function function)
+    {
+        std::size_t n = 0;
+        for (const auto& it : reader.array_or_empty(name)) {
+            field_reader item(it, reader.file(), fmt::format("{}[{}]", reader.path_of(name), n++), out_.problems);
+            function(item);
+            item.reject_unknown();
+        }
+    }
+
+    std::string unique_name(field_reader& reader, std::set<std::string>& used, const std::string& field = "name")
+    {
+        auto name = reader.text(field);
+        if (!name.empty() && !used.insert(name).second) {
+            reader.problem(field, fmt::format("a name that is used once, not {} again", name));
+        }
+        return name;
+    }
+
+    void add_service(field_reader& reader)
+    {
+        service out;
+        out.name = service_name(unique_name(reader, services_));
+        const auto kind = reader.text("kind");
+        if (!kind.empty() && kind != "engine" && kind != "plain") {
+            reader.problem("kind", "\"engine\" or \"plain\"");
+        }
+        out.kind = kind == "plain" ? service_kind::plain : service_kind::engine;
+        for (const auto& it : reader.texts_or_empty("models")) {
+            out.models.emplace_back(it);
+            model_references_.push_back({0, it, reader.file(), reader.path_of("models")});
+        }
+        out.checks_fencing = reader.flag_or("checks_fencing", false);
+        each(reader, "upstreams", [&](field_reader& it) { out.upstreams.push_back(read_upstream(it, out.kind)); });
+        out_.merged.services.push_back(std::move(out));
+    }
+
+    upstream read_upstream(field_reader& reader, service_kind kind)
+    {
+        upstream out;
+        out.id = upstream_id(unique_name(reader, upstreams_, "id"));
+        out.address = reader.text("address");
+        if (!out.address.empty() && out.address.find(':') == std::string::npos) {
+            reader.problem("address", "\"address:port\"");
+        }
+        out.availability_zone = zone_name(reader.text("availability_zone"));
+        if (kind == service_kind::engine) {
+            out.capacity = {reader.number("capacity_tokens", {1, count_range.highest})};
+            out.batch_limit = static_cast<int>(reader.number("batch_limit", {1, batch_range.highest}));
+        }
+        return out;
+    }
+
+    void add_organisation(field_reader& reader)
+    {
+        organisation out;
+        out.id = organisation_id(unique_name(reader, organisations_));
+        out.weight = reader.real_or("weight", 0.001, 1e6, 1);
+        if (reader.has("limits")) {
+            field_reader limits(reader.object_or_empty("limits"), reader.file(), reader.path_of("limits"),
+                                out_.problems);
+            out.limits.requests_per_second = limits.real_or("requests_per_second", 0, rate_limit, 0);
+            out.limits.tokens_per_second = limits.real_or("tokens_per_second", 0, rate_limit, 0);
+            out.limits.concurrent_urgent = static_cast<int>(limits.number_or("concurrent_urgent", batch_range, 0));
+            limits.reject_unknown();
+        }
+        out.key_hashes = reader.texts_or_empty("key_hashes");
+        for (const auto& it : out.key_hashes) {
+            if (it.size() != 64 || it.find_first_not_of("0123456789abcdef") != std::string::npos) {
+                reader.problem("key_hashes", "SHA-256 digests as 64 lower-case hexadecimal digits");
+            } else if (!key_hashes_.insert(it).second) {
+                reader.problem("key_hashes", "digests that are used once");
+            }
+        }
+        out_.merged.organisations.push_back(std::move(out));
+    }
+
+    void add_workload(field_reader& reader)
+    {
+        workload out;
+        out.name = workload_name(unique_name(reader, workloads_));
+        const auto urgency = parse_work_class(reader.text("class"));
+        if (!urgency) {
+            reader.problem("class", "\"urgent\", \"normal\" or \"draft\"");
+        }
+        out.urgency = urgency.value_or(work_class::normal);
+        out.idempotent = reader.flag_or("idempotent", true);
+        out.target = service_name(reader.text("service"));
+        out.output_limit = {reader.number_or("output_limit_tokens", {1, count_range.highest}, 100'000)};
+        out.deadline = milliseconds(reader.number_or("deadline_ms", deadline_range, 0));
+        workload_positions_.push_back(
+            {out_.merged.workloads.size(), out.name.str(), reader.file(), reader.path_of("service")});
+        out_.merged.workloads.push_back(std::move(out));
+    }
+
+    void add_model(field_reader& reader)
+    {
+        model out;
+        out.name = model_name(unique_name(reader, models_));
+        out.context = {reader.number_or("context_tokens", {1, count_range.highest}, 1'000'000)};
+        out_.merged.models.push_back(std::move(out));
+    }
+
+    merge_result& out_;
+    std::set<std::string> services_;
+    std::set<std::string> upstreams_;
+    std::set<std::string> organisations_;
+    std::set<std::string> key_hashes_;
+    std::set<std::string> workloads_;
+    std::set<std::string> models_;
+    std::vector<position> workload_positions_;
+    std::vector<position> model_references_;
+};
+
+template <typename Ids>
+json id_array(const Ids& ids)
+{
+    json out = json::array();
+    for (const auto& it : ids) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+json to_json(const upstream& value, service_kind kind)
+{
+    json out = {{"id", value.id.str()},
+                {"address", value.address},
+                {"availability_zone", value.availability_zone.str()}};
+    if (kind == service_kind::engine) {
+        out["capacity_tokens"] = value.capacity.count;
+        out["batch_limit"] = value.batch_limit;
+    }
+    return out;
+}
+
+json to_json(const service& value)
+{
+    json upstreams = json::array();
+    for (const auto& it : value.upstreams) {
+        upstreams.push_back(to_json(it, value.kind));
+    }
+    return {{"name", value.name.str()},
+            {"kind", value.kind == service_kind::engine ? "engine" : "plain"},
+            {"models", id_array(value.models)},
+            {"checks_fencing", value.checks_fencing},
+            {"upstreams", upstreams}};
+}
+
+json to_json(const organisation& value)
+{
+    return {{"name", value.id.str()},
+            {"weight", value.weight},
+            {"limits",
+             {{"requests_per_second", value.limits.requests_per_second},
+              {"tokens_per_second", value.limits.tokens_per_second},
+              {"concurrent_urgent", value.limits.concurrent_urgent}}},
+            {"key_hashes", value.key_hashes}};
+}
+
+json to_json(const workload& value)
+{
+    return {{"name", value.name.str()},
+            {"class", to_string(value.urgency)},
+            {"idempotent", value.idempotent},
+            {"service", value.target.str()},
+            {"output_limit_tokens", value.output_limit.count},
+            {"deadline_ms", value.deadline.count()}};
+}
+
+} // namespace
+
+merge_result merge_files(const config_files& files)
+{
+    merge_result out;
+    file_merger merger(out);
+    for (const auto& [name, text] : files) {
+        const auto root = json::parse(text, nullptr, false);
+        if (root.is_discarded()) {
+            out.problems.push_back({name, "(root)", "valid JSON"});
+            continue;
+        }
+        merger.merge(root, name);
+    }
+    merger.check_references();
+    return out;
+}
+
+merge_result parse_document(const json& value, const std::string& source)
+{
+    merge_result out;
+    file_merger merger(out);
+    merger.merge(value, source);
+    merger.check_references();
+    return out;
+}
+
+json to_json(const document& value)
+{
+    json out = {{"services", json::array()},
+                {"organisations", json::array()},
+                {"workloads", json::array()},
+                {"models", json::array()},
+                {"drains",
+                 {{"hosts", id_array(value.drains.hosts)}, {"upstreams", id_array(value.drains.upstreams)}}}};
+    for (const auto& it : value.services) {
+        out["services"].push_back(to_json(it));
+    }
+    for (const auto& it : value.organisations) {
+        out["organisations"].push_back(to_json(it));
+    }
+    for (const auto& it : value.workloads) {
+        out["workloads"].push_back(to_json(it));
+    }
+    for (const auto& it : value.models) {
+        out["models"].push_back({{"name", it.name.str()}, {"context_tokens", it.context.count}});
+    }
+    return out;
+}
+
+json to_json(const accepted_configuration& value)
+{
+    return {{"generation", value.generation},
+            {"collection_revision", value.collection_revision},
+            {"digest", value.digest},
+            {"document", to_json(value.merged)}};
+}
+
+result<accepted_configuration> parse_accepted(const json& value)
+{
+    std::vector<field_problem> problems;
+    accepted_configuration out;
+    field_reader reader(value, "accepted", "", problems);
+    out.generation = static_cast<config_generation>(reader.number("generation", {0, INT64_MAX}));
+    out.collection_revision = static_cast<std::uint64_t>(reader.number("collection_revision", {0, INT64_MAX}));
+    out.digest = reader.text_or("digest", "");
+    auto merged = parse_document(reader.object_or_empty("document"), "accepted");
+    reader.reject_unknown();
+    problems.insert(problems.end(), merged.problems.begin(), merged.problems.end());
+    const auto checked = problems_to_result(problems);
+    if (!checked) {
+        return checked.error();
+    }
+    out.merged = std::move(merged.merged);
+    return out;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/configuration/parse.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "configuration/types/document.h"
+#include "core/field_reader.h"
+
+namespace anvillead {
+
+/// File name to file text; iteration order is the merge order.
+using config_files = std::map<std::string, std::string>;
+
+/// Result of merging a folder: the document, and every problem found.
+struct merge_result
+{
+    document merged;
+    std::vector<field_problem> problems;
+};
+
+/// Parses the files in name order and merges them. Duplicates and dangling references are problems.
+merge_result merge_files(const config_files& files);
+/// Canonical JSON of a document; equal documents give equal text.
+nlohmann::json to_json(const document& value);
+/// Parses the canonical JSON again. `source` names it in problems.
+merge_result parse_document(const nlohmann::json& value, const std::string& source);
+
+/// The `accepted` object as it is stored in the platform and sent between processes.
+nlohmann::json to_json(const accepted_configuration& value);
+result<accepted_configuration> parse_accepted(const nlohmann::json& value);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/configuration/tests/parse_test.cpp
@@ -0,0 +1,50 @@
+#include "configuration/parse.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(parse_test)
+{
+    config_files files = {
+        {"10-models.json", R"({"models":[{"name":"m"}]})"},
+        {"20-services.json", R"({"services":[{"name":"pool","kind":"engine","models":["m"],"upstreams":[
+            {"id":"e1","address":"127.0.0.1:1","availability_zone":"leith","capacity_tokens":100,"batch_limit":4}]}]})"},
+        {"30-workloads.json", R"({"workloads":[{"name":"w","class":"draft","service":"pool"}]})"}};
+
+    void check_problem(const std::string& file, const std::string& field)
+    {
+        const auto merged = merge_files(files);
+        LONGS_EQUAL(1, merged.problems.size());
+        STRCMP_EQUAL(file.c_str(), merged.problems[0].file.c_str());
+        STRCMP_EQUAL(field.c_str(), merged.problems[0].field.c_str());
+    }
+};
+
+TEST(parse_test, accepts_the_folder_and_round_trips_it)
+{
+    const auto merged = merge_files(files);
+    LONGS_EQUAL(0, merged.problems.size());
+    const auto again = parse_document(to_json(merged.merged), "x");
+    LONGS_EQUAL(0, again.problems.size());
+    CHECK(to_json(again.merged) == to_json(merged.merged));
+}
+
+// Guards against a workload that routes to a service which no file defines.
+TEST(parse_test, dangling_service_names_file_and_field)
+{
+    files["30-workloads.json"] = R"({"workloads":[{"name":"w","class":"draft","service":"none"}]})";
+    check_problem("30-workloads.json", "workloads[0].service");
+}
+
+TEST(parse_test, duplicate_name_names_the_later_file)
+{
+    files["40-more.json"] = R"({"models":[{"name":"m"}]})";
+    check_problem("40-more.json", "models[0].name");
+}
+
+TEST(parse_test, unknown_field_is_refused)
+{
+    files["10-models.json"] = R"({"models":[{"name":"m","colour":1}]})";
+    check_problem("10-models.json", "models[0].colour");
+}
--- /dev/null
+++ b/src/membership/types/member.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/types/ids.h"
+#include "core/types/units.h"
+
+namespace anvillead {
+
+enum class member_state { alive = 0, suspect = 1, leaving = 2, dead = 3 };
+
+inline constexpr std::array<std::string_view, 4> member_state_names = {"alive", "suspect", "leaving", "dead"};
+
+inline std::string_view to_string(member_state value)
+{
+    return member_state_names[static_cast<std::size_t>(value)];
+}
+
+/// Where the daemons of one host listen, each as "address:port"; empty while a daemon is not running.
+struct member_addresses
+{
+    std::string agent_udp;
+    std::string agent_link;
+    std::string gateway_http;
+    std::string gateway_link;
+    std::string scheduler_link;
+};
+
+/// One entry host of the system.
+struct member
+{
+    host_id host;
+    zone_name availability_zone;
+    incarnation number = 0;
+    member_state state = member_state::alive;
+    member_addresses addresses;
+    /// Generation of the configuration that this member has in force.
+    config_generation generation = 0;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/messages/internal/codec.cpp
@@ -0,0 +1,414 @@
+#include "messages/codec.h"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "configuration/parse.h"
+#include "core/bounded_json.h"
+#include "core/field_reader.h"
+
+namespace anvillead {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr number_range any_number{0, INT64_MAX};
+constexpr number_range signed_number{INT64_MIN, INT64_MAX};
+constexpr number_range small_number{0, 1'000'000};
+
+template <typename Id>
+json ids_to_json(const std::vector<Id>& ids)
+{
+    json out = json::array();
+    for (const auto& it : ids) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+template <typename Id>
+std::vector<Id> read_ids(field_reader& reader, std::string_view name)
+{
+    std::vector<Id> out;
+    for (auto& it : reader.texts_or_empty(name)) {
+        out.emplace_back(std::move(it));
+    }
+    return out;
+}
+
+work_class read_class(field_reader& reader)
+{
+    const auto value = parse_work_class(reader.text("class"));
+    if (!value) {
+        reader.problem("class", "a work class");
+    }
+    return value.value_or(work_class::normal);
+}
+
+json to_json(const member& value)
+{
+    return {{"host", value.host.str()},
+            {"zone", value.availability_zone.str()},
+            {"incarnation", value.number},
+            {"state", static_cast<int>(value.state)},
+            {"agent_udp", value.addresses.agent_udp},
+            {"agent_link", value.addresses.agent_link},
+            {"gateway_http", value.addresses.gateway_http},
+            {"gateway_link", value.addresses.gateway_link},
+            {"scheduler_link", value.addresses.scheduler_link},
+            {"generation", value.generation}};
+}
+
+std::string optional_text(field_reader& reader, std::string_view name)
+{
+    const auto& value = reader.any_or_null(name);
+    return value.is_string() ? value.get<std::string>() : std::string();
+}
+
+member read_member(field_reader& reader)
+{
+    member out;
+    out.host = host_id(reader.text("host"));
+    out.availability_zone = zone_name(reader.text("zone"));
+    out.number = static_cast<incarnation>(reader.number("incarnation", any_number));
+    out.state = static_cast<member_state>(reader.number("state", {0, 3}));
+    out.addresses = {optional_text(reader, "agent_udp"), optional_text(reader, "agent_link"),
+                     optional_text(reader, "gateway_http"), optional_text(reader, "gateway_link"),
+                     optional_text(reader, "scheduler_link")};
+    out.generation = static_cast<config_generation>(reader.number("generation", any_number));
+    return out;
+}
+
+template <typename T, typename Read>
+std::vector<T> read_items(field_reader& reader, std::string_view name, std::vector<field_problem>& problems, Read read)
+{
+    std::vector<T> out;
+    for (const auto& it : reader.array_or_empty(name)) {
+        field_reader item(it, reader.file(), reader.path_of(name), problems);
+        out.push_back(read(item));
+    }
+    return out;
+}
+
+json to_json(const process_report& value)
+{
+    return {{"role", value.role},
+            {"leaving", value.leaving},
+            {"generation", value.generation},
+            {"http", value.http_address},
+            {"link", value.link_address}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, process_report& out)
+{
+    out.role = reader.text("role");
+    out.leaving = reader.flag_or("leaving", false);
+    out.generation = static_cast<config_generation>(reader.number("generation", any_number));
+    out.http_address = optional_text(reader, "http");
+    out.link_address = optional_text(reader, "link");
+}
+
+void read_configuration(field_reader& reader, std::vector<field_problem>& problems,
+                        std::optional<accepted_configuration>& out)
+{
+    const auto& value = reader.any_or_null("configuration");
+    if (value.is_null()) {
+        return;
+    }
+    auto parsed = parse_accepted(value);
+    if (!parsed) {
+        problems.push_back({reader.file(), "configuration", parsed.error().message});
+        return;
+    }
+    out = std::move(parsed.value());
+}
+
+json to_json(const view& value)
+{
+    json members = json::array();
+    for (const auto& it : value.members) {
+        members.push_back(to_json(it));
+    }
+    json out = {{"members", members}, {"leaving_upstreams", ids_to_json(value.leaving_upstreams)}};
+    if (value.configuration) {
+        out["configuration"] = to_json(*value.configuration);
+    }
+    return out;
+}
+
+void read(field_reader& reader, std::vector<field_problem>& problems, view& out)
+{
+    read_configuration(reader, problems, out.configuration);
+    out.members = read_items<member>(reader, "members", problems, read_member);
+    out.leaving_upstreams = read_ids<upstream_id>(reader, "leaving_upstreams");
+}
+
+json to_json(const upstream_report& value)
+{
+    return {{"id", value.id.str()}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, upstream_report& out)
+{
+    out.id = upstream_id(reader.text("id"));
+}
+
+json to_json(const grant_request& value)
+{
+    return {{"id", value.id.str()},
+            {"organisation", value.organisation.str()},
+            {"workload", value.workload.str()},
+            {"service", value.service.str()},
+            {"model", value.model.str()},
+            {"class", to_string(value.urgency)},
+            {"input", value.input.count},
+            {"output_limit", value.output_limit.count},
+            {"prefix", static_cast<std::int64_t>(value.prefix_hash)},
+            {"remaining_ms", value.remaining.count()},
+            {"excluded", ids_to_json(value.excluded)}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, grant_request& out)
+{
+    out.id = request_id(reader.text("id"));
+    out.organisation = organisation_id(reader.text("organisation"));
+    out.workload = workload_name(reader.text("workload"));
+    out.service = service_name(reader.text("service"));
+    out.model = model_name(reader.text("model"));
+    out.urgency = read_class(reader);
+    out.input = {reader.number("input", any_number)};
+    out.output_limit = {reader.number("output_limit", any_number)};
+    out.prefix_hash = static_cast<std::uint64_t>(reader.number("prefix", signed_number));
+    out.remaining = milliseconds(reader.number("remaining_ms", any_number));
+    out.excluded = read_ids<upstream_id>(reader, "excluded");
+}
+
+json to_json(const grant& value)
+{
+    return {{"request", value.request.str()},
+            {"id", value.id.str()},
+            {"engine", value.engine.str()},
+            {"address", value.address},
+            {"priority", value.priority}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, grant& out)
+{
+    out.request = request_id(reader.text("request"));
+    out.id = grant_id(reader.text("id"));
+    out.engine = upstream_id(reader.text("engine"));
+    out.address = reader.text("address");
+    out.priority = static_cast<int>(reader.number("priority", small_number));
+}
+
+json to_json(const refusal& value)
+{
+    json out = {{"request", value.request.str()}, {"kind", to_string(value.kind)}};
+    if (value.retry_after) {
+        out["retry_after_ms"] = value.retry_after->count();
+    }
+    return out;
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, refusal& out)
+{
+    out.request = request_id(reader.text("request"));
+    const auto kind = parse_error_kind(reader.text("kind"));
+    if (!kind) {
+        reader.problem("kind", "an error kind");
+    }
+    out.kind = kind.value_or(error_kind::internal);
+    if (reader.has("retry_after_ms")) {
+        out.retry_after = milliseconds(reader.number("retry_after_ms", any_number));
+    }
+}
+
+json to_json(const grant_cancel& value)
+{
+    return {{"request", value.request.str()}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, grant_cancel& out)
+{
+    out.request = request_id(reader.text("request"));
+}
+
+json to_json(const grant_progress& value)
+{
+    return {{"id", value.id.str()},
+            {"request", value.request.str()},
+            {"engine", value.engine.str()},
+            {"organisation", value.organisation.str()},
+            {"workload", value.workload.str()},
+            {"model", value.model.str()},
+            {"class", to_string(value.urgency)},
+            {"input", value.input.count},
+            {"output", value.output.count},
+            {"state", static_cast<int>(value.state)},
+            {"silent_ms", value.silent.count()},
+            {"preemptions", value.preemptions}};
+}
+
+grant_progress read_progress(field_reader& reader)
+{
+    grant_progress out;
+    out.id = grant_id(reader.text("id"));
+    out.request = request_id(reader.text("request"));
+    out.engine = upstream_id(reader.text("engine"));
+    out.organisation = organisation_id(reader.text("organisation"));
+    out.workload = workload_name(reader.text("workload"));
+    out.model = model_name(reader.text("model"));
+    out.urgency = read_class(reader);
+    out.input = {reader.number("input", any_number)};
+    out.output = {reader.number("output", any_number)};
+    out.state = static_cast<grant_state>(reader.number("state", {0, 2}));
+    out.silent = milliseconds(reader.number("silent_ms", any_number));
+    out.preemptions = static_cast<int>(reader.number("preemptions", small_number));
+    return out;
+}
+
+json to_json(const progress_report& value)
+{
+    json grants = json::array();
+    for (const auto& it : value.grants) {
+        grants.push_back(to_json(it));
+    }
+    return {{"grants", grants}, {"complete", value.complete}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>& problems, progress_report& out)
+{
+    out.grants = read_items<grant_progress>(reader, "grants", problems, read_progress);
+    out.complete = reader.flag_or("complete", false);
+}
+
+json to_json(const registry_put& value)
+{
+    return {{"key_hash", value.key_hash}, {"response_id", value.response_id}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, registry_put& out)
+{
+    out.key_hash = reader.text("key_hash");
+    out.response_id = reader.text("response_id");
+}
+
+json to_json(const registry_lookup& value)
+{
+    return {{"query", value.query}, {"key_hash", value.key_hash}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, registry_lookup& out)
+{
+    out.query = static_cast<std::uint64_t>(reader.number("query", any_number));
+    out.key_hash = reader.text("key_hash");
+}
+
+json to_json(const registry_entry& value)
+{
+    return {{"query", value.query}, {"response_id", value.response_id}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, registry_entry& out)
+{
+    out.query = static_cast<std::uint64_t>(reader.number("query", any_number));
+    out.response_id = optional_text(reader, "response_id");
+}
+
+json to_json(const state_pull& value)
+{
+    return {{"have", value.have}};
+}
+
+void read(field_reader& reader, std::vector<field_problem>&, state_pull& out)
+{
+    out.have = static_cast<config_generation>(reader.number("have", any_number));
+}
+
+json to_json(const state_push& value)
+{
+    return value.configuration ? json{{"configuration", to_json(*value.configuration)}} : json::object();
+}
+
+void read(field_reader& reader, std::vector<field_problem>& problems, state_push& out)
+{
+    read_configuration(reader, problems, out.configuration);
+}
+
+// Wire names in the order of the variant's alternatives.
+constexpr std::array<std::string_view, std::variant_size_v<message>> type_names = {
+    "process_report", "view",         "upstream_report", "grant_request",  "grant",      "refusal",   "grant_cancel",
+    "progress_report", "registry_put", "registry_lookup", "registry_entry", "state_pull", "state_push"};
+
+template <std::size_t Index>
+message read_alternative(field_reader& reader, std::vector<field_problem>& problems)
+{
+    std::variant_alternative_t<Index, message> out;
+    read(reader, problems, out);
+    return out;
+}
+
+using read_function = message (*)(field_reader&, std::vector<field_problem>&);
+
+template <std::size_t... Indices>
+constexpr std::array<read_function, sizeof...(Indices)> make_read_table(std::index_sequence<Indices...>)
+{
+    return {&read_alternative<Indices>...};
+}
+
+constexpr auto read_table = make_read_table(std::make_index_sequence<std::variant_size_v<message>>());
+
+error violation(std::string text)
+{
+    return make_error(error_kind::protocol_violation, std::move(text));
+}
+
+} // namespace
+
+std::string_view message_type(const message& value)
+{
+    return type_names[value.index()];
+}
+
+std::string encode(const envelope& value)
+{
+    const json body = std::visit([](const auto& it) { return to_json(it); }, value.body);
+    std::string out;
+    json::to_cbor({{"v", protocol_version}, {"t", message_type(value.body)}, {"g", value.generation}, {"b", body}}, out);
+    return out;
+}
+
+result<envelope> decode(std::string_view payload)
+{
+    const auto parsed = parse_bounded_cbor(payload);
+    if (!parsed || !parsed->is_object()) {
+        return violation("the message is not a CBOR map");
+    }
+    std::vector<field_problem> problems;
+    field_reader reader(*parsed, "message", "", problems);
+    const auto version = reader.number("v", any_number);
+    const auto type = reader.text("t");
+    envelope out;
+    out.generation = static_cast<config_generation>(reader.number("g", any_number));
+    const auto& body = reader.object_or_empty("b");
+    if (version != protocol_version) {
+        return violation("the message has another protocol version");
+    }
+    for (std::size_t i = 0; i < type_names.size(); ++i) {
+        if (type_names[i] != type) {
+            continue;
+        }
+        field_reader body_reader(body, "message", type, problems);
+        out.body = read_table[i](body_reader, problems);
+        if (!problems.empty()) {
+            return violation(to_string(problems.front()));
+        }
+        return out;
+    }
+    return violation("the message type is unknown");
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/messages/types/messages.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "configuration/types/document.h"
+#include "core/error.h"
+#include "core/types/ids.h"
+#include "core/types/units.h"
+#include "core/types/work_class.h"
+#include "membership/types/member.h"
+
+namespace anvillead {
+
+/// First message on a link from a gateway or scheduler to its local agent, repeated when something changes.
+struct process_report
+{
+    /// "gateway" or "scheduler"
+    std::string role;
+    bool leaving = false;
+    /// Configuration generation in force in the process.
+    config_generation generation = 0;
+    std::string http_address;
+    std::string link_address;
+};
+
+/// Agent to its local gateway and scheduler.
+struct view
+{
+    /// Absent when the receiver already has the generation in the envelope.
+    std::optional<accepted_configuration> configuration;
+    std::vector<member> members;
+    /// Upstreams that get no new work: the union of all reports.
+    std::vector<upstream_id> leaving_upstreams;
+};
+
+/// Gateway or scheduler to its local agent: an upstream said that it is leaving.
+struct upstream_report
+{
+    upstream_id id;
+};
+
+/// Gateway to scheduler: asks for permission to start a generation.
+struct grant_request
+{
+    request_id id;
+    organisation_id organisation;
+    workload_name workload;
+    service_name service;
+    model_name model;
+    work_class urgency = work_class::normal;
+    tokens input;
+    tokens output_limit;
+    /// Hash of the start of the prompt, for prefix affinity; 0 when unknown.
+    std::uint64_t prefix_hash = 0;
+    /// Time left until the request is worthless; zero means no deadline.
+    milliseconds remaining{0};
+    /// Engines that already failed this request.
+    std::vector<upstream_id> excluded;
+};
+
+/// Scheduler to gateway.
+struct grant
+{
+    request_id request;
+    grant_id id;
+    upstream_id engine;
+    std::string address;
+    /// Engine priority; a lower number is more urgent.
+    int priority = 0;
+};
+
+/// Scheduler to gateway: final answer to a grant request.
+struct refusal
+{
+    request_id request;
+    error_kind kind = error_kind::overloaded;
+    std::optional<milliseconds> retry_after;
+};
+
+/// Gateway to scheduler: the request no longer needs a grant, or gives an unused one back.
+struct grant_cancel
+{
+    request_id request;
+};
+
+enum class grant_state { running = 0, finished = 1, lost = 2 };
+
+/// State of one grant as its gateway sees it.
+struct grant_progress
+{
+    grant_id id;
+    request_id request;
+    upstream_id engine;
+    organisation_id organisation;
+    workload_name workload;
+    model_name model;
+    work_class urgency = work_class::normal;
+    tokens input;
+    tokens output;
+    grant_state state = grant_state::running;
+    /// Time since the last token.
+    milliseconds silent{0};
+    /// Times that the engine preempted the generation.
+    int preemptions = 0;
+};
+
+/// Gateway to scheduler, every 100 ms. `complete` marks a takeover report that lists every running grant.
+struct progress_report
+{
+    std::vector<grant_progress> grants;
+    bool complete = false;
+};
+
+/// Gateway to gateway: remembers which response an idempotency key started.
+struct registry_put
+{
+    std::string key_hash;
+    std::string response_id;
+};
+
+struct registry_lookup
+{
+    std::uint64_t query = 0;
+    std::string key_hash;
+};
+
+/// Answer to a lookup; `response_id` is empty when the key is unknown.
+struct registry_entry
+{
+    std::uint64_t query = 0;
+    std::string response_id;
+};
+
+/// Agent to agent: asks for the accepted configuration.
+struct state_pull
+{
+    config_generation have = 0;
+};
+
+struct state_push
+{
+    std::optional<accepted_configuration> configuration;
+};
+
+using message = std::variant<process_report, view, upstream_report, grant_request, grant, refusal, grant_cancel,
+                             progress_report, registry_put, registry_lookup, registry_entry, state_pull, state_push>;
+
+/// What travels on a link: the sender's configuration generation and one message.
+struct envelope
+{
+    config_generation generation = 0;
+    message body;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/routing/rendezvous.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "configuration/types/document.h"
+#include "membership/types/member.h"
+
+namespace anvillead {
+
+/// Largest number of engines that one scheduler decides for.
+inline constexpr std::size_t engines_per_cell = 32;
+
+/// A group of engines of one service with one responsible scheduler.
+struct cell
+{
+    service_name service;
+    std::size_t number = 0;
+    std::vector<upstream_id> engines;
+};
+
+/// Members that may own work (alive or suspect), highest rendezvous score for `key` first.
+std::vector<member> rank_members(const std::vector<member>& members, const std::string& key);
+/// Cells of an engine service, from its upstreams in id order.
+std::vector<cell> cells_of(const service& value);
+/// Key under which a cell's scheduler is chosen.
+std::string placement_key(const cell& value);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/streams/sse.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "streams/types/stream_event.h"
+
+namespace anvillead {
+
+/// Server-sent event framing of one event: `event`, `id` (the sequence number) and `data` lines.
+std::string encode_sse(const stream_event& event);
+/// A comment line that keeps intermediaries and slow links alive. It carries no event.
+std::string encode_sse_comment(std::string_view text);
+
+/// Incremental parser of an event stream as the WHATWG text defines it. Input may be cut at any byte.
+class sse_parser
+{
+public:
+    /// `on_event` gets the event type, the last `id` and the joined data lines.
+    explicit sse_parser(std::function<void(std::string type, std::string id, std::string data)> on_event)
+        : on_event_(std::move(on_event))
+    {
+    }
+
+    /// Returns false once a line exceeds the size limit; the stream must then be dropped.
+    bool feed(std::string_view data);
+
+private:
+    void line(std::string_view text);
+
+    std::function<void(std::string, std::string, std::string)> on_event_;
+    std::string buffer_;
+    std::string type_;
+    std::string id_;
+    std::string data_;
+    bool has_data_ = false;
+    bool skip_line_feed_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/transport/http_types.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/types/units.h"
+
+namespace anvillead {
+
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+/// Value of the first header with this name (case-insensitive); empty when there is none.
+std::string_view find_header(const http_headers& headers, std::string_view name);
+
+struct http_request
+{
+    std::string method;
+    /// Path and query as received.
+    std::string target;
+    http_headers headers;
+    std::string body;
+    std::string peer_address;
+
+    std::string_view header(std::string_view name) const { return find_header(headers, name); }
+    /// The target without its query.
+    std::string_view path() const;
+    /// Value of a query parameter; empty when absent. Percent-decoding is not applied.
+    std::string_view query(std::string_view name) const;
+};
+
+/// Bounds of an HTTP server.
+struct http_limits
+{
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t connections = 4096;
+    /// Time for the whole head and body of a request to arrive.
+    milliseconds request_timeout{10000};
+    /// Time without any progress while writing to a caller.
+    milliseconds write_timeout{30000};
+    milliseconds keep_alive{60000};
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/transport/internal/websocket_link.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "core/log.h"
+#include "transport/ilink.h"
+
+namespace anvillead {
+
+using websocket_server = websocketpp::server<websocketpp::config::asio>;
+using websocket_client = websocketpp::client<websocketpp::config::asio_client>;
+
+inline constexpr const char* identity_header = "X-Anvillead-Identity";
+inline constexpr const char* nonce_header = "X-Anvillead-Nonce";
+inline constexpr const char* time_header = "X-Anvillead-Time";
+inline constexpr const char* proof_header = "X-Anvillead-Proof";
+
+/// One WebSocket connection as a message link.
+template <typename Connection>
+class websocket_link : public ilink
+{
+public:
+    websocket_link(std::shared_ptr<Connection> connection, std::string peer, std::size_t unsent_limit,
+                   metrics& counters)
+        : connection_(std::move(connection)), peer_(std::move(peer)), unsent_limit_(unsent_limit), counters_(counters)
+    {
+    }
+
+    void send(std::string payload) override
+    {
+        if (connection_->get_buffered_amount() > unsent_limit_) {
+            close("unsent bytes exceed the limit");
+            return;
+        }
+        counters_.add("link_sent_bytes_total", static_cast<double>(payload.size()));
+        counters_.add("link_sent_messages_total");
+        connection_->send(payload.data(), payload.size(), websocketpp::frame::opcode::binary);
+    }
+
+    void close(const std::string& reason) override
+    {
+        log(log_level::warning, log_event::link_closed, {{"peer", peer_}, {"reason", reason}});
+        websocketpp::lib::error_code ec;
+        connection_->close(websocketpp::close::status::policy_violation, reason, ec);
+    }
+
+    const std::string& peer() const override { return peer_; }
+
+private:
+    std::shared_ptr<Connection> connection_;
+    std::string peer_;
+    std::size_t unsent_limit_;
+    metrics& counters_;
+};
+
+template <typename Endpoint>
+void prepare_endpoint(Endpoint& endpoint, boost::asio::io_context& context, std::size_t message_bytes)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context);
+    endpoint.set_max_message_size(message_bytes);
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/transport/internal/worker_pool_implementation.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <map>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+#include "core/ranked_mutex.h"
+#include "transport/worker_pool.h"
+
+namespace anvillead {
+
+namespace net = boost::asio;
+using strand_type = net::strand<net::io_context::executor_type>;
+
+class asio_sequence : public isequence
+{
+public:
+    explicit asio_sequence(net::io_context& context) : strand(net::make_strand(context)) {}
+
+    void post(std::function<void()> task) override { net::post(strand, std::move(task)); }
+    void dispatch(std::function<void()> task) override { net::dispatch(strand, std::move(task)); }
+
+    strand_type strand;
+};
+
+class asio_timer_service : public itimer_service
+{
+public:
+    explicit asio_timer_service(net::io_context& context) : context_(context) {}
+
+    instant now() const override { return std::chrono::steady_clock::now(); }
+    wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+    timer_token after(milliseconds delay, std::function<void()> callback) override;
+    timer_token every(milliseconds period, std::function<void()> callback) override;
+    void cancel(timer_token token) override;
+
+private:
+    struct entry
+    {
+        net::steady_timer timer;
+        std::function<void()> callback;
+        milliseconds period{0};
+    };
+
+    timer_token add(milliseconds delay, milliseconds period, std::function<void()> callback);
+    void arm(timer_token token, const std::shared_ptr<entry>& value, instant at);
+    void fire(timer_token token, const std::shared_ptr<entry>& value);
+
+    net::io_context& context_;
+    ranked_mutex mutex_{lock_rank::transport};
+    std::map<timer_token, std::shared_ptr<entry>> entries_;
+    timer_token last_ = 0;
+};
+
+struct worker_pool::implementation
+{
+    explicit implementation(unsigned count) : threads(count), context(static_cast<int>(count)), timers(context) {}
+
+    unsigned threads;
+    net::io_context context;
+    net::executor_work_guard<net::io_context::executor_type> guard = net::make_work_guard(context);
+    asio_timer_service timers;
+    std::unique_ptr<net::signal_set> signals;
+    std::vector<std::thread> workers;
+};
+
+/// Splits "address:port"; throws nothing, an unusable text gives port 0 on the unspecified address.
+net::ip::tcp::endpoint parse_endpoint(const std::string& address);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/transport/iudp_socket.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "transport/worker_pool.h"
+
+namespace anvillead {
+
+/// Datagrams for membership probes. Datagrams are lost silently, as UDP allows.
+class iudp_socket
+{
+public:
+    virtual ~iudp_socket() = default;
+    virtual std::string address() const = 0;
+    virtual void send(const std::string& address, std::string payload) = 0;
+};
+
+/// `on_receive` gets the sender's "address:port" and runs on `sequence`.
+std::unique_ptr<iudp_socket> make_udp_socket(worker_pool& pool, const std::string& address,
+                                             std::shared_ptr<isequence> sequence,
+                                             std::function<void(std::string from, std::string payload)> on_receive);
+
+} // namespace anvillead
--- /dev/null
+++ b/standins/engine/engine_server.cpp
@@ -0,0 +1,313 @@
+#include "standins/engine/engine_server.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/bounded_json.h"
+#include "core/crypto.h"
+#include "streams/sse.h"
+
+namespace standin {
+
+namespace {
+
+using namespace anvillead;
+using nlohmann::json;
+
+// How long a finished generation can still be resumed.
+constexpr milliseconds retention{120'000};
+constexpr milliseconds load_period{50};
+constexpr std::int64_t bytes_per_token = 4;
+constexpr std::size_t prefix_bytes = 512;
+constexpr std::size_t tag_length = 24;
+constexpr std::size_t cache_event_limit = 1000;
+
+engine_model_settings read_model(const json& control)
+{
+    engine_model_settings out;
+    out.capacity = control.value("capacity_tokens", out.capacity);
+    out.batch_limit = control.value("batch_limit", out.batch_limit);
+    out.step_base_ms = control.value("step_base_ms", out.step_base_ms);
+    out.step_per_sequence_ms = control.value("step_per_sequence_ms", out.step_per_sequence_ms);
+    out.prefill_ms_per_token = control.value("prefill_ms_per_token", out.prefill_ms_per_token);
+    return out;
+}
+
+/// The start of the input; repeated in each token, so that a checker sees whose answer it reads.
+std::string tag_of(const json& body)
+{
+    const auto input = body.value("input", json(""));
+    return (input.is_string() ? input.get<std::string>() : input.dump()).substr(0, tag_length);
+}
+
+} // namespace
+
+engine_server::engine_server(worker_pool& pool, const standin_options& options)
+    : pool_(pool), sequence_(pool.make_sequence()), model_(read_model(options.control))
+{
+    control(options.control);
+    server_ = make_http_server(
+        pool, {options.listen, {}},
+        [this](http_request request, const std::shared_ptr<ihttp_exchange>& exchange) {
+            // Exchanges run on their own sequences; the engine's state is on one. Answers are posted back.
+            sequence_->post([this, request = std::move(request), exchange] { handle(request, exchange); });
+        },
+        counters_);
+    pool.timers().every(load_period, [this] {
+        sequence_->post([this] {
+            loads_.push_back({pool_.timers().now(), load()});
+            forget_old();
+        });
+    });
+}
+
+void engine_server::handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const std::string path(request.path());
+    const std::string base = "/v1/responses";
+    const auto answer = [&](int status, const json& body) {
+        exchange->sequence()->post([exchange, status, body] { reply_json(*exchange, status, body); });
+    };
+    if (path == base && request.method == "POST") {
+        create(request, exchange);
+    } else if (path.rfind(base + "/", 0) == 0) {
+        auto id = path.substr(base.size() + 1);
+        const auto slash = id.find('/');
+        if (slash != std::string::npos) {
+            cancel(id.substr(0, slash), exchange);
+        } else {
+            follow(request, id, exchange);
+        }
+    } else if (path == "/load") {
+        const auto now = pool_.timers().now();
+        while (loads_.size() > 1 && loads_[1].at + load_lag_ <= now) {
+            loads_.pop_front();
+        }
+        answer(200, loads_.empty() ? load() : loads_.front().value);
+    } else if (path == "/cache-events") {
+        answer(200, {{"events", cache_events_}});
+    } else if (path == "/orders") {
+        order(request, exchange);
+    } else if (path == "/ran") {
+        answer(200, {{"ran", ran_}, {"orders", orders_}});
+    } else if (path == "/control") {
+        const auto value = parse_bounded_json(request.body);
+        control(value.value_or(json::object()));
+        answer(200, json::object());
+    } else {
+        answer(404, {{"error", "no such path"}});
+    }
+}
+
+void engine_server::create(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto body = parse_bounded_json(request.body);
+    if (!body || !body->is_object() || refuse_) {
+        exchange->sequence()->post([exchange, refused = refuse_] {
+            reply_json(*exchange, refused ? 503 : 400, {{"error", refused ? "refused" : "invalid body"}});
+        });
+        return;
+    }
+    const auto id = body->value("generation_id", random_hex(12));
+    const auto input = body->value("input", json("")).dump();
+    engine_sequence sequence;
+    sequence.id = id;
+    sequence.priority = body->value("priority", 0);
+    sequence.input = static_cast<std::int64_t>(input.size()) / bytes_per_token + 1;
+    sequence.prefix = placement_hash(input.substr(0, prefix_bytes));
+    const auto metadata = body->value("metadata", json::object());
+    const auto wanted = metadata.value("output_tokens", default_output_);
+    sequence.output_target = std::min(wanted, body->value("max_output_tokens", wanted));
+    if (generations_.count(id) != 0) {
+        follow(request, id, exchange);
+        return;
+    }
+    auto& entry = generations_[id];
+    entry.tag = tag_of(*body);
+    entry.output_target = sequence.output_target;
+    ran_.push_back({{"generation", id}, {"tag", entry.tag}});
+    if (cache_events_.size() < cache_event_limit) {
+        cache_events_.push_back({{"prefix", sequence.prefix}, {"tokens", sequence.input}});
+    }
+    model_.add(std::move(sequence));
+    emit(id, entry, event_created, {{"response", {{"id", id}, {"status", "in_progress"}}}});
+    follow(request, id, exchange);
+    schedule_step();
+}
+
+void engine_server::follow(const http_request& request, const std::string& id,
+                           const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto it = generations_.find(id);
+    if (it == generations_.end()) {
+        exchange->sequence()->post([exchange] { reply_json(*exchange, 404, {{"error", "no such generation"}}); });
+        return;
+    }
+    auto& entry = it->second;
+    if (request.method == "GET" && request.query("stream") != "true") {
+        exchange->sequence()->post([exchange, id, ended = entry.ended] {
+            reply_json(*exchange, 200, {{"id", id}, {"status", ended ? "completed" : "in_progress"}});
+        });
+        return;
+    }
+    const auto after = request.query("starting_after");
+    const auto first = after.empty() ? 0 : std::strtoll(std::string(after).c_str(), nullptr, 10) + 1;
+    std::string text;
+    for (const auto& event : entry.events) {
+        if (event.number >= first) {
+            text += encode_sse(event);
+        }
+    }
+    const bool ended = entry.ended;
+    exchange->sequence()->post([exchange, text, ended] {
+        exchange->begin_stream(200, {{"Content-Type", "text/event-stream"}});
+        exchange->write(text);
+        if (ended) {
+            exchange->end_stream();
+        }
+    });
+    if (!ended) {
+        entry.followers.push_back(exchange);
+    }
+}
+
+void engine_server::cancel(const std::string& id, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto it = generations_.find(id);
+    const bool known = it != generations_.end();
+    if (known && model_.cancel(id)) {
+        emit_final(id, it->second, event_incomplete, "cancelled");
+    }
+    exchange->sequence()->post([exchange, id, known] {
+        reply_json(*exchange, known ? 200 : 404, {{"id", id}, {"status", known ? "cancelled" : "unknown"}});
+    });
+}
+
+void engine_server::order(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto body = parse_bounded_json(request.body).value_or(json::object());
+    const auto number = body.value("fencing", std::int64_t(0));
+    const bool stale = check_fencing_ && number < fencing_;
+    if (!stale) {
+        fencing_ = std::max(fencing_, number);
+        orders_.push_back(body);
+    }
+    exchange->sequence()->post([exchange, stale] {
+        reply_json(*exchange, stale ? 409 : 200, {{"accepted", !stale}});
+    });
+}
+
+void engine_server::control(const json& value)
+{
+    load_lag_ = milliseconds(value.value("load_lag_ms", load_lag_.count()));
+    default_output_ = value.value("default_output_tokens", default_output_);
+    check_fencing_ = value.value("check_fencing", check_fencing_);
+    leaving_ = value.value("leaving", leaving_);
+    refuse_ = value.value("refuse", refuse_);
+    if (value.contains("slowdown")) {
+        model_.set_slowdown(value["slowdown"].get<double>());
+    }
+    stalled_ = value.value("stalled", stalled_);
+    if (!stalled_) {
+        schedule_step();
+    }
+}
+
+json engine_server::load() const
+{
+    return {{"used_tokens", model_.used()},     {"capacity_tokens", model_.settings().capacity},
+            {"running", model_.running()},      {"waiting", model_.waiting()},
+            {"preemptions", model_.preemptions()}, {"leaving", leaving_},
+            {"lag_ms", load_lag_.count()}};
+}
+
+void engine_server::schedule_step()
+{
+    if (step_scheduled_ || stalled_ || model_.idle()) {
+        return;
+    }
+    step_scheduled_ = true;
+    sequence_->post([this] { step(); });
+}
+
+void engine_server::step()
+{
+    step_scheduled_ = false;
+    if (stalled_ || model_.idle()) {
+        return;
+    }
+    const auto result = model_.step();
+    step_scheduled_ = true;
+    const auto duration = milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(result.duration_ms)));
+    pool_.timers().after(duration, [this, result] {
+        sequence_->post([this, result] {
+            for (const auto& id : result.advanced) {
+                const auto it = generations_.find(id);
+                if (it == generations_.end() || it->second.ended) {
+                    continue;
+                }
+                auto& entry = it->second;
+                const auto delta = fmt::format("{}/{}/{} ", entry.tag, id.substr(0, 6), entry.produced++);
+                emit(id, entry, event_delta, {{"delta", delta}});
+            }
+            for (const auto& id : result.finished) {
+                const auto it = generations_.find(id);
+                if (it != generations_.end() && !it->second.ended) {
+                    emit_final(id, it->second, event_completed, "completed");
+                }
+            }
+            step();
+        });
+    });
+}
+
+void engine_server::emit(const std::string& id, generation& value, const std::string& type, const json& data)
+{
+    stream_event event;
+    event.type = type;
+    event.number = static_cast<sequence_number>(value.events.size());
+    json body = data;
+    body["type"] = type;
+    body["sequence_number"] = event.number;
+    body["item_id"] = id;
+    event.data = body.dump();
+    value.events.push_back(event);
+    const auto text = encode_sse(event);
+    for (const auto& it : value.followers) {
+        it->sequence()->post([it, text] { it->write(text); });
+    }
+}
+
+void engine_server::emit_final(const std::string& id, generation& value, const std::string& type,
+                               const std::string& status)
+{
+    std::string text;
+    for (const auto& it : value.events) {
+        if (it.type == event_delta) {
+            text += json::parse(it.data).value("delta", "");
+        }
+    }
+    emit(id, value, type,
+         {{"response",
+           {{"id", id},
+            {"status", status},
+            {"output_text", text},
+            {"usage", {{"output_tokens", value.produced}}}}}});
+    value.ended = true;
+    value.ended_at = pool_.timers().now();
+    for (const auto& it : value.followers) {
+        it->sequence()->post([it] { it->end_stream(); });
+    }
+    value.followers.clear();
+}
+
+void engine_server::forget_old()
+{
+    const auto limit = pool_.timers().now() - retention;
+    for (auto it = generations_.begin(); it != generations_.end();) {
+        it = it->second.ended && it->second.ended_at < limit ? generations_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/platform/platform_server.cpp
@@ -0,0 +1,161 @@
+#include "standins/platform/platform_server.h"
+
+#include "core/bounded_json.h"
+
+namespace standin {
+
+namespace {
+
+using namespace anvillead;
+using nlohmann::json;
+
+constexpr std::size_t value_bytes = 1024 * 1024;
+constexpr std::string_view objects_path = "/v1/objects";
+constexpr milliseconds watch_check{10};
+
+std::uint64_t query_number(const http_request& request, std::string_view name)
+{
+    return std::strtoull(std::string(request.query(name)).c_str(), nullptr, 10);
+}
+
+} // namespace
+
+platform_server::platform_server(worker_pool& pool, const standin_options& options)
+    : pool_(pool), sequence_(pool.make_sequence())
+{
+    control(options.control);
+    server_ = make_http_server(
+        pool, {options.listen, {}},
+        [this](const http_request& request, const exchange_ptr& exchange) {
+            sequence_->post([this, request, exchange] { handle(request, exchange); });
+        },
+        counters_);
+    pool.timers().every(watch_check, [this] { sequence_->post([this] { answer_watchers(); }); });
+}
+
+void platform_server::answer(const exchange_ptr& exchange, int status, const json& body)
+{
+    exchange->sequence()->post([exchange, status, body] { reply_json(*exchange, status, body); });
+}
+
+void platform_server::handle(const http_request& request, const exchange_ptr& exchange)
+{
+    if (request.path() == "/control") {
+        control(parse_bounded_json(request.body).value_or(json::object()));
+        answer(exchange, 200, {{"reads", reads_}, {"writes", writes_}, {"refused", refused_}});
+        return;
+    }
+    if (outage_) {
+        exchange->sequence()->post([exchange] { exchange->abort(); });
+        return;
+    }
+    pool_.timers().after(delay_, [this, request, exchange] {
+        sequence_->post([this, request, exchange] { serve(request, exchange); });
+    });
+}
+
+void platform_server::serve(const http_request& request, const exchange_ptr& exchange)
+{
+    const bool is_write = request.method != "GET";
+    if (!within_rate(is_write)) {
+        ++refused_;
+        answer(exchange, 429, {{"error", "rate limit"}});
+        return;
+    }
+    const std::string path(request.path());
+    const std::string prefix(request.query("prefix"));
+    if (path == "/v1/hosts") {
+        answer(exchange, 200, {{"hosts", hosts_}});
+    } else if (path == "/v1/watch") {
+        watch(request, exchange);
+    } else if (path == objects_path) {
+        answer(exchange, 200, store_.list(prefix));
+    } else if (path.rfind(objects_path, 0) != 0) {
+        answer(exchange, 404, {{"error", "no such path"}});
+    } else if (is_write) {
+        write(request, path.substr(objects_path.size() + 1), exchange);
+    } else {
+        const auto name = path.substr(objects_path.size() + 1);
+        const auto* found = store_.find(name);
+        answer(exchange, found == nullptr ? 404 : 200,
+               found == nullptr ? json{{"error", "no such object"}}
+                                : json{{"name", name}, {"version", found->version}, {"value", found->value}});
+    }
+}
+
+void platform_server::write(const http_request& request, const std::string& name, const exchange_ptr& exchange)
+{
+    const auto if_version = query_number(request, "if_version");
+    json body;
+    int status = 200;
+    if (request.method == "DELETE") {
+        const bool removed = store_.remove(name, if_version);
+        status = removed ? 200 : 409;
+        body = {{"removed", removed}};
+    } else {
+        auto value = parse_bounded_json(request.body);
+        if (!value || request.body.size() > value_bytes) {
+            answer(exchange, 400, {{"error", "invalid or oversized value"}});
+            return;
+        }
+        const auto version = store_.put(name, std::move(*value), if_version);
+        status = version ? 200 : 409;
+        body = version ? json{{"version", *version}} : json{{"error", "another version"}};
+    }
+    answer_watchers();
+    if (status == 200 && lose_answers_ > 0) {
+        --lose_answers_;
+        exchange->sequence()->post([exchange] { exchange->abort(); });
+        return;
+    }
+    answer(exchange, status, body);
+}
+
+void platform_server::watch(const http_request& request, const exchange_ptr& exchange)
+{
+    const milliseconds wait(static_cast<std::int64_t>(query_number(request, "wait_ms")));
+    watchers_.push_back({std::string(request.query("prefix")), query_number(request, "after"), exchange,
+                         pool_.timers().now() + wait});
+    answer_watchers();
+}
+
+void platform_server::answer_watchers()
+{
+    const auto now = pool_.timers().now();
+    for (auto it = watchers_.begin(); it != watchers_.end();) {
+        const auto revision = store_.revision(it->prefix);
+        if (outage_) {
+            it->exchange->sequence()->post([exchange = it->exchange] { exchange->abort(); });
+        } else if (revision > it->after || it->until <= now) {
+            answer(it->exchange, 200, {{"revision", revision}});
+        } else {
+            ++it;
+            continue;
+        }
+        it = watchers_.erase(it);
+    }
+}
+
+bool platform_server::within_rate(bool is_write)
+{
+    const auto now = pool_.timers().now();
+    if (now - second_started_ >= seconds(1)) {
+        second_started_ = now;
+        reads_this_second_ = 0;
+        writes_this_second_ = 0;
+    }
+    ++(is_write ? writes_ : reads_);
+    return is_write ? ++writes_this_second_ <= write_limit_ : ++reads_this_second_ <= read_limit_;
+}
+
+void platform_server::control(const json& value)
+{
+    outage_ = value.value("outage", outage_);
+    delay_ = milliseconds(value.value("delay_ms", delay_.count()));
+    lose_answers_ = value.value("lose_answers", lose_answers_);
+    read_limit_ = value.value("read_limit", read_limit_);
+    write_limit_ = value.value("write_limit", write_limit_);
+    hosts_ = value.value("hosts", hosts_);
+}
+
+} // namespace standin
