--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -89,8 +89,9 @@
 scheduler_actions scheduler_core::on_gateway_lost(instant now, const gateway_identity& gateway)
 {
     for (auto& queue : queues_) {
-        queue.erase(std::remove_if(queue.begin(), queue.end(), [&](const waiting& it) { return it.gateway == gateway; }),
-                    queue.end());
+        queue.erase(
+            std::remove_if(queue.begin(), queue.end(), [&](const waiting& it) { return it.gateway == gateway; }),
+            queue.end());
     }
     std::vector<grant_id> lost;
     for (const auto& [id, it] : grants_) {
@@ -166,9 +167,9 @@
             const grant_id id(fmt::format("{}-{}", process_, ++last_grant_));
             ++target->running;
             grants_.emplace(id, running{it->gateway, request.id, target->settings.id});
-            actions.push_back(send_grant{it->gateway,
-                                         {request.id, id, target->settings.id, target->settings.address,
-                                          static_cast<int>(request.urgency)}});
+            actions.push_back(send_grant{
+                it->gateway,
+                {request.id, id, target->settings.id, target->settings.address, static_cast<int>(request.urgency)}});
             it = queue.erase(it);
         }
     }
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -90,8 +90,7 @@
     }
     if (generation_changed) {
         log(log_level::info, log_event::configuration_applied,
-            {{"generation", std::to_string(next->configuration->generation)},
-             {"digest", next->configuration->digest}});
+            {{"generation", std::to_string(next->configuration->generation)}, {"digest", next->configuration->digest}});
         send_report(client_->current());
     }
     on_view_(next);
--- a/src/apps/gateway/engine_call.cpp
+++ b/src/apps/gateway/engine_call.cpp
@@ -5,12 +5,9 @@
 namespace anvillead {
 
 engine_call::engine_call(callbacks handlers)
-    : callbacks_(std::move(handlers)),
-      parser_([this](const std::string& type, const std::string& id, std::string data) {
-          event(type, id, std::move(data));
-      })
-{
-}
+    : callbacks_(std::move(handlers)), parser_([this](const std::string& type, const std::string& id,
+                                                      std::string data) { event(type, id, std::move(data)); })
+{}
 
 void engine_call::start(ihttp_client& client, http_call_request request, const std::shared_ptr<isequence>& sequence)
 {
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -137,7 +137,8 @@
         return;
     }
     auto id = request.path().substr(responses_path.size());
-    const bool cancel = id.size() > cancel_suffix.size() && id.substr(id.size() - cancel_suffix.size()) == cancel_suffix;
+    const bool cancel =
+        id.size() > cancel_suffix.size() && id.substr(id.size() - cancel_suffix.size()) == cancel_suffix;
     if (cancel) {
         id.remove_suffix(cancel_suffix.size());
     }
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -9,8 +9,7 @@
 
 scheduler_links::scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress)
     : pool_(pool), options_(std::move(options)), counters_(counters), progress_(progress)
-{
-}
+{}
 
 void scheduler_links::apply_view(const view_ptr& view)
 {
--- a/src/apps/gateway/service_proxy.cpp
+++ b/src/apps/gateway/service_proxy.cpp
@@ -71,24 +71,23 @@
     if (!type.empty()) {
         call.headers.emplace_back("Content-Type", std::string(type));
     }
-    context_.client.fetch(std::move(call), answer_bytes, exchange->sequence(),
-                          [this, exchange, id = target.id](const http_call_end& end, const http_answer& answer) {
-                              {
-                                  const std::lock_guard lock(mutex_);
-                                  --outstanding_[id];
-                              }
-                              if (end.end == http_end::complete) {
-                                  exchange->reply(answer.status,
-                                                  {{"Content-Type", std::string(find_header(answer.headers,
-                                                                                            "Content-Type"))}},
-                                                  answer.body);
-                                  return;
-                              }
-                              auto reason = make_error(end.may_have_been_sent ? error_kind::upstream_failed
-                                                                              : error_kind::no_upstream,
-                                                       "the service did not answer");
-                              reply_error(*exchange, reason);
-                          });
+    context_.client.fetch(
+        std::move(call), answer_bytes, exchange->sequence(),
+        [this, exchange, id = target.id](const http_call_end& end, const http_answer& answer) {
+            {
+                const std::lock_guard lock(mutex_);
+                --outstanding_[id];
+            }
+            if (end.end == http_end::complete) {
+                exchange->reply(answer.status,
+                                {{"Content-Type", std::string(find_header(answer.headers, "Content-Type"))}},
+                                answer.body);
+                return;
+            }
+            auto reason = make_error(end.may_have_been_sent ? error_kind::upstream_failed : error_kind::no_upstream,
+                                     "the service did not answer");
+            reply_error(*exchange, reason);
+        });
 }
 
 } // namespace anvillead
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -67,9 +67,8 @@
 void scheduler_daemon::run()
 {
     pool_.on_stop_signal([this] { sequence_->post([this] { stop_requested(); }); });
-    pool_.timers().every(settings_.tick, [this] {
-        sequence_->post([this] { carry_out(core_->on_tick(pool_.timers().now())); });
-    });
+    pool_.timers().every(settings_.tick,
+                         [this] { sequence_->post([this] { carry_out(core_->on_tick(pool_.timers().now())); }); });
     pool_.timers().every(settings_.load_period, [this] { sequence_->post([this] { poll_loads(); }); });
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
@@ -96,6 +95,7 @@
     if (owned != owned_ || applied_ != view->configuration->generation) {
         log(log_level::info, log_event::scheduler_takeover, {{"engines", std::to_string(owned.size())}});
         std::vector<upstream_id> ids;
+        ids.reserve(owned.size());
         for (const auto& [id, address] : owned) {
             ids.push_back(id);
         }
--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -58,7 +58,8 @@
         }
         for (const auto& it : out_.merged.drains.upstreams) {
             if (upstreams_.count(it.str()) == 0) {
-                out_.problems.push_back({"(merged)", "drains.upstreams", fmt::format("an upstream id, not {}", it.str())});
+                out_.problems.push_back(
+                    {"(merged)", "drains.upstreams", fmt::format("an upstream id, not {}", it.str())});
             }
         }
     }
@@ -199,9 +200,8 @@
 
 json to_json(const upstream& value, service_kind kind)
 {
-    json out = {{"id", value.id.str()},
-                {"address", value.address},
-                {"availability_zone", value.availability_zone.str()}};
+    json out = {
+        {"id", value.id.str()}, {"address", value.address}, {"availability_zone", value.availability_zone.str()}};
     if (kind == service_kind::engine) {
         out["capacity_tokens"] = value.capacity.count;
         out["batch_limit"] = value.batch_limit;
@@ -276,8 +276,7 @@
                 {"organisations", json::array()},
                 {"workloads", json::array()},
                 {"models", json::array()},
-                {"drains",
-                 {{"hosts", id_array(value.drains.hosts)}, {"upstreams", id_array(value.drains.upstreams)}}}};
+                {"drains", {{"hosts", id_array(value.drains.hosts)}, {"upstreams", id_array(value.drains.upstreams)}}}};
     for (const auto& it : value.services) {
         out["services"].push_back(to_json(it));
     }
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -10,7 +10,11 @@
 
 namespace anvillead {
 
-enum class service_kind { engine, plain };
+enum class service_kind
+{
+    engine,
+    plain
+};
 
 /// One back end of a service.
 struct upstream
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -10,7 +10,8 @@
 namespace anvillead {
 
 /// The closed list of error kinds. docs/errors.md repeats it; CI compares the two.
-enum class error_kind {
+enum class error_kind
+{
     invalid_request,
     headers_too_large,
     body_too_large,
@@ -42,7 +43,12 @@
 };
 
 /// What the caller may conclude about its request.
-enum class run_outcome { not_run, may_have_run, ran };
+enum class run_outcome
+{
+    not_run,
+    may_have_run,
+    ran
+};
 
 /// One row of the table from kind to answer.
 struct error_answer
--- a/src/core/field_reader.h
+++ b/src/core/field_reader.h
@@ -34,7 +34,8 @@
 {
 public:
     /// `path` is the position of `object` inside the file, empty for the root.
-    field_reader(const nlohmann::json& object, std::string file, std::string path, std::vector<field_problem>& problems);
+    field_reader(const nlohmann::json& object, std::string file, std::string path,
+                 std::vector<field_problem>& problems);
 
     std::string text(std::string_view name);
     std::string text_or(std::string_view name, std::string fallback);
--- a/src/core/internal/error.cpp
+++ b/src/core/internal/error.cpp
@@ -86,9 +86,8 @@
 
 std::string error_body(const error& value)
 {
-    nlohmann::json inner = {{"kind", to_string(value.kind)},
-                            {"message", value.message},
-                            {"outcome", to_string(value.outcome)}};
+    nlohmann::json inner = {
+        {"kind", to_string(value.kind)}, {"message", value.message}, {"outcome", to_string(value.outcome)}};
     if (value.retry_after) {
         inner["retry_after_ms"] = value.retry_after->count();
     }
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -8,7 +8,8 @@
 namespace anvillead {
 
 /// Numbered log events. docs/log-events.md repeats the list; CI compares the two.
-enum class log_event {
+enum class log_event
+{
     process_started = 100,
     process_stopped = 101,
     shutdown_began = 102,
@@ -39,7 +40,13 @@
     engine_preempted = 601,
 };
 
-enum class log_level { debug, info, warning, error };
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
 
 /// Key and value pairs of one line. Values are quoted where needed; secrets must never be passed.
 using log_fields = std::vector<std::pair<std::string_view, std::string>>;
--- a/src/core/tests/bounded_json_test.cpp
+++ b/src/core/tests/bounded_json_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace anvillead;
 
-TEST_GROUP(bounded_json_test) {};
+TEST_GROUP(bounded_json_test){};
 
 // Guards against a stack overflow from a body or message made of nested arrays.
 TEST(bounded_json_test, deep_nesting_is_refused)
--- a/src/core/tests/crypto_test.cpp
+++ b/src/core/tests/crypto_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace anvillead;
 
-TEST_GROUP(crypto) {};
+TEST_GROUP(crypto){};
 
 // Guards against a wrong digest, which would lock out every organisation.
 TEST(crypto, sha256_matches_the_published_vector)
--- a/src/core/tests/error_test.cpp
+++ b/src/core/tests/error_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace anvillead;
 
-TEST_GROUP(error_table) {};
+TEST_GROUP(error_table){};
 
 // Guards against a kind without an answer and against two kinds with one name.
 TEST(error_table, every_kind_has_one_row_and_its_own_name)
--- a/src/core/tests/field_reader_test.cpp
+++ b/src/core/tests/field_reader_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace anvillead;
 
-TEST_GROUP(field_reader_test) {};
+TEST_GROUP(field_reader_test){};
 
 // Guards against settings that are accepted although a field is misspelt or out of range.
 TEST(field_reader_test, reports_each_problem_with_file_and_field)
--- a/src/core/types/work_class.h
+++ b/src/core/types/work_class.h
@@ -7,7 +7,12 @@
 namespace anvillead {
 
 /// Urgency of a workload. A lower value is more urgent and maps to a lower engine priority number.
-enum class work_class { urgent = 0, normal = 1, draft = 2 };
+enum class work_class
+{
+    urgent = 0,
+    normal = 1,
+    draft = 2
+};
 
 inline constexpr std::array<std::string_view, 3> work_class_names = {"urgent", "normal", "draft"};
 
--- a/src/membership/types/member.h
+++ b/src/membership/types/member.h
@@ -11,7 +11,13 @@
 
 namespace anvillead {
 
-enum class member_state { alive = 0, suspect = 1, leaving = 2, dead = 3 };
+enum class member_state
+{
+    alive = 0,
+    suspect = 1,
+    leaving = 2,
+    dead = 3
+};
 
 inline constexpr std::array<std::string_view, 4> member_state_names = {"alive", "suspect", "leaving", "dead"};
 
--- a/src/messages/internal/codec.cpp
+++ b/src/messages/internal/codec.cpp
@@ -340,7 +340,7 @@
 
 // Wire names in the order of the variant's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<message>> type_names = {
-    "process_report", "view",         "upstream_report", "grant_request",  "grant",      "refusal",   "grant_cancel",
+    "process_report",  "view",         "upstream_report", "grant_request",  "grant",      "refusal",   "grant_cancel",
     "progress_report", "registry_put", "registry_lookup", "registry_entry", "state_pull", "state_push"};
 
 template <std::size_t Index>
@@ -377,7 +377,8 @@
 {
     const json body = std::visit([](const auto& it) { return to_json(it); }, value.body);
     std::string out;
-    json::to_cbor({{"v", protocol_version}, {"t", message_type(value.body)}, {"g", value.generation}, {"b", body}}, out);
+    json::to_cbor({{"v", protocol_version}, {"t", message_type(value.body)}, {"g", value.generation}, {"b", body}},
+                  out);
     return out;
 }
 
--- a/src/messages/types/messages.h
+++ b/src/messages/types/messages.h
@@ -86,7 +86,12 @@
     request_id request;
 };
 
-enum class grant_state { running = 0, finished = 1, lost = 2 };
+enum class grant_state
+{
+    running = 0,
+    finished = 1,
+    lost = 2
+};
 
 /// State of one grant as its gateway sees it.
 struct grant_progress
--- a/src/platform/internal/http_platform_client.cpp
+++ b/src/platform/internal/http_platform_client.cpp
@@ -96,8 +96,8 @@
     field_reader reader(value, "platform", "", problems);
     for (const auto& it : reader.array_or_empty("hosts")) {
         field_reader host(it, "platform", "hosts", problems);
-        out.push_back({host.text("id"), host.text("address"), host.text("availability_zone"),
-                       host.flag_or("leaving", false)});
+        out.push_back(
+            {host.text("id"), host.text("address"), host.text("availability_zone"), host.flag_or("leaving", false)});
     }
     return out;
 }
@@ -107,8 +107,7 @@
 http_platform_client::http_platform_client(ihttp_client& client, std::shared_ptr<isequence> sequence,
                                            platform_client_options options, metrics& counters)
     : client_(client), sequence_(std::move(sequence)), options_(std::move(options)), counters_(counters)
-{
-}
+{}
 
 void http_platform_client::call(const std::string& method, const std::string& target, std::string body,
                                 milliseconds timeout, json_callback callback)
@@ -146,7 +145,8 @@
 
 void http_platform_client::get(const std::string& name, std::function<void(result<platform_object>)> callback)
 {
-    call("GET", "/v1/objects/" + name, {}, options_.timeout, parsing<platform_object>(std::move(callback), read_object));
+    call("GET", "/v1/objects/" + name, {}, options_.timeout,
+         parsing<platform_object>(std::move(callback), read_object));
 }
 
 void http_platform_client::put(const std::string& name, const json& value, std::uint64_t if_version,
@@ -184,7 +184,8 @@
 
 void http_platform_client::hosts(std::function<void(result<std::vector<platform_host>>)> callback)
 {
-    call("GET", "/v1/hosts", {}, options_.timeout, parsing<std::vector<platform_host>>(std::move(callback), read_hosts));
+    call("GET", "/v1/hosts", {}, options_.timeout,
+         parsing<std::vector<platform_host>>(std::move(callback), read_hosts));
 }
 
 } // namespace anvillead
--- a/src/routing/internal/request_flow.cpp
+++ b/src/routing/internal/request_flow.cpp
@@ -19,8 +19,7 @@
 
 request_flow::request_flow(flow_request request, flow_limits limits, flow_hooks hooks)
     : request_(std::move(request)), limits_(limits), hooks_(std::move(hooks))
-{
-}
+{}
 
 flow_actions request_flow::start(instant now)
 {
@@ -172,8 +171,7 @@
     attach_pending_ = false;
     link_is_replacement_ = true;
     last_event_ = now;
-    return {attach_generation{grant_->engine, grant_->address, sequencer_.bound(), sequencer_.last()},
-            next_timer(now)};
+    return {attach_generation{grant_->engine, grant_->address, sequencer_.bound(), sequencer_.last()}, next_timer(now)};
 }
 
 flow_actions request_flow::lose(const std::string& why)
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -39,7 +39,8 @@
 };
 
 /// How an engine call ended, as far as it matters for the request.
-enum class engine_end {
+enum class engine_end
+{
     /// No connection was made: nothing was sent.
     not_sent,
     /// The engine refused the request without starting it.
@@ -55,7 +56,13 @@
 /// Answer of the claim journal.
 struct claim_answer
 {
-    enum class verdict { claimed, withdrawn, taken, unavailable };
+    enum class verdict
+    {
+        claimed,
+        withdrawn,
+        taken,
+        unavailable
+    };
 
     verdict value = verdict::claimed;
     error reason;
@@ -93,7 +100,15 @@
     const stream_sequencer& sequencer() const { return sequencer_; }
 
 private:
-    enum class state { waiting_grant, claiming, streaming, attaching, withdrawing, done };
+    enum class state
+    {
+        waiting_grant,
+        claiming,
+        streaming,
+        attaching,
+        withdrawing,
+        done
+    };
 
     flow_actions dispatch(instant now);
     flow_actions retry_elsewhere(instant now, const std::string& why);
--- a/src/routing/types/flow_action.h
+++ b/src/routing/types/flow_action.h
@@ -19,8 +19,7 @@
 
 /// Give up the pending grant request or return an unused grant.
 struct cancel_grant
-{
-};
+{};
 
 /// Record the idempotency key in the platform before dispatch.
 struct write_claim
@@ -31,8 +30,7 @@
 
 /// Undo a claim whose request was not dispatched.
 struct withdraw_claim
-{
-};
+{};
 
 /// Start the generation on the engine.
 struct dispatch_generation
@@ -73,8 +71,7 @@
 
 /// The stream is complete.
 struct finish_request
-{
-};
+{};
 
 /// Call on_timer() at this time; replaces an earlier timer.
 struct set_timer
@@ -82,9 +79,9 @@
     instant at;
 };
 
-using flow_action = std::variant<ask_grant, cancel_grant, write_claim, withdraw_claim, dispatch_generation,
-                                 attach_generation, cancel_generation, deliver_event, fail_request, finish_request,
-                                 set_timer>;
+using flow_action =
+    std::variant<ask_grant, cancel_grant, write_claim, withdraw_claim, dispatch_generation, attach_generation,
+                 cancel_generation, deliver_event, fail_request, finish_request, set_timer>;
 using flow_actions = std::vector<flow_action>;
 
 } // namespace anvillead
--- a/src/streams/internal/response_id.cpp
+++ b/src/streams/internal/response_id.cpp
@@ -32,8 +32,8 @@
 
 std::string response_id_codec::encode(const response_location& location) const
 {
-    const std::string body = location.organisation.str() + separator + location.engine.str() + separator +
-                             location.generation.str();
+    const std::string body =
+        location.organisation.str() + separator + location.engine.str() + separator + location.generation.str();
     return std::string(prefix) + base64url_encode(mac_for(keys_.front(), body) + body);
 }
 
--- a/src/streams/sse.h
+++ b/src/streams/sse.h
@@ -20,8 +20,7 @@
     /// `on_event` gets the event type, the last `id` and the joined data lines.
     explicit sse_parser(std::function<void(std::string type, std::string id, std::string data)> on_event)
         : on_event_(std::move(on_event))
-    {
-    }
+    {}
 
     /// Returns false once a line exceeds the size limit; the stream must then be dropped.
     bool feed(std::string_view data);
--- a/src/streams/stream_sequencer.h
+++ b/src/streams/stream_sequencer.h
@@ -9,7 +9,12 @@
 class stream_sequencer
 {
 public:
-    enum class verdict { deliver, drop, gap };
+    enum class verdict
+    {
+        deliver,
+        drop,
+        gap
+    };
 
     /// `starting_after` is the last number that the caller already has; -1 for none.
     explicit stream_sequencer(sequence_number starting_after = -1) : last_(starting_after) {}
--- a/src/streams/tests/stream_sequencer_test.cpp
+++ b/src/streams/tests/stream_sequencer_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace anvillead;
 
-TEST_GROUP(stream_sequencer_test) {};
+TEST_GROUP(stream_sequencer_test){};
 
 // Guards against repeated tokens after a re-attachment and late tokens of a cancelled generation.
 TEST(stream_sequencer_test, delivers_each_number_of_the_bound_generation_once)
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -10,7 +10,14 @@
 namespace anvillead {
 
 /// How a call ended.
-enum class http_end { complete, connect_failed, lost, timeout, cancelled };
+enum class http_end
+{
+    complete,
+    connect_failed,
+    lost,
+    timeout,
+    cancelled
+};
 
 struct http_call_end
 {
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -2,8 +2,8 @@
 
 #include <array>
 #include <deque>
-#include <map>
 #include <limits>
+#include <map>
 #include <optional>
 
 #include <boost/beast/core.hpp>
@@ -58,8 +58,7 @@
               http_call_request request, http_call_handlers handlers)
         : context_(context), cache_(std::move(cache)), sequence_(std::static_pointer_cast<asio_sequence>(sequence)),
           request_(std::move(request)), handlers_(std::move(handlers)), timer_(context)
-    {
-    }
+    {}
 
     void begin()
     {
@@ -195,7 +194,7 @@
             headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
         }
         if (handlers_.on_head) {
-            handlers_.on_head(parser_->get().result_int(), headers);
+            handlers_.on_head(static_cast<int>(parser_->get().result_int()), headers);
         }
         read_some();
     }
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -47,16 +47,16 @@
     void accept()
     {
         auto sequence = std::make_shared<asio_sequence>(context_);
-        acceptor_.async_accept(sequence->strand, [this, sequence](const boost::system::error_code& ec,
-                                                                  net::ip::tcp::socket socket) {
-            if (ec == net::error::operation_aborted || !acceptor_.is_open()) {
-                return;
-            }
-            if (!ec) {
-                admit(std::move(socket), sequence);
-            }
-            accept();
-        });
+        acceptor_.async_accept(sequence->strand,
+                               [this, sequence](const boost::system::error_code& ec, net::ip::tcp::socket socket) {
+                                   if (ec == net::error::operation_aborted || !acceptor_.is_open()) {
+                                       return;
+                                   }
+                                   if (!ec) {
+                                       admit(std::move(socket), sequence);
+                                   }
+                                   accept();
+                               });
     }
 
     void admit(net::ip::tcp::socket socket, const std::shared_ptr<asio_sequence>& sequence)
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -45,10 +45,9 @@
     parser_->body_limit(state_->limits.body_bytes);
     // The first byte of the next request may take the keep-alive time; a slow head is bounded by the same timer.
     stream_.expires_after(exchange_number_ == 0 ? state_->limits.request_timeout : state_->limits.keep_alive);
-    http::async_read_header(stream_, buffer_, *parser_,
-                            [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
-                                self->head_read(ec);
-                            });
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->head_read(ec); });
 }
 
 void http_session::head_read(const boost::system::error_code& ec)
@@ -75,10 +74,9 @@
 void http_session::read_body()
 {
     stream_.expires_after(state_->limits.request_timeout);
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
-                         self->body_read(ec);
-                     });
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->body_read(ec); });
 }
 
 void http_session::body_read(const boost::system::error_code& ec)
@@ -186,10 +184,9 @@
     stream_serializer_.emplace(*stream_head_);
     write_active_ = true;
     stream_.expires_after(state_->limits.write_timeout);
-    http::async_write_header(stream_, *stream_serializer_,
-                             [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
-                                 self->flushed(ec);
-                             });
+    http::async_write_header(
+        stream_, *stream_serializer_,
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->flushed(ec); });
 }
 
 void http_session::write(std::string_view data)
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -49,7 +49,14 @@
     void on_drained(std::function<void()> callback) override { on_drained_ = std::move(callback); }
 
 private:
-    enum class phase { idle, handling, streaming, ending, closed };
+    enum class phase
+    {
+        idle,
+        handling,
+        streaming,
+        ending,
+        closed
+    };
 
     void read_head();
     void head_read(const boost::system::error_code& ec);
--- a/src/transport/internal/link_client.cpp
+++ b/src/transport/internal/link_client.cpp
@@ -16,8 +16,7 @@
 class link_client : public ilink_client, public std::enable_shared_from_this<link_client>
 {
 public:
-    link_client(worker_pool& pool, std::string address, link_options options, link_handlers handlers,
-                metrics& counters)
+    link_client(worker_pool& pool, std::string address, link_options options, link_handlers handlers, metrics& counters)
         : pool_(pool), address_(std::move(address)), options_(std::move(options)), handlers_(std::move(handlers)),
           counters_(counters), random_(std::random_device()())
     {
--- a/src/transport/internal/link_server.cpp
+++ b/src/transport/internal/link_server.cpp
@@ -111,8 +111,7 @@
         }
     }
 
-    using link_map =
-        std::map<websocketpp::connection_hdl, link_ptr, std::owner_less<websocketpp::connection_hdl>>;
+    using link_map = std::map<websocketpp::connection_hdl, link_ptr, std::owner_less<websocketpp::connection_hdl>>;
 
     link_options options_;
     link_handlers handlers_;
--- a/src/transport/internal/websocket_link.h
+++ b/src/transport/internal/websocket_link.h
@@ -26,8 +26,7 @@
     websocket_link(std::shared_ptr<Connection> connection, std::string peer, std::size_t unsent_limit,
                    metrics& counters)
         : connection_(std::move(connection)), peer_(std::move(peer)), unsent_limit_(unsent_limit), counters_(counters)
-    {
-    }
+    {}
 
     void send(std::string payload) override
     {
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -114,8 +114,8 @@
 void platform_server::watch(const http_request& request, const exchange_ptr& exchange)
 {
     const milliseconds wait(static_cast<std::int64_t>(query_number(request, "wait_ms")));
-    watchers_.push_back({std::string(request.query("prefix")), query_number(request, "after"), exchange,
-                         pool_.timers().now() + wait});
+    watchers_.push_back(
+        {std::string(request.query("prefix")), query_number(request, "after"), exchange, pool_.timers().now() + wait});
     answer_watchers();
 }
 
