Bound the HTTP server against slow, oversized and excess callers

A timeout closed the socket before an answer could be sent, a large body was reset before its 413 was read, connections over the limit were closed silently, one timer covered a whole write however much the caller read, and the daemon's tables were destroyed while workers still ran.

The pool joins its workers before run() returns.

--- a/src/transport/ihttp_server.h
+++ b/src/transport/ihttp_server.h
@@ -21,7 +21,8 @@
     virtual std::shared_ptr<isequence> sequence() = 0;
     /// Sends a complete answer.
     virtual void reply(int status, http_headers headers, std::string body) = 0;
-    /// Starts a chunked answer; write() and end_stream() follow.
+    /// Starts an answer of unknown length; write() and end_stream() follow. With a Content-Length header the bytes are
+    /// sent as they are, otherwise in chunks.
     virtual void begin_stream(int status, http_headers headers) = 0;
     virtual void write(std::string_view data) = 0;
     virtual void end_stream() = 0;
@@ -44,6 +45,8 @@
 
     /// "address:port" with the port chosen by the kernel when 0 was asked for.
     virtual std::string address() const = 0;
+    /// Answers from now on close their connection, so that callers look for another host.
+    virtual void drain() = 0;
     virtual void stop_accepting() = 0;
     virtual std::size_t open_exchanges() const = 0;
 };
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -8,11 +8,18 @@
 
 namespace {
 
-class http_server : public ihttp_server
+// Connections beyond the limit that are told so; any further ones are closed at once.
+constexpr std::size_t refusal_places = 64;
+constexpr milliseconds refusal_retry_after{1000};
+// Pause after a failed accept; without it, running out of file descriptors would be a busy loop.
+constexpr milliseconds accept_pause{50};
+
+/// Accepts connections. Kept alive by its pending operations, so that a server can be destroyed while the pool runs.
+class http_listener : public std::enable_shared_from_this<http_listener>
 {
 public:
-    http_server(worker_pool& pool, const http_server_options& options, http_handler handler, metrics& counters)
-        : context_(pool.internals().context), acceptor_(net::make_strand(context_)),
+    http_listener(net::io_context& context, const http_server_options& options, http_handler handler, metrics& counters)
+        : context_(context), acceptor_(net::make_strand(context)), pause_(acceptor_.get_executor()),
           state_(std::make_shared<http_server_state>())
     {
         state_->limits = options.limits;
@@ -23,56 +30,104 @@
         acceptor_.set_option(net::socket_base::reuse_address(true));
         acceptor_.bind(endpoint);
         acceptor_.listen();
-        accept();
+        address_ =
+            fmt::format("{}:{}", acceptor_.local_endpoint().address().to_string(), acceptor_.local_endpoint().port());
     }
 
-    std::string address() const override
+    const std::string& address() const { return address_; }
+    http_server_state& state() { return *state_; }
+
+    void start()
     {
-        const auto endpoint = acceptor_.local_endpoint();
-        return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+        net::post(acceptor_.get_executor(), [self = shared_from_this()] { self->accept(); });
     }
 
-    void stop_accepting() override
+    void stop()
     {
         state_->accepting = false;
-        net::post(acceptor_.get_executor(), [this] {
+        net::post(acceptor_.get_executor(), [self = shared_from_this()] {
             boost::system::error_code ec;
-            acceptor_.close(ec);
+            self->acceptor_.close(ec);
+            self->pause_.cancel();
         });
     }
 
-    std::size_t open_exchanges() const override { return state_->exchanges; }
-
 private:
     void accept()
     {
+        if (!acceptor_.is_open()) {
+            return;
+        }
         auto sequence = std::make_shared<asio_sequence>(context_);
-        acceptor_.async_accept(sequence->strand,
-                               [this, sequence](const boost::system::error_code& ec, net::ip::tcp::socket socket) {
-                                   if (ec == net::error::operation_aborted || !acceptor_.is_open()) {
-                                       return;
-                                   }
-                                   if (!ec) {
-                                       admit(std::move(socket), sequence);
-                                   }
-                                   accept();
-                               });
+        acceptor_.async_accept(
+            sequence->strand, net::bind_executor(acceptor_.get_executor(),
+                                                 [self = shared_from_this(), sequence](
+                                                     const boost::system::error_code& ec, net::ip::tcp::socket socket) {
+                                                     self->accepted(ec, std::move(socket), sequence);
+                                                 }));
+    }
+
+    void accepted(const boost::system::error_code& ec, net::ip::tcp::socket socket,
+                  const std::shared_ptr<asio_sequence>& sequence)
+    {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (ec) {
+            state_->counters->add("http_accept_failures_total");
+            pause_.expires_after(accept_pause);
+            pause_.async_wait([self = shared_from_this()](const boost::system::error_code&) { self->accept(); });
+            return;
+        }
+        admit(std::move(socket), sequence);
+        accept();
     }
 
     void admit(net::ip::tcp::socket socket, const std::shared_ptr<asio_sequence>& sequence)
     {
-        if (state_->connections >= state_->limits.connections) {
-            // Closing is the only bounded answer here: writing an error would hold the connection open.
-            state_->counters->add("http_connections_refused_total");
+        if (state_->connections < state_->limits.connections) {
+            auto session = std::make_shared<http_session>(std::move(socket), sequence, state_, state_->connections);
+            net::post(sequence->strand, [session] { session->start(); });
             return;
         }
-        auto session = std::make_shared<http_session>(std::move(socket), sequence, state_);
-        net::post(sequence->strand, [session] { session->start(); });
+        state_->counters->add("http_connections_refused_total");
+        if (state_->refusals >= refusal_places) {
+            return;
+        }
+        auto session = std::make_shared<http_session>(std::move(socket), sequence, state_, state_->refusals);
+        net::post(sequence->strand, [session] {
+            auto reason = make_error(error_kind::too_many_connections, "the connection limit is reached");
+            reason.retry_after = refusal_retry_after;
+            session->refuse(reason);
+        });
     }
 
     net::io_context& context_;
     net::ip::tcp::acceptor acceptor_;
+    net::steady_timer pause_;
     std::shared_ptr<http_server_state> state_;
+    std::string address_;
+};
+
+class http_server : public ihttp_server
+{
+public:
+    explicit http_server(std::shared_ptr<http_listener> listener) : listener_(std::move(listener))
+    {
+        listener_->start();
+    }
+
+    ~http_server() override { listener_->stop(); }
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    std::string address() const override { return listener_->address(); }
+    void drain() override { listener_->state().draining = true; }
+    void stop_accepting() override { listener_->stop(); }
+    std::size_t open_exchanges() const override { return listener_->state().exchanges; }
+
+private:
+    std::shared_ptr<http_listener> listener_;
 };
 
 } // namespace
@@ -80,7 +135,8 @@
 std::unique_ptr<ihttp_server> make_http_server(worker_pool& pool, const http_server_options& options,
                                                http_handler handler, metrics& counters)
 {
-    return std::make_unique<http_server>(pool, options, std::move(handler), counters);
+    return std::make_unique<http_server>(
+        std::make_shared<http_listener>(pool.internals().context, options, std::move(handler), counters));
 }
 
 void reply_error(ihttp_exchange& exchange, const error& value)
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -77,9 +77,15 @@
 worker_pool::~worker_pool()
 {
     stop();
+    join();
+}
+
+void worker_pool::join()
+{
     for (auto& it : implementation_->workers) {
         it.join();
     }
+    implementation_->workers.clear();
 }
 
 std::shared_ptr<isequence> worker_pool::make_sequence()
@@ -120,6 +126,8 @@
         implementation_->workers.emplace_back([this] { implementation_->context.run(); });
     }
     implementation_->context.run();
+    // The caller may destroy what handlers use once run() has returned.
+    join();
 }
 
 void worker_pool::stop()
--- /dev/null
+++ b/src/transport/tests/raw_client.cpp
@@ -0,0 +1,75 @@
+#include "transport/tests/raw_client.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+
+namespace anvillead {
+
+raw_client::raw_client(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    sockaddr_in to = {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    ::connect(socket_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+}
+
+raw_client::~raw_client()
+{
+    close();
+}
+
+bool raw_client::send(std::string_view data)
+{
+    while (!data.empty()) {
+        const auto n = ::send(socket_, data.data(), data.size(), MSG_NOSIGNAL);
+        if (n <= 0) {
+            return false;
+        }
+        data.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
+std::string raw_client::read_until(std::string_view mark, milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    std::array<char, 16 * 1024> buf = {};
+    while (mark.empty() || received_.find(mark) == std::string::npos) {
+        const auto left = std::chrono::duration_cast<milliseconds>(end - std::chrono::steady_clock::now()).count();
+        pollfd wait = {socket_, POLLIN, 0};
+        if (left <= 0 || ::poll(&wait, 1, static_cast<int>(left)) <= 0) {
+            break;
+        }
+        const auto n = ::recv(socket_, buf.data(), buf.size(), 0);
+        if (n <= 0) {
+            break;
+        }
+        received_.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return std::move(received_);
+}
+
+void raw_client::close()
+{
+    if (socket_ >= 0) {
+        ::close(socket_);
+        socket_ = -1;
+    }
+}
+
+std::string raw_exchange(const std::string& address, std::string_view data)
+{
+    raw_client client(address);
+    client.send(data);
+    return client.read_all();
+}
+
+} // namespace anvillead
--- a/src/transport/worker_pool.h
+++ b/src/transport/worker_pool.h
@@ -32,11 +32,14 @@
     itimer_service& timers();
     /// Calls `handler` for each SIGTERM or SIGINT.
     void on_stop_signal(std::function<void()> handler);
-    /// Runs until stop() is called. The calling thread becomes one of the workers.
+    /// Runs until stop() is called. The calling thread becomes one of the workers; no worker runs after the return.
     void run();
     /// Starts the workers and returns; used by clients that wait on something else.
     void start();
+    /// Stops the workers without waiting for them.
     void stop();
+    /// Waits until the workers have ended; not to be called from one of them.
+    void join();
 
     implementation& internals() { return *implementation_; }
 
