Judge stalls by each engine's own pace and bound slow callers' links

A fixed stall bound noticed the stall of a fast engine late, the request's document could be freed when the view changed between parsing and start, a slow caller left its engine link blocked without bound, and a lost generation was reported only after the whole loss time although the engine's process had ended.

--- a/src/apps/gateway/engine_call.cpp
+++ b/src/apps/gateway/engine_call.cpp
@@ -4,6 +4,17 @@
 
 namespace anvillead {
 
+namespace {
+
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+constexpr int http_unavailable = 503;
+constexpr int first_client_error = 400;
+constexpr int first_server_error = 500;
+
+} // namespace
+
 engine_call::engine_call(callbacks handlers)
     : callbacks_(std::move(handlers)), parser_([this](const std::string& type, const std::string& id,
                                                       std::string data) { event(type, id, std::move(data)); })
@@ -11,11 +22,12 @@
 
 void engine_call::start(ihttp_client& client, http_call_request request, const std::shared_ptr<isequence>& sequence)
 {
+    dispatch_ = request.method == "POST";
     http_call_handlers handlers;
     const auto self = shared_from_this();
     handlers.on_head = [self](int status, const http_headers&) { self->status_ = status; };
     handlers.on_data = [self](std::string_view data) {
-        if (self->status_ == 200 && !self->parser_.feed(data) && self->call_) {
+        if (self->status_ == http_ok && !self->parser_.feed(data) && self->call_) {
             self->call_->cancel();
         }
     };
@@ -43,6 +55,7 @@
 
 void engine_call::event(const std::string& type, const std::string& id, std::string data)
 {
+    any_event_ = true;
     if (callbacks_.on_event) {
         // The callback may abandon this call, which clears callbacks_.
         const auto callback = callbacks_.on_event;
@@ -54,18 +67,31 @@
 {
     const auto callback = callbacks_.on_end;
     callbacks_ = {};
-    if (!callback) {
-        return;
+    if (callback) {
+        callback(reason(end));
     }
+}
+
+engine_end engine_call::reason(const http_call_end& end) const
+{
     if (!end.may_have_been_sent) {
-        callback(engine_end::not_sent);
-    } else if (end.end != http_end::complete || status_ == 200) {
-        callback(end.end == http_end::complete ? engine_end::ended_early : engine_end::link_lost);
-    } else if (status_ == 404) {
-        callback(engine_end::unknown_generation);
-    } else {
-        callback(engine_end::refused);
+        return end.refused ? engine_end::connection_refused : engine_end::not_sent;
+    }
+    if (end.end != http_end::complete) {
+        return engine_end::link_lost;
+    }
+    if (status_ == http_ok) {
+        return any_event_ ? engine_end::ended_early : engine_end::ended_empty;
+    }
+    const bool rejected = status_ >= first_client_error && status_ < first_server_error;
+    if (dispatch_) {
+        // Any other failure may come from an engine that has started the generation.
+        return rejected || status_ == http_unavailable ? engine_end::refused : engine_end::link_lost;
+    }
+    if (status_ == http_not_found) {
+        return engine_end::unknown_generation;
     }
+    return status_ == http_bad_request ? engine_end::unknown_number : engine_end::refused;
 }
 
 } // namespace anvillead
--- a/src/apps/gateway/engine_call.h
+++ b/src/apps/gateway/engine_call.h
@@ -33,8 +33,12 @@
 
     callbacks callbacks_;
     sse_parser parser_;
+    engine_end reason(const http_call_end& end) const;
+
     std::shared_ptr<ihttp_call> call_;
     int status_ = 0;
+    bool dispatch_ = false;
+    bool any_event_ = false;
 };
 
 } // namespace anvillead
--- a/src/apps/gateway/gateway_context.h
+++ b/src/apps/gateway/gateway_context.h
@@ -2,11 +2,14 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 #include "apps/gateway/gateway_settings.h"
 #include "apps/gateway/progress_table.h"
 #include "apps/gateway/scheduler_links.h"
 #include "core/metrics.h"
+#include "routing/gap_table.h"
+#include "routing/retry_budget.h"
 #include "streams/response_id.h"
 #include "transport/ihttp_client.h"
 
@@ -23,11 +26,11 @@
     progress_table& progress;
     const response_id_codec& ids;
     std::function<view_ptr()> view;
-    std::function<bool()> allow_retry;
-    /// Called for each request that completed, to refill the retry budget.
-    std::function<void()> on_success;
-    /// Requests that were not answered in full yet, streams without a caller included.
-    std::atomic<std::size_t> open_requests{0};
+    retry_budget& retries;
+    gap_table& gaps;
+    /// Requests that were not answered in full yet, streams without a caller included. Shared, because requests that
+    /// the transport still holds are destroyed after the daemon.
+    std::shared_ptr<std::atomic<std::size_t>> open_requests = std::make_shared<std::atomic<std::size_t>>(0);
 };
 
 } // namespace anvillead
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-// Share of completed requests that refills the retry budget, and the most that it can hold.
-constexpr double retry_share = 0.1;
-constexpr double retry_budget_limit = 20;
 constexpr milliseconds drain_check_period{50};
 constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
 constexpr std::string_view responses_path = "/v1/responses/";
@@ -31,17 +28,13 @@
 } // namespace
 
 gateway_daemon::gateway_daemon(worker_pool& pool, gateway_settings settings)
-    : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), client_(make_http_client(pool)),
-      retry_budget_(retry_budget_limit)
+    : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), retries_(settings_.retries),
+      gaps_(settings_.stall), client_(make_http_client(pool))
 {
     const auto options = make_link_options(settings_.common, "gateway", new_incarnation());
     schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
-                                       [this] { return agent_->current(); }, [this] { return allow_retry(); },
-                                       [this] {
-                                           const std::lock_guard lock(budget_mutex_);
-                                           retry_budget_ = std::min(retry_budget_ + retry_share, retry_budget_limit);
-                                       }});
+                                       [this] { return agent_->current(); }, retries_, gaps_});
     services_ = std::make_unique<service_proxy>(*context_);
     links_ = make_link_server(pool, settings_.link_listen, options, {}, counters_);
     server_ = make_http_server(
@@ -50,8 +43,11 @@
             handle(std::move(request), exchange);
         },
         counters_);
-    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_,
-                                          [this](const view_ptr& view) { schedulers_->apply_view(view); });
+    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
+        schedulers_->apply_view(view);
+        gaps_.keep_only(
+            [&](const upstream_id& id) { return view->configuration->merged.find_upstream(id) != nullptr; });
+    });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
@@ -71,17 +67,6 @@
     return agent_->current()->configuration->generation > 0 && !leaving_;
 }
 
-bool gateway_daemon::allow_retry()
-{
-    const std::lock_guard lock(budget_mutex_);
-    if (retry_budget_ < 1) {
-        return false;
-    }
-    retry_budget_ -= 1;
-    counters_.add("retries_total");
-    return true;
-}
-
 void gateway_daemon::handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto path = request.path();
@@ -91,7 +76,7 @@
     } else if (path == "/readyz") {
         exchange->reply(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
     } else if (path == "/metrics") {
-        counters_.set("open_requests", static_cast<double>(context_->open_requests));
+        counters_.set("open_requests", static_cast<double>(*context_->open_requests));
         exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
     } else if (agent_->current()->configuration->generation == 0) {
         auto reason = make_error(error_kind::not_ready, "no configuration has been accepted yet");
@@ -110,6 +95,18 @@
     }
 }
 
+bool gateway_daemon::has_room(ihttp_exchange& exchange)
+{
+    if (*context_->open_requests < settings_.open_requests) {
+        return true;
+    }
+    counters_.add("open_requests_refused_total");
+    auto reason = make_error(error_kind::overloaded, "the gateway has too many open requests");
+    reason.retry_after = milliseconds(1000);
+    reply_error(exchange, reason);
+    return false;
+}
+
 void gateway_daemon::create_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto view = agent_->current();
@@ -118,13 +115,10 @@
         reply_error(*exchange, parsed.error());
         return;
     }
-    if (context_->open_requests >= settings_.open_requests) {
-        auto reason = make_error(error_kind::overloaded, "the gateway has too many open requests");
-        reason.retry_after = milliseconds(1000);
-        reply_error(*exchange, reason);
+    if (!has_room(*exchange)) {
         return;
     }
-    std::make_shared<response_stream>(*context_, exchange)->start(std::move(parsed.value()));
+    std::make_shared<response_stream>(*context_, exchange)->start(std::move(parsed.value()), view);
 }
 
 void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
@@ -166,7 +160,10 @@
         reply_error(*exchange, after.error());
         return;
     }
-    std::make_shared<response_stream>(*context_, exchange)->resume(location.value(), engine->address, after.value());
+    if (has_room(*exchange)) {
+        std::make_shared<response_stream>(*context_, exchange)
+            ->resume(location.value(), engine->address, after.value());
+    }
 }
 
 void gateway_daemon::fetch_response(const response_location& location, const std::string& address, bool cancel,
@@ -218,11 +215,11 @@
 {
     if (leaving_.exchange(true)) {
         log(log_level::warning, log_event::shutdown_forced,
-            {{"open_requests", std::to_string(context_->open_requests)}});
+            {{"open_requests", std::to_string(*context_->open_requests)}});
         pool_.stop();
         return;
     }
-    log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(context_->open_requests)}});
+    log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(*context_->open_requests)}});
     agent_->report({"gateway", true, 0, server_->address(), links_->address()});
     // Callers keep the address for the time to live of their last answer.
     pool_.timers().after(settings_.endpoints_ttl + settings_.shutdown_skew, [this] {
@@ -233,7 +230,7 @@
 
 void gateway_daemon::exit_when_drained()
 {
-    if (context_->open_requests == 0 && server_->open_exchanges() == 0) {
+    if (*context_->open_requests == 0 && server_->open_exchanges() == 0) {
         pool_.stop();
         return;
     }
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -27,7 +27,8 @@
                         const std::shared_ptr<ihttp_exchange>& exchange);
     void endpoints(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
     bool ready() const;
-    bool allow_retry();
+    /// Answers `overloaded` when the bound on open requests is reached.
+    bool has_room(ihttp_exchange& exchange);
     void stop_requested();
     void exit_when_drained();
 
@@ -36,6 +37,8 @@
     metrics counters_;
     response_id_codec ids_;
     progress_table progress_;
+    retry_budget retries_;
+    gap_table gaps_;
     std::unique_ptr<ihttp_client> client_;
     std::unique_ptr<scheduler_links> schedulers_;
     std::unique_ptr<agent_link> agent_;
@@ -43,8 +46,6 @@
     std::unique_ptr<service_proxy> services_;
     std::unique_ptr<ilink_server> links_;
     std::unique_ptr<ihttp_server> server_;
-    ranked_mutex budget_mutex_{lock_rank::streams};
-    double retry_budget_;
     std::atomic<bool> leaving_{false};
 };
 
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/gateway_settings.h"
 
+#include <algorithm>
+
 namespace anvillead {
 
 namespace {
@@ -25,11 +27,32 @@
     flow_limits out;
     out.stall = milliseconds(reader.number_or("stall_ms", period_range, 2000));
     out.loss = milliseconds(reader.number_or("loss_ms", period_range, 8000));
+    out.refused_loss = milliseconds(reader.number_or("refused_loss_ms", period_range, 1000));
+    out.detach = milliseconds(reader.number_or("detach_ms", period_range, 2000));
     out.attach_backoff = milliseconds(reader.number_or("attach_backoff_ms", period_range, 100));
     out.attempts = static_cast<int>(reader.number_or("attempts", {1, 10}, 3));
     return out;
 }
 
+stall_limits read_stall_limits(field_reader& reader, const flow_limits& flow)
+{
+    stall_limits out;
+    out.quantile = reader.real_or("stall_quantile", 0.5, 1, out.quantile);
+    out.margin = reader.real_or("stall_margin", 1, 100, out.margin);
+    out.ceiling = flow.stall;
+    out.floor = milliseconds(
+        reader.number_or("stall_floor_ms", {1, flow.stall.count()}, std::min(out.floor, flow.stall).count()));
+    return out;
+}
+
+retry_budget_limits read_retry_limits(field_reader& reader)
+{
+    retry_budget_limits out;
+    out.share = reader.real_or("retry_share", 0, 1, out.share);
+    out.most = reader.real_or("retry_budget", 0, 10'000, out.most);
+    return out;
+}
+
 } // namespace
 
 gateway_settings read_gateway_settings(field_reader& reader)
@@ -41,6 +64,8 @@
     out.agent = reader.text("agent");
     out.http = read_http_limits(reader);
     out.flow = read_flow_limits(reader);
+    out.stall = read_stall_limits(reader, out.flow);
+    out.retries = read_retry_limits(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
     out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "apps/common/daemon.h"
 #include "routing/request_flow.h"
+#include "routing/retry_budget.h"
 #include "transport/http_types.h"
 
 namespace anvillead {
@@ -17,6 +18,8 @@
     std::string agent;
     http_limits http;
     flow_limits flow;
+    stall_limits stall;
+    retry_budget_limits retries;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
     /// How long callers may keep an answer of /v1/endpoints.
--- a/src/apps/gateway/progress_table.cpp
+++ b/src/apps/gateway/progress_table.cpp
@@ -4,10 +4,17 @@
 
 namespace anvillead {
 
+grant_progress progress_table::entry::report(instant now) const
+{
+    auto out = value;
+    out.silent = held ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(now - last_token);
+    return out;
+}
+
 void progress_table::begin(const std::string& scheduler, const grant_progress& value)
 {
     const std::lock_guard lock(mutex_);
-    entries_[value.id] = {scheduler, value, std::chrono::steady_clock::now()};
+    entries_[value.id] = {scheduler, value, std::chrono::steady_clock::now(), false};
 }
 
 void progress_table::advance(const grant_id& id, std::int64_t output, instant now)
@@ -20,6 +27,16 @@
     }
 }
 
+void progress_table::hold(const grant_id& id, bool held)
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = entries_.find(id);
+    if (it != entries_.end() && it->second.held != held) {
+        it->second.held = held;
+        it->second.last_token = std::chrono::steady_clock::now();
+    }
+}
+
 void progress_table::end(const grant_id& id, grant_state state)
 {
     const std::lock_guard lock(mutex_);
@@ -35,8 +52,7 @@
     const std::lock_guard lock(mutex_);
     for (auto it = entries_.begin(); it != entries_.end();) {
         auto& [id, item] = *it;
-        item.value.silent = std::chrono::duration_cast<milliseconds>(now - item.last_token);
-        out[item.scheduler].grants.push_back(item.value);
+        out[item.scheduler].grants.push_back(item.report(now));
         it = item.value.state == grant_state::running ? std::next(it) : entries_.erase(it);
     }
     return out;
@@ -53,8 +69,7 @@
             continue;
         }
         item.scheduler = scheduler;
-        item.value.silent = std::chrono::duration_cast<milliseconds>(now - item.last_token);
-        out.grants.push_back(item.value);
+        out.grants.push_back(item.report(now));
     }
     return out;
 }
--- a/src/apps/gateway/progress_table.h
+++ b/src/apps/gateway/progress_table.h
@@ -15,6 +15,8 @@
     /// `scheduler` is the link address of the scheduler that gave the grant.
     void begin(const std::string& scheduler, const grant_progress& value);
     void advance(const grant_id& id, std::int64_t output, instant now);
+    /// While the gateway does not read the engine link on purpose, silence is not reported.
+    void hold(const grant_id& id, bool held);
     void end(const grant_id& id, grant_state state);
     /// Reports by scheduler; ended grants are listed once and then removed.
     std::map<std::string, progress_report> take_reports(instant now);
@@ -24,9 +26,12 @@
 private:
     struct entry
     {
+        grant_progress report(instant now) const;
+
         std::string scheduler;
         grant_progress value;
         instant last_token;
+        bool held = false;
     };
 
     ranked_mutex mutex_{lock_rank::grants};
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -26,23 +26,30 @@
 
 response_stream::response_stream(gateway_context& context, std::shared_ptr<ihttp_exchange> exchange)
     : context_(context), exchange_(std::move(exchange)), sequence_(exchange_->sequence()),
-      id_(request_id(random_hex(id_bytes)))
+      id_(request_id(random_hex(id_bytes))), open_requests_(context_.open_requests)
 {
-    ++context_.open_requests;
+    ++*open_requests_;
 }
 
 response_stream::~response_stream()
 {
-    --context_.open_requests;
+    --*open_requests_;
 }
 
 void response_stream::prepare(bool idempotent, milliseconds deadline)
 {
     started_ = context_.pool.timers().now();
     last_token_ = started_;
-    view_ = context_.view();
     flow_hooks hooks;
-    hooks.allow_retry = context_.allow_retry;
+    hooks.allow_retry = [this] {
+        if (!context_.retries.take()) {
+            context_.counters.add("retries_refused_total");
+            return false;
+        }
+        context_.counters.add("retries_total");
+        return true;
+    };
+    hooks.pace = [this](const upstream_id& engine) { return context_.gaps.pace(engine); };
     hooks.new_generation = [] { return generation_id(random_hex(id_bytes)); };
     flow_.emplace(flow_request{id_, idempotent, deadline}, context_.settings.flow, std::move(hooks));
     const auto weak = weak_from_this();
@@ -52,9 +59,8 @@
         }
     });
     exchange_->on_drained([weak] {
-        const auto self = weak.lock();
-        if (self && std::exchange(self->engine_paused_, false) && self->call_) {
-            self->call_->resume();
+        if (const auto self = weak.lock()) {
+            self->caller_drained();
         }
     });
     // The timer keeps the stream alive until it ends, also without a caller.
@@ -63,9 +69,10 @@
     });
 }
 
-void response_stream::start(response_request request)
+void response_stream::start(response_request request, view_ptr view)
 {
     request_ = std::move(request);
+    view_ = std::move(view);
     wants_stream_ = request_.stream;
     prepare(request_.work->idempotent, request_.work->deadline);
     location_.organisation = request_.owner->id;
@@ -108,8 +115,12 @@
     out.input = request_.input;
     out.output_limit = request_.output_limit;
     out.prefix_hash = request_.prefix_hash;
-    out.remaining = request_.work->deadline;
+    out.remaining = action.remaining;
     out.excluded = action.excluded;
+    if (!action.excluded.empty()) {
+        log(log_level::info, log_event::request_retried,
+            {{"request", id_.str()}, {"failed_engine", action.excluded.back().str()}});
+    }
     const auto self = shared_from_this();
     scheduler_links::grant_callbacks callbacks;
     callbacks.on_grant = [self](const grant& value, const std::string& scheduler) {
@@ -199,6 +210,10 @@
         call_->abandon();
     }
     engine_paused_ = false;
+    gap_disturbed_ = true;
+    if (active_grant_) {
+        context_.progress.hold(*active_grant_, false);
+    }
     request.connect_timeout = engine_connect_timeout;
     request.head_timeout = engine_head_timeout;
     const auto weak = weak_from_this();
@@ -222,17 +237,47 @@
     const auto now = context_.pool.timers().now();
     const auto before = flow_->output_tokens();
     carry_out(flow_->on_event(now, generation, event));
+    record_token(before, now);
+}
+
+void response_stream::record_token(std::int64_t before, instant now)
+{
     const auto after = flow_->output_tokens();
     if (after == before) {
         return;
     }
+    const auto gap = now - last_token_;
     context_.counters.observe_ms(before == 0 ? "first_token" : "token_gap", elapsed_ms(last_token_, now));
+    if (!std::exchange(gap_disturbed_, false)) {
+        context_.gaps.record(location_.engine, now, std::chrono::duration_cast<microseconds>(gap));
+    }
     last_token_ = now;
     if (active_grant_) {
         context_.progress.advance(*active_grant_, after, now);
     }
 }
 
+void response_stream::act(const detach_generation&)
+{
+    call_->abandon();
+    call_.reset();
+    context_.counters.add("engine_detachments_total");
+}
+
+void response_stream::caller_drained()
+{
+    if (!std::exchange(engine_paused_, false)) {
+        return;
+    }
+    if (active_grant_) {
+        context_.progress.hold(*active_grant_, false);
+    }
+    if (call_) {
+        call_->resume();
+    }
+    carry_out(flow_->on_caller_drained(context_.pool.timers().now()));
+}
+
 void response_stream::act(const cancel_generation& action)
 {
     http_call_request call;
@@ -264,7 +309,12 @@
     }
     if (exchange_->unsent_bytes() > context_.settings.caller_buffer_bytes && !engine_paused_ && call_) {
         engine_paused_ = true;
+        gap_disturbed_ = true;
         call_->pause();
+        context_.counters.add("engine_pauses_total");
+        if (active_grant_) {
+            context_.progress.hold(*active_grant_, true);
+        }
     }
 }
 
@@ -287,7 +337,8 @@
 
 void response_stream::keep_alive()
 {
-    if (caller_present_ && wants_stream_) {
+    // Comments must not pile up for a caller that does not read.
+    if (caller_present_ && wants_stream_ && exchange_->unsent_bytes() == 0) {
         begin_stream();
         exchange_->write(encode_sse_comment("keep-alive"));
     }
@@ -296,6 +347,12 @@
 void response_stream::act(const fail_request& action)
 {
     const auto& reason = action.reason;
+    if (reason.kind == error_kind::generation_lost) {
+        log(log_level::warning, log_event::generation_lost,
+            {{"request", id_.str()},
+             {"engine", location_.engine.str()},
+             {"delivered", std::to_string(action.delivered)}});
+    }
     context_.counters.add(fmt::format("requests_failed_total{{kind=\"{}\"}}", to_string(reason.kind)));
     log(log_level::warning, log_event::request_failed,
         {{"request", id_.str()},
@@ -318,11 +375,16 @@
 
 void response_stream::act(const finish_request&)
 {
-    if (caller_present_ && head_sent_) {
+    if (caller_present_ && wants_stream_) {
+        begin_stream();
         exchange_->end_stream();
     }
-    context_.counters.add("requests_completed_total");
-    context_.on_success();
+    if (flow_->dispatched()) {
+        context_.counters.add("requests_completed_total");
+        context_.retries.refill();
+    } else {
+        context_.counters.add("requests_abandoned_total");
+    }
     release_grant(grant_state::finished);
     close_timers();
 }
@@ -352,6 +414,9 @@
     if (std::exchange(engine_paused_, false) && call_) {
         call_->resume();
     }
+    if (active_grant_) {
+        context_.progress.hold(*active_grant_, false);
+    }
     if (flow_ && !flow_->done()) {
         carry_out(flow_->on_caller_gone(context_.pool.timers().now()));
     }
--- a/src/apps/gateway/response_stream.h
+++ b/src/apps/gateway/response_stream.h
@@ -22,7 +22,8 @@
     response_stream& operator=(const response_stream&) = delete;
 
     /// Starts a new generation for a checked request.
-    void start(response_request request);
+    /// `view` holds the document that the request points into.
+    void start(response_request request, view_ptr view);
     /// Follows a generation that already runs.
     void resume(const response_location& location, const std::string& address, sequence_number starting_after);
 
@@ -35,6 +36,7 @@
     void act(const withdraw_claim& action);
     void act(const dispatch_generation& action);
     void act(const attach_generation& action);
+    void act(const detach_generation& action);
     void act(const cancel_generation& action);
     void act(const deliver_event& action);
     void act(const fail_request& action);
@@ -44,6 +46,8 @@
     void call_engine(http_call_request request, const generation_id& generation);
     void engine_event(const generation_id& generation, const stream_event& event);
     void on_sequence(std::function<void()> task);
+    void record_token(std::int64_t before, instant now);
+    void caller_drained();
     void begin_stream();
     void keep_alive();
     void caller_gone();
@@ -67,10 +71,14 @@
     std::optional<timer_token> comment_timer_;
     instant started_{};
     instant last_token_{};
+    std::shared_ptr<std::atomic<std::size_t>> open_requests_;
     bool wants_stream_ = true;
     bool head_sent_ = false;
     bool caller_present_ = true;
+    /// The engine link is not read, or closed, until the caller has read what it was sent.
     bool engine_paused_ = false;
+    /// The time since the last token includes a pause or a replay, so it says nothing about the engine.
+    bool gap_disturbed_ = true;
 };
 
 } // namespace anvillead
--- a/src/routing/internal/request_flow.cpp
+++ b/src/routing/internal/request_flow.cpp
@@ -15,6 +15,10 @@
     }
 }
 
+// A silence bound doubles with each link that brought nothing, so that a slow engine is not asked again and again.
+constexpr int most_doublings = 6;
+constexpr milliseconds retry_hint{1000};
+
 } // namespace
 
 request_flow::request_flow(flow_request request, flow_limits limits, flow_hooks hooks)
@@ -25,7 +29,7 @@
 {
     started_ = now;
     attempts_ = 1;
-    return {ask_grant{}, next_timer(now)};
+    return {ask_grant{{}, remaining(now)}, next_timer(now)};
 }
 
 flow_actions request_flow::resume(instant now, upstream_id engine, std::string address, generation_id generation,
@@ -91,7 +95,7 @@
 {
     state_ = state::streaming;
     dispatched_ = true;
-    link_is_replacement_ = false;
+    attachments_ = 0;
     last_event_ = now;
     return {dispatch_generation{grant_->engine, grant_->address, sequencer_.bound(), grant_->priority},
             next_timer(now)};
@@ -107,8 +111,7 @@
         return {};
     case stream_sequencer::verdict::gap:
         // The engine skipped events on this link; a new link asks for them by number.
-        lost_since_ = now;
-        return attach(now);
+        return reattach(now, engine_end::link_lost);
     case stream_sequencer::verdict::deliver:
         break;
     }
@@ -120,6 +123,7 @@
     state_ = state::streaming;
     last_event_ = now;
     attach_pending_ = false;
+    attachments_ = 0;
     if (event.type == event_delta) {
         ++output_tokens_;
     }
@@ -139,27 +143,63 @@
     if (generation != sequencer_.bound() || (state_ != state::streaming && state_ != state::attaching)) {
         return {};
     }
-    const bool nothing_started = !link_is_replacement_ && (end == engine_end::not_sent || end == engine_end::refused);
-    if (nothing_started) {
-        if (!request_.idempotent) {
-            state_ = state::withdrawing;
-            withdrawn_reason_ = make_error(error_kind::no_upstream, "the engine did not take the request");
-            withdrawn_reason_.retry_after = milliseconds(1000);
-            return {cancel_grant{}, withdraw_claim{}};
-        }
-        dispatched_ = false;
-        return retry_elsewhere(now, "the engine did not take the request");
+    const bool dispatch_link = !resumed_ && attachments_ == 0 && sequencer_.last() < 0;
+    const bool untaken =
+        end == engine_end::not_sent || end == engine_end::connection_refused || end == engine_end::refused;
+    if (dispatch_link && untaken) {
+        return not_taken(now);
     }
     if (end == engine_end::unknown_generation) {
-        return lose("the engine no longer has the generation");
+        return lose(now, "the engine no longer has the generation");
+    }
+    if (resumed_ && end == engine_end::unknown_number) {
+        return fail(make_error(error_kind::invalid_request, "starting_after: the response has no such event yet"));
+    }
+    if (resumed_ && end == engine_end::ended_empty) {
+        // The caller already has the last event of the generation.
+        state_ = state::done;
+        return {finish_request{}};
+    }
+    return reattach(now, end);
+}
+
+flow_actions request_flow::not_taken(instant now)
+{
+    static constexpr auto why = "the engine did not take the request";
+    if (!request_.idempotent) {
+        state_ = state::withdrawing;
+        withdrawn_reason_ = make_error(error_kind::no_upstream, why);
+        withdrawn_reason_.retry_after = retry_hint;
+        return {cancel_grant{}, withdraw_claim{}};
+    }
+    dispatched_ = false;
+    if (may_retry()) {
+        return move_elsewhere(now);
+    }
+    flow_actions actions;
+    leave_engine(actions);
+    auto reason = make_error(may_have_run_ ? error_kind::upstream_failed : error_kind::no_upstream, why);
+    reason.retry_after = retry_hint;
+    append(actions, fail(std::move(reason)));
+    return actions;
+}
+
+flow_actions request_flow::reattach(instant now, engine_end end)
+{
+    if (end == engine_end::connection_refused && movable() && may_retry()) {
+        return move_elsewhere(now);
     }
     if (state_ == state::streaming) {
+        // The first replacement is opened at once; only repeated failures are spaced.
         lost_since_ = now;
+        return attach(now);
     }
-    if (now - lost_since_ > limits_.loss) {
-        return lose("the engine could not be reached again");
+    if (attach_pending_) {
+        return {};
+    }
+    if (now - lost_since_ > (end == engine_end::connection_refused ? limits_.refused_loss : limits_.loss)) {
+        return lose(now, "the engine could not be reached again");
     }
-    state_ = state::attaching;
     attach_pending_ = true;
     attach_at_ = now + limits_.attach_backoff;
     return {next_timer(now)};
@@ -169,45 +209,75 @@
 {
     state_ = state::attaching;
     attach_pending_ = false;
-    link_is_replacement_ = true;
+    paused_since_.reset();
+    ++attachments_;
     last_event_ = now;
     return {attach_generation{grant_->engine, grant_->address, sequencer_.bound(), sequencer_.last()}, next_timer(now)};
 }
 
-flow_actions request_flow::lose(const std::string& why)
+flow_actions request_flow::lose(instant now, const std::string& why)
 {
-    if (request_.idempotent && !resumed_ && output_tokens_ == 0 && caller_present_) {
-        return retry_elsewhere(started_, why);
+    if (movable() && may_retry()) {
+        return move_elsewhere(now);
     }
-    const bool ran = output_tokens_ > 0 || sequencer_.last() >= 0;
+    const bool ran = resumed_ || output_tokens_ > 0 || sequencer_.last() >= 0;
     auto reason = make_error(ran ? error_kind::generation_lost : error_kind::upstream_failed, why);
-    return fail(std::move(reason));
+    flow_actions actions;
+    if (movable()) {
+        // No engine will be asked again, so the one that may still run it is told to stop.
+        leave_engine(actions);
+    }
+    append(actions, fail(std::move(reason)));
+    return actions;
 }
 
-flow_actions request_flow::retry_elsewhere(instant now, const std::string& why)
+bool request_flow::movable() const
 {
-    flow_actions actions = {cancel_grant{}};
+    return request_.idempotent && !resumed_ && output_tokens_ == 0 && caller_present_;
+}
+
+bool request_flow::may_retry()
+{
+    if (attempts_ >= limits_.attempts || !hooks_.allow_retry()) {
+        return false;
+    }
+    ++attempts_;
+    return true;
+}
+
+void request_flow::leave_engine(flow_actions& actions)
+{
+    actions.emplace_back(cancel_grant{});
     if (dispatched_) {
-        actions.push_back(cancel_generation{grant_->address, sequencer_.bound()});
+        actions.emplace_back(cancel_generation{grant_->address, sequencer_.bound()});
         may_have_run_ = true;
     }
     dispatched_ = false;
     excluded_.push_back(grant_->engine);
     grant_.reset();
-    if (attempts_ >= limits_.attempts || !hooks_.allow_retry()) {
-        auto reason = make_error(may_have_run_ ? error_kind::upstream_failed : error_kind::no_upstream, why);
-        reason.retry_after = milliseconds(1000);
-        append(actions, fail(std::move(reason)));
-        return actions;
+}
+
+flow_actions request_flow::move_elsewhere(instant now)
+{
+    flow_actions actions;
+    leave_engine(actions);
+    append(actions, ask_again(now));
+    return actions;
+}
+
+flow_actions request_flow::ask_again(instant now)
+{
+    state_ = state::waiting_grant;
+    if (request_.deadline.count() > 0 && now >= started_ + request_.deadline) {
+        auto reason = make_error(error_kind::deadline_exceeded, "no other engine was found before the deadline");
+        reason.retry_after = retry_hint;
+        return fail(std::move(reason));
     }
-    ++attempts_;
-    // Nothing was delivered to the caller, so the stream starts again with the next generation's first event.
+    // No token was delivered to the caller, so the stream starts again with the next generation's first event.
     sequencer_ = stream_sequencer();
-    state_ = state::waiting_grant;
-    link_is_replacement_ = false;
-    actions.push_back(ask_grant{excluded_});
-    actions.push_back(next_timer(now));
-    return actions;
+    attach_pending_ = false;
+    attachments_ = 0;
+    return {ask_grant{excluded_, remaining(now)}, next_timer(now)};
 }
 
 flow_actions request_flow::on_timer(instant now, bool engine_paused)
@@ -232,32 +302,81 @@
     if (undispatched) {
         return {next_timer(now)};
     }
+    if (state_ == state::detached) {
+        return {next_timer(now)};
+    }
     if (attach_pending_) {
         return now >= attach_at_ ? attach(now) : flow_actions{next_timer(now)};
     }
-    if (engine_paused) {
-        last_event_ = now;
+    if (!engine_paused) {
+        paused_since_.reset();
+        return silent(now);
     }
-    if (now - last_event_ < limits_.stall) {
+    last_event_ = now;
+    paused_since_ = paused_since_.value_or(now);
+    if (now - *paused_since_ < limits_.detach) {
         return {next_timer(now)};
     }
+    state_ = state::detached;
+    paused_since_.reset();
+    return {detach_generation{}, next_timer(now)};
+}
+
+flow_actions request_flow::silent(instant now)
+{
+    auto last = last_event_;
+    if (output_tokens_ == 0 && hooks_.pace && !resumed_) {
+        // A request without a token may wait in the engine's queue; tokens of other streams show that the engine works.
+        last = std::max(last, hooks_.pace(grant_->engine).last_token);
+    }
+    if (now - last < silence_bound()) {
+        return {set_timer{last + silence_bound()}};
+    }
     if (state_ == state::streaming) {
         lost_since_ = last_event_;
     }
+    if (attachments_ > 0 && movable() && may_retry()) {
+        return move_elsewhere(now);
+    }
     if (now - lost_since_ > limits_.loss) {
-        return lose("the engine stopped sending");
+        return lose(now, "the engine stopped sending");
     }
     return attach(now);
 }
 
-flow_actions request_flow::on_caller_gone(instant)
+milliseconds request_flow::silence_bound() const
+{
+    if (output_tokens_ == 0 || !hooks_.pace) {
+        return limits_.stall;
+    }
+    const auto bound = hooks_.pace(grant_->engine).bound;
+    return std::min(limits_.stall, bound * (1 << std::min(attachments_, most_doublings)));
+}
+
+milliseconds request_flow::remaining(instant now) const
+{
+    if (request_.deadline.count() == 0) {
+        return milliseconds(0);
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(started_ + request_.deadline - now);
+    return std::max(left, milliseconds(1));
+}
+
+flow_actions request_flow::on_caller_drained(instant now)
+{
+    paused_since_.reset();
+    return state_ == state::detached ? attach(now) : flow_actions{};
+}
+
+flow_actions request_flow::on_caller_gone(instant now)
 {
     caller_present_ = false;
     if (state_ == state::waiting_grant) {
         state_ = state::done;
         return {cancel_grant{}, finish_request{}};
     }
-    return {};
+    // The link is followed again so that the scheduler learns of the progress and the end.
+    return state_ == state::detached ? attach(now) : flow_actions{};
 }
 
 flow_actions request_flow::on_cancel(instant)
@@ -289,10 +408,13 @@
     if (state_ == state::waiting_grant || state_ == state::claiming) {
         return {request_.deadline.count() > 0 ? started_ + request_.deadline : now + limits_.loss};
     }
+    if (state_ == state::detached) {
+        return {now + limits_.loss};
+    }
     if (attach_pending_) {
         return {attach_at_};
     }
-    return {std::max(now, last_event_ + limits_.stall)};
+    return {std::max(now, last_event_ + silence_bound())};
 }
 
 } // namespace anvillead
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "messages/types/messages.h"
+#include "routing/gap_table.h"
 #include "routing/types/flow_action.h"
 #include "streams/stream_sequencer.h"
 
@@ -21,10 +22,14 @@
 /// Times of one request's life.
 struct flow_limits
 {
-    /// Without an event for this long, the engine link is replaced.
+    /// Longest silence before the engine link is replaced; an engine's own pace gives a shorter bound.
     milliseconds stall{2000};
     /// Without a successful re-attachment for this long, the generation counts as lost.
     milliseconds loss{8000};
+    /// The same while the engine's address refuses connections: its process has ended, and the generation with it.
+    milliseconds refused_loss{1000};
+    /// The engine link is closed after a caller has blocked it for this long.
+    milliseconds detach{2000};
     milliseconds attach_backoff{100};
     int attempts = 3;
 };
@@ -36,6 +41,8 @@
     std::function<bool()> allow_retry;
     /// A generation id that no other request uses.
     std::function<generation_id()> new_generation;
+    /// Recent pace of an engine; without it `flow_limits::stall` applies.
+    std::function<engine_pace(const upstream_id&)> pace;
 };
 
 /// How an engine call ended, as far as it matters for the request.
@@ -43,6 +50,8 @@
 {
     /// No connection was made: nothing was sent.
     not_sent,
+    /// The engine's address refused the connection: nothing was sent and no process listens there.
+    connection_refused,
     /// The engine refused the request without starting it.
     refused,
     /// The engine does not know the generation.
@@ -51,6 +60,10 @@
     link_lost,
     /// The stream ended without a final event.
     ended_early,
+    /// The stream ended in order without any event.
+    ended_empty,
+    /// The engine has no event with the number that the caller wants to continue from.
+    unknown_number,
 };
 
 /// Answer of the claim journal.
@@ -89,6 +102,8 @@
     flow_actions on_engine_end(instant now, const generation_id& generation, engine_end end);
     /// `engine_paused` is true while the caller's buffer is full and the engine link is deliberately not read.
     flow_actions on_timer(instant now, bool engine_paused);
+    /// The caller has read everything that it was sent.
+    flow_actions on_caller_drained(instant now);
     /// The caller has gone. The generation goes on; a request that was not dispatched ends.
     flow_actions on_caller_gone(instant now);
     flow_actions on_cancel(instant now);
@@ -106,14 +121,27 @@
         claiming,
         streaming,
         attaching,
+        /// The engine link is closed until the caller has read what it was sent.
+        detached,
         withdrawing,
         done
     };
 
     flow_actions dispatch(instant now);
-    flow_actions retry_elsewhere(instant now, const std::string& why);
+    /// No output token was delivered, so another engine may start afresh.
+    bool movable() const;
+    /// Takes one attempt and one retry of the budget.
+    bool may_retry();
+    flow_actions move_elsewhere(instant now);
+    flow_actions ask_again(instant now);
+    void leave_engine(flow_actions& actions);
     flow_actions attach(instant now);
-    flow_actions lose(const std::string& why);
+    flow_actions reattach(instant now, engine_end end);
+    flow_actions silent(instant now);
+    flow_actions lose(instant now, const std::string& why);
+    flow_actions not_taken(instant now);
+    milliseconds silence_bound() const;
+    milliseconds remaining(instant now) const;
     flow_actions fail(error reason);
     flow_actions deliver(instant now, const stream_event& event);
     set_timer next_timer(instant now) const;
@@ -129,14 +157,16 @@
     instant last_event_{};
     instant lost_since_{};
     instant attach_at_{};
+    std::optional<instant> paused_since_;
     std::int64_t output_tokens_ = 0;
     int attempts_ = 0;
+    /// Links opened since the last event.
+    int attachments_ = 0;
     bool dispatched_ = false;
     bool may_have_run_ = false;
     bool attach_pending_ = false;
     bool resumed_ = false;
     bool caller_present_ = true;
-    bool link_is_replacement_ = false;
     error withdrawn_reason_;
 };
 
--- a/src/routing/tests/request_flow_test.cpp
+++ b/src/routing/tests/request_flow_test.cpp
@@ -24,7 +24,9 @@
     instant now{};
     int generations = 0;
     bool budget = true;
-    flow_hooks hooks{[this] { return budget; }, [this] { return generation_id("g" + std::to_string(++generations)); }};
+    engine_pace pace{milliseconds(300), {}};
+    flow_hooks hooks{[this] { return budget; }, [this] { return generation_id("g" + std::to_string(++generations)); },
+                     [this](const upstream_id&) { return pace; }};
     grant first{request_id("r"), grant_id("1"), upstream_id("e1"), "127.0.0.1:1", 0};
     grant second{request_id("r"), grant_id("2"), upstream_id("e2"), "127.0.0.1:2", 0};
     generation_id g1{"g1"};
@@ -65,8 +67,7 @@
     auto flow = started(false);
     CHECK(find<write_claim>(flow.on_grant(now, first)) != nullptr);
     CHECK(find<dispatch_generation>(flow.on_claim(now, {})) != nullptr);
-    flow.on_engine_end(now, g1, engine_end::link_lost);
-    const auto actions = flow.on_timer(now + milliseconds(200), false);
+    const auto actions = flow.on_engine_end(now, g1, engine_end::link_lost);
     CHECK(find<attach_generation>(actions) != nullptr);
     const auto lost = flow.on_engine_end(now, g1, engine_end::unknown_generation);
     CHECK(find<ask_grant>(lost) == nullptr);
@@ -92,8 +93,9 @@
     flow.on_grant(now, first);
     flow.on_event(now, g1, {event_created, 0, ""});
     flow.on_event(now, g1, {event_delta, 1, ""});
-    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(2000), true)) == nullptr);
-    const auto actions = flow.on_timer(now + milliseconds(4001), false);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(300), true)) == nullptr);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(599), false)) == nullptr);
+    const auto actions = flow.on_timer(now + milliseconds(600), false);
     CHECK(find<attach_generation>(actions) != nullptr);
     LONGS_EQUAL(1, find<attach_generation>(actions)->starting_after);
 }
@@ -107,3 +109,84 @@
     CHECK(find<fail_request>(actions) != nullptr);
     CHECK(find<fail_request>(actions)->reason.outcome == run_outcome::not_run);
 }
+
+// Guards against a generation_lost that waits for the whole loss time although the engine's process has ended.
+TEST(request_flow_test, a_refusing_engine_is_lost_soon)
+{
+    auto flow = started(true);
+    flow.on_grant(now, first);
+    flow.on_event(now, g1, {event_created, 0, ""});
+    flow.on_event(now, g1, {event_delta, 1, ""});
+    CHECK(find<attach_generation>(flow.on_engine_end(now, g1, engine_end::link_lost)) != nullptr);
+    CHECK(find<fail_request>(flow.on_engine_end(now, g1, engine_end::connection_refused)) == nullptr);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(100), false)) != nullptr);
+    const auto lost = flow.on_engine_end(now + milliseconds(1001), g1, engine_end::connection_refused);
+    CHECK(find<fail_request>(lost)->reason.kind == error_kind::generation_lost);
+}
+
+// Guards against moving a request that only waits in the queue of a working engine, and against holding on to a silent
+// one.
+TEST(request_flow_test, only_a_silent_engine_loses_a_request_without_tokens)
+{
+    auto flow = started(true);
+    flow.on_grant(now, first);
+    flow.on_event(now, g1, {event_created, 0, ""});
+    pace.last_token = now + milliseconds(2500);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(3000), false)) == nullptr);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(4500), false)) != nullptr);
+    const auto moved = flow.on_timer(now + milliseconds(6500), false);
+    CHECK(find<cancel_generation>(moved) != nullptr);
+    // The workload's deadline of one second has passed.
+    CHECK(find<fail_request>(moved)->reason.kind == error_kind::deadline_exceeded);
+    CHECK(find<fail_request>(moved)->reason.outcome == run_outcome::may_have_run);
+}
+
+// Guards against a later attempt that is granted the whole deadline again.
+TEST(request_flow_test, the_remaining_deadline_is_passed_on)
+{
+    auto flow = started(true);
+    flow.on_grant(now, first);
+    const auto again = flow.on_engine_end(now + milliseconds(300), g1, engine_end::refused);
+    CHECK(find<ask_grant>(again)->remaining == milliseconds(700));
+}
+
+// Guards against an engine that buffers without bound for a caller that does not read.
+TEST(request_flow_test, a_blocked_link_is_closed_and_opened_again_at_the_next_number)
+{
+    auto flow = started(true);
+    flow.on_grant(now, first);
+    flow.on_event(now, g1, {event_created, 0, ""});
+    flow.on_event(now, g1, {event_delta, 1, ""});
+    flow.on_timer(now + milliseconds(300), true);
+    CHECK(find<detach_generation>(flow.on_timer(now + milliseconds(2300), true)) != nullptr);
+    CHECK(find<attach_generation>(flow.on_timer(now + milliseconds(60'000), true)) == nullptr);
+    const auto actions = flow.on_caller_drained(now + milliseconds(60'001));
+    LONGS_EQUAL(1, find<attach_generation>(actions)->starting_after);
+    CHECK(find<deliver_event>(flow.on_event(now, g1, {event_delta, 2, ""})) != nullptr);
+}
+
+// Guards against an endless loop of links to an engine whose stream lacks a number.
+TEST(request_flow_test, repeated_gaps_are_spaced_and_end)
+{
+    auto flow = started(true);
+    flow.on_grant(now, first);
+    flow.on_event(now, g1, {event_created, 0, ""});
+    flow.on_event(now, g1, {event_delta, 1, ""});
+    CHECK(find<attach_generation>(flow.on_event(now, g1, {event_delta, 3, ""})) != nullptr);
+    CHECK(find<attach_generation>(flow.on_event(now, g1, {event_delta, 3, ""})) == nullptr);
+    flow.on_timer(now + milliseconds(8000), false);
+    const auto end = flow.on_event(now + milliseconds(8001), g1, {event_delta, 3, ""});
+    CHECK(find<fail_request>(end)->reason.kind == error_kind::generation_lost);
+}
+
+// Guards against an error for a caller that asks again after it already has the last event.
+TEST(request_flow_test, resuming_after_the_last_event_ends_in_order)
+{
+    request_flow flow({request_id("r"), true, milliseconds(0)}, {}, hooks);
+    flow.resume(now, upstream_id("e1"), "127.0.0.1:1", g1, 9);
+    CHECK(find<finish_request>(flow.on_engine_end(now, g1, engine_end::ended_empty)) != nullptr);
+    request_flow beyond({request_id("r"), true, milliseconds(0)}, {}, hooks);
+    beyond.resume(now, upstream_id("e1"), "127.0.0.1:1", g1, 999);
+    const auto end = beyond.on_engine_end(now, g1, engine_end::unknown_number);
+    CHECK(find<fail_request>(end)->reason.kind == error_kind::invalid_request);
+}
--- a/src/routing/types/flow_action.h
+++ b/src/routing/types/flow_action.h
@@ -15,6 +15,8 @@
 struct ask_grant
 {
     std::vector<upstream_id> excluded;
+    /// Time left until the request is worthless; zero means no deadline.
+    milliseconds remaining{0};
 };
 
 /// Give up the pending grant request or return an unused grant.
@@ -50,6 +52,11 @@
     sequence_number starting_after = -1;
 };
 
+/// Close the engine link while the caller reads too slowly. The generation goes on; attach_generation follows once the
+/// caller has read what it was sent.
+struct detach_generation
+{};
+
 /// Tell the engine that the generation is no longer wanted.
 struct cancel_generation
 {
@@ -81,7 +88,7 @@
 
 using flow_action =
     std::variant<ask_grant, cancel_grant, write_claim, withdraw_claim, dispatch_generation, attach_generation,
-                 cancel_generation, deliver_event, fail_request, finish_request, set_timer>;
+                 detach_generation, cancel_generation, deliver_event, fail_request, finish_request, set_timer>;
 using flow_actions = std::vector<flow_action>;
 
 } // namespace anvillead
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -24,6 +24,8 @@
     http_end end = http_end::complete;
     /// A byte of the request may have reached the peer.
     bool may_have_been_sent = false;
+    /// The peer's address refused the connection: no process listens there.
+    bool refused = false;
     std::string detail;
 };
 
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -124,6 +124,7 @@
                                        return;
                                    }
                                    if (ec) {
+                                       self->refused_ = ec == net::error::connection_refused;
                                        self->finish(http_end::connect_failed, ec.message());
                                        return;
                                    }
@@ -264,7 +265,7 @@
         auto handlers = std::move(handlers_);
         handlers_ = {};
         if (handlers.on_end) {
-            handlers.on_end({end, sent_, detail});
+            handlers.on_end({end, sent_, refused_, detail});
         }
     }
 
@@ -284,6 +285,7 @@
     std::uint64_t timer_round_ = 0;
     bool reused_ = false;
     bool sent_ = false;
+    bool refused_ = false;
     bool done_ = false;
     bool paused_ = false;
     bool read_held_ = false;
