--- a/src/claims/iclaim_journal.h
+++ b/src/claims/iclaim_journal.h
@@ -18,8 +18,11 @@
 public:
     virtual ~iclaim_journal() = default;
 
-    /// Records the key. Dispatch may follow only after the verdict `claimed`, and only once.
-    virtual void claim(claim_request request, std::function<void(claim_result)> callback) = 0;
+    /// Records the key. Dispatch may follow only after the verdict `claimed`, and only once. Returns the ticket, which
+    /// may be withdrawn before the callback was called; then the callback is not called at all.
+    virtual claim_ticket claim(claim_request request, std::function<void(claim_result)> callback) = 0;
+    /// Reads whether the key was claimed, without claiming it. The verdict is never `claimed`.
+    virtual void look_up(claim_request request, std::function<void(claim_result)> callback) = 0;
     /// Keeps the answer of a dispatched request for later arrivals of its key and releases the ticket. Best effort:
     /// without a stored answer a later arrival gets the record alone.
     virtual void complete(claim_ticket ticket, stored_answer answer) = 0;
--- /dev/null
+++ b/src/claims/tests/claim_journal_test.cpp
@@ -0,0 +1,229 @@
+#include "claims/claim_journal.h"
+
+#include "claims/tests/fake_platform.h"
+
+// After every header that uses placement new: CppUTest replaces operator new by a macro.
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+namespace {
+
+claim_request request_for(const std::string& uuid, const std::string& body = "body")
+{
+    return {organisation_id("galle"), uuid, body, "resp_1"};
+}
+
+std::string numbered_key(unsigned number)
+{
+    auto digits = std::to_string(number);
+    return "0190a8c0-7b00-7000-8000-" + std::string(12 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+TEST_GROUP(claim_journal_test)
+{
+    fake_platform platform{1};
+    std::map<claim_ticket, claim_result> claims;
+    std::map<claim_ticket, result<void>> withdrawals;
+    claim_limits limits;
+    claim_ticket next = 0;
+
+    std::unique_ptr<fake_gateway> gateway()
+    {
+        auto out = std::make_unique<fake_gateway>(platform, limits, milliseconds(0));
+        out->on_claim = [this](const answer_claim& it) { claims[it.ticket] = it.result; };
+        out->on_withdrawal = [this](const answer_withdrawal& it) { withdrawals.emplace(it.ticket, it.result); };
+        return out;
+    }
+
+    claim_ticket claim(fake_gateway & from, const claim_request& request)
+    {
+        const auto ticket = ++next;
+        from.deliver([&from, ticket, request](claim_time time) { return from.journal.claim(time, ticket, request); });
+        return ticket;
+    }
+
+    void withdraw(fake_gateway & from, claim_ticket ticket)
+    {
+        from.deliver([&from, ticket](claim_time time) { return from.journal.withdraw(time, ticket); });
+    }
+
+    void pass(milliseconds time)
+    {
+        platform.run(platform.now + time);
+    }
+};
+
+// Guards against a second run when a caller repeats its request through another gateway.
+TEST(claim_journal_test, second_arrival_gets_the_record_of_the_first)
+{
+    const auto one = gateway();
+    const auto two = gateway();
+    const auto first = claim(*one, request_for(numbered_key(1)));
+    pass(milliseconds(50));
+    const auto again = claim(*two, request_for(numbered_key(1)));
+    const auto other = claim(*two, request_for(numbered_key(1), "other"));
+    pass(milliseconds(50));
+    CHECK(claims[first].value == claim_result::verdict::claimed);
+    CHECK(claims[again].value == claim_result::verdict::taken);
+    STRCMP_EQUAL("resp_1", claims[again].existing.record.c_str());
+    CHECK(claims[other].value == claim_result::verdict::refused);
+    CHECK(claims[other].reason.kind == error_kind::key_conflict);
+}
+
+// Guards against one write per claim, which would use up the platform's write rate.
+TEST(claim_journal_test, claims_within_the_group_window_share_one_write)
+{
+    const auto one = gateway();
+    std::map<std::string, int> objects;
+    for (unsigned i = 0; i < 200; ++i) {
+        claim(*one, request_for(numbered_key(i)));
+    }
+    pass(milliseconds(3000));
+    LONGS_EQUAL(200, claims.size());
+    for (const auto& [ticket, it] : claims) {
+        CHECK(it.value == claim_result::verdict::claimed);
+    }
+    LONGS_EQUAL(platform.objects.size(), platform.writes);
+    LONGS_EQUAL(platform.objects.size(), platform.reads);
+}
+
+// Guards against a shard's objects being written faster than its bound.
+TEST(claim_journal_test, writes_of_one_shard_are_spaced)
+{
+    const auto one = gateway();
+    for (int i = 0; i < 100; ++i) {
+        claim(*one, request_for(numbered_key(7)));
+        withdraw(*one, next);
+        claim(*one, request_for(numbered_key(7)));
+        pass(milliseconds(10));
+        withdraw(*one, next);
+    }
+    // One second at one write per 50 ms, and the first write.
+    CHECK(platform.writes <= 21);
+    pass(milliseconds(3000));
+    LONGS_EQUAL(0, one->journal.waiting());
+}
+
+// Guards against claims lost between two gateways that write one object at the same time.
+TEST(claim_journal_test, a_conflict_is_read_and_merged)
+{
+    const auto one = gateway();
+    const auto two = gateway();
+    // The same key differs only in organisation or number, so both meet on one object when the shard is equal.
+    unsigned partner = 1;
+    const auto object = [](unsigned n) {
+        const auto key = parse_idempotency_key(numbered_key(n)).value();
+        return claim_object_name(claim_identity(organisation_id("galle"), key), key.stamp);
+    };
+    while (object(partner) != object(0)) {
+        ++partner;
+    }
+    const auto first = claim(*one, request_for(numbered_key(0)));
+    const auto second = claim(*two, request_for(numbered_key(partner)));
+    pass(milliseconds(500));
+    CHECK(claims[first].value == claim_result::verdict::claimed);
+    CHECK(claims[second].value == claim_result::verdict::claimed);
+    LONGS_EQUAL(1, platform.conflicts);
+    LONGS_EQUAL(2, platform.objects[object(0)].value["claims"].size());
+}
+
+// Guards against a key that stays used up by a request that was never dispatched.
+TEST(claim_journal_test, a_withdrawn_key_can_be_claimed_again)
+{
+    const auto one = gateway();
+    const auto first = claim(*one, request_for(numbered_key(1)));
+    pass(milliseconds(100));
+    withdraw(*one, first);
+    CHECK(withdrawals.empty());
+    pass(milliseconds(200));
+    CHECK(withdrawals.at(first).has_value());
+    const auto two = gateway();
+    const auto again = claim(*two, request_for(numbered_key(1)));
+    pass(milliseconds(200));
+    CHECK(claims[again].value == claim_result::verdict::claimed);
+}
+
+// Guards against not_run while a lost write can still take effect, and against a claim left behind by it.
+TEST(claim_journal_test, a_lost_write_is_replaced_before_the_withdrawal_is_confirmed)
+{
+    claim_journal journal(limits, [] { return std::string("nonce"); });
+    claim_time time{instant(), wall_time(seconds(1720818106))};
+    journal.claim(time, 1, request_for(numbered_key(1)));
+    const auto key = parse_idempotency_key(numbered_key(1)).value();
+    const auto name = claim_object_name(claim_identity(organisation_id("galle"), key), key.stamp);
+    journal.on_read(time, name, make_error(error_kind::not_found, ""));
+    time.now += milliseconds(3);
+    auto actions = journal.on_timer(time);
+    CHECK(std::holds_alternative<write_claims>(actions.front()));
+    CHECK(!std::holds_alternative<answer_withdrawal>(journal.withdraw(time, 1).front()));
+    auto lost = make_error(error_kind::platform_unavailable, "");
+    lost.outcome = run_outcome::may_have_run;
+    journal.on_written(time, name, lost);
+    time.now += milliseconds(100);
+    CHECK(std::holds_alternative<read_claims>(journal.on_timer(time).front()));
+    time.now += milliseconds(100);
+    actions = journal.on_read(time, name, make_error(error_kind::not_found, ""));
+    CHECK(std::holds_alternative<write_claims>(actions.front()));
+    CHECK(std::get<write_claims>(actions.front()).value["claims"].empty());
+    actions = journal.on_written(time, name, std::uint64_t(5));
+    CHECK(std::get<answer_withdrawal>(actions.front()).result.has_value());
+}
+
+// Guards against callers that wait for a platform that is known to be down, and against a wrong not_run: without a read
+// an earlier run of the key cannot be ruled out.
+TEST(claim_journal_test, an_outage_is_refused_with_an_accurate_outcome)
+{
+    platform_faults down;
+    down.outage = 1;
+    fake_platform dead(1, down);
+    fake_gateway one(dead, limits, milliseconds(0));
+    one.on_claim = [this](const answer_claim& it) { claims[it.ticket] = it.result; };
+    claim(one, request_for(numbered_key(1)));
+    dead.run(dead.now + milliseconds(1000));
+    CHECK(claims[1].reason.kind == error_kind::platform_unavailable);
+    CHECK(claims[1].reason.outcome == run_outcome::may_have_run);
+    CHECK(claims[1].reason.retry_after.has_value());
+    LONGS_EQUAL(0, one.journal.waiting());
+}
+
+// Guards against an unbounded queue.
+TEST(claim_journal_test, a_full_queue_is_refused)
+{
+    limits.queue = 2;
+    const auto one = gateway();
+    claim(*one, request_for(numbered_key(1)));
+    claim(*one, request_for(numbered_key(2)));
+    const auto third = claim(*one, request_for(numbered_key(3)));
+    CHECK(claims[third].reason.kind == error_kind::overloaded);
+}
+
+// Guards against a second run of a key whose first claim was deleted while this gateway was paused.
+TEST(claim_journal_test, a_claim_confirmed_after_the_retention_period_is_not_dispatched)
+{
+    const auto one = gateway();
+    const auto ticket = claim(*one, request_for(numbered_key(1)));
+    pass(milliseconds(4));
+    one->pause(milliseconds(limits.keys.retention));
+    pass(milliseconds(limits.keys.retention) + milliseconds(1000));
+    CHECK(claims[ticket].value == claim_result::verdict::refused);
+    CHECK(claims[ticket].reason.kind == error_kind::key_expired);
+}
+
+// Guards against an object beyond the platform's value size.
+TEST(claim_journal_test, answers_are_kept_for_later_arrivals_within_their_room)
+{
+    const auto one = gateway();
+    const auto two = gateway();
+    const auto first = claim(*one, request_for(numbered_key(1)));
+    pass(milliseconds(100));
+    one->deliver([&](claim_time time) { return one->journal.complete(time, first, {201, "text/plain", "done"}); });
+    pass(milliseconds(200));
+    const auto again = claim(*two, request_for(numbered_key(1)));
+    pass(milliseconds(200));
+    CHECK(claims[again].existing.answer.has_value());
+    LONGS_EQUAL(201, claims[again].existing.answer->status);
+    STRCMP_EQUAL("done", claims[again].existing.answer->body.c_str());
+}
--- /dev/null
+++ b/src/claims/tests/fake_platform.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "claims/claim_journal.h"
+
+namespace anvillead {
+
+/// Probabilities of one simulated platform call.
+struct platform_faults
+{
+    /// The call fails and had no effect.
+    double refused = 0;
+    /// The write takes effect, possibly after the failure was reported.
+    double lost_answer = 0;
+    /// The write never takes effect, but its sender cannot know that.
+    double lost_request = 0;
+    /// Share of time during which every call fails.
+    double outage = 0;
+};
+
+/// Discrete-event simulation of one object store and the calls of several journals.
+class fake_platform
+{
+public:
+    explicit fake_platform(unsigned seed, platform_faults faults = {}) : random(seed), faults_(faults) {}
+
+    void at(instant when, std::function<void()> task) { events_.emplace(when, std::move(task)); }
+    void after(milliseconds delay, std::function<void()> task) { at(now + delay, std::move(task)); }
+    void run(instant until);
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random) < probability; }
+    milliseconds between(int low, int high) { return milliseconds(std::uniform_int_distribution<>(low, high)(random)); }
+
+    void read(const std::string& name, std::function<void(result<platform_object>)> callback);
+    void write(const write_claims& call, std::function<void(result<std::uint64_t>)> callback);
+
+    instant now{};
+    std::mt19937 random;
+    std::map<std::string, platform_object> objects;
+    int reads = 0;
+    int writes = 0;
+    int conflicts = 0;
+
+private:
+    bool down();
+    result<std::uint64_t> apply(const write_claims& call);
+
+    platform_faults faults_;
+    std::multimap<instant, std::function<void()>> events_;
+    std::uint64_t revision_ = 0;
+};
+
+/// One gateway: a journal, its clock error and its pauses.
+class fake_gateway
+{
+public:
+    fake_gateway(fake_platform& platform, claim_limits limits, milliseconds clock_error);
+
+    /// Runs inputs in order, now or at the end of a pause.
+    void deliver(std::function<claim_actions(claim_time)> input);
+    void pause(milliseconds duration) { paused_until_ = platform_.now + duration; }
+
+    claim_journal journal;
+    std::function<void(const answer_claim&)> on_claim;
+    std::function<void(const answer_withdrawal&)> on_withdrawal;
+
+private:
+    void drain();
+    void carry_out(const claim_actions& actions);
+
+    fake_platform& platform_;
+    milliseconds clock_error_;
+    instant paused_until_{};
+    instant wake_{};
+    std::deque<std::function<claim_actions(claim_time)>> inputs_;
+};
+
+} // namespace anvillead
--- a/src/claims/types/claim.h
+++ b/src/claims/types/claim.h
@@ -47,6 +47,8 @@
     {
         /// The caller of claim() may dispatch the request once; `ticket` names the claim.
         claimed,
+        /// look_up() only: the key is not claimed.
+        free,
         /// The key was claimed before with the same body; `existing` says where the run is.
         taken,
         /// The request must not be dispatched; `reason` is the error for the caller, with an accurate outcome.
--- /dev/null
+++ b/src/claims/types/claim_action.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "claims/types/claim.h"
+#include "core/result.h"
+#include "core/types/units.h"
+
+namespace anvillead {
+
+/// Read a claim object and call on_read(). At most one call per object is under way.
+struct read_claims
+{
+    std::string object;
+};
+
+/// Write a claim object conditionally and call on_written().
+struct write_claims
+{
+    std::string object;
+    nlohmann::json value;
+    std::uint64_t if_version = 0;
+};
+
+/// Final answer to claim() or look_up().
+struct answer_claim
+{
+    claim_ticket ticket = 0;
+    claim_result result;
+};
+
+/// Final answer to withdraw().
+struct answer_withdrawal
+{
+    claim_ticket ticket = 0;
+    anvillead::result<void> result = success();
+};
+
+/// Call on_timer() at this time; replaces an earlier timer.
+struct wake_journal
+{
+    instant at;
+};
+
+using claim_action = std::variant<read_claims, write_claims, answer_claim, answer_withdrawal, wake_journal>;
+using claim_actions = std::vector<claim_action>;
+
+} // namespace anvillead
