--- /dev/null
+++ b/src/claims/internal/claim_pruner.cpp
@@ -0,0 +1,69 @@
+#include "claims/claim_pruner.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace anvillead {
+
+namespace {
+
+// Buckets whose numbers differ in the last two digits only.
+constexpr std::int64_t buckets_per_window = 100;
+constexpr std::size_t shard_offset = std::string_view("claims/").size();
+// Removals wait in memory; no window is listed while this many do.
+constexpr std::size_t waiting_removals = 1000;
+
+} // namespace
+
+pruning_actions claim_pruner::on_tick(wall_time now, const std::set<unsigned>& responsible)
+{
+    const auto newest = claim_bucket_number(now - limits_.keys.retention - limits_.margin) / buckets_per_window;
+    const auto oldest =
+        claim_bucket_number(now - limits_.keys.retention - limits_.margin - limits_.reach) / buckets_per_window;
+    for (unsigned i = 0; i < claim_shards; ++i) {
+        auto& it = shards_.at(i);
+        const bool mine = responsible.count(i) > 0;
+        if (mine && !it.responsible) {
+            it.window = oldest;
+        }
+        it.responsible = mine;
+    }
+    pruning_actions actions;
+    while (!removals_.empty() && actions.size() < limits_.calls_per_tick) {
+        actions.emplace_back(std::move(removals_.front()));
+        removals_.pop_front();
+    }
+    for (unsigned i = 0; i < claim_shards && actions.size() < limits_.calls_per_tick; ++i) {
+        const auto shard = (next_shard_ + i) % claim_shards;
+        auto& it = shards_.at(shard);
+        // The newest window may still hold buckets inside the retention period.
+        if (!it.responsible || it.listing || it.window >= newest || removals_.size() >= waiting_removals) {
+            continue;
+        }
+        it.listing = true;
+        actions.emplace_back(list_claims{fmt::format("claims/{:02}/{}", shard, it.window)});
+        next_shard_ = (shard + 1) % claim_shards;
+    }
+    return actions;
+}
+
+void claim_pruner::on_listed(const std::string& prefix, const result<platform_listing>& answer)
+{
+    auto& it = shards_.at(static_cast<std::size_t>(prefix[shard_offset] - '0') * 10 +
+                          static_cast<std::size_t>(prefix[shard_offset + 1] - '0'));
+    it.listing = false;
+    if (!answer) {
+        return;
+    }
+    // A prefix also matches longer bucket numbers, which would be in the far future.
+    const auto length = prefix.size() + 2;
+    for (const auto& object : answer.value().objects) {
+        if (object.name.size() == length) {
+            removals_.push_back({object.name, object.version});
+        }
+    }
+    ++it.window;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/claims/tests/request_registry_test.cpp
@@ -0,0 +1,34 @@
+#include "claims/request_registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(request_registry_test)
+{
+    instant now{};
+};
+
+// Guards against a resubmitted draft that attaches to a generation that a retry has replaced.
+TEST(request_registry_test, the_latest_response_wins)
+{
+    request_registry registry({10, milliseconds(1000)});
+    registry.put(now, "k", "resp_1");
+    registry.put(now, "k", "resp_2");
+    STRCMP_EQUAL("resp_2", registry.find(now, "k")->c_str());
+    LONGS_EQUAL(1, registry.size());
+    CHECK(!registry.find(now, "other"));
+}
+
+// Guards against unbounded memory.
+TEST(request_registry_test, size_and_age_are_bounded)
+{
+    request_registry registry({2, milliseconds(1000)});
+    registry.put(now, "a", "1");
+    registry.put(now + milliseconds(1), "b", "2");
+    registry.put(now + milliseconds(2), "c", "3");
+    CHECK(!registry.find(now + milliseconds(2), "a"));
+    CHECK(registry.find(now + milliseconds(2), "c").has_value());
+    CHECK(!registry.find(now + milliseconds(1003), "c"));
+    LONGS_EQUAL(0, registry.size());
+}
