Route plain service calls by load and stream their answers through

service_proxy keeps a service_balancer per service, polls the load of services in use and reports leaving upstreams to the agent. service_call claims calls with an Idempotency-Key, sends non-idempotent calls once over a fresh connection, retries idempotent ones within the budget before the first byte, and streams answers with back-pressure. /v1/endpoints uses endpoint_selection. A draining gateway closes connections after their answers. The engine stand-in refuses new work while leaving, rejects numbers that it does not have, and can cut or mute its links.

--- a/src/apps/gateway/gateway_context.h
+++ b/src/apps/gateway/gateway_context.h
@@ -15,6 +15,8 @@
 
 namespace anvillead {
 
+class iclaim_journal;
+
 /// What every request of a gateway uses. Owned by the daemon; outlives all exchanges.
 struct gateway_context
 {
@@ -28,6 +30,8 @@
     std::function<view_ptr()> view;
     retry_budget& retries;
     gap_table& gaps;
+    /// Null while the gateway runs without claims; requests that need one are then refused.
+    iclaim_journal* claims = nullptr;
     /// Requests that were not answered in full yet, streams without a caller included. Shared, because requests that
     /// the transport still holds are destroyed after the daemon.
     std::shared_ptr<std::atomic<std::size_t>> open_requests = std::make_shared<std::atomic<std::size_t>>(0);
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -6,13 +6,16 @@
 #include "core/bounded_json.h"
 #include "core/crypto.h"
 #include "core/log.h"
-#include "routing/rendezvous.h"
+#include "routing/endpoint_selection.h"
 
 namespace anvillead {
 
 namespace {
 
 constexpr milliseconds drain_check_period{50};
+// Time for the last progress reports to leave before the process ends.
+constexpr milliseconds last_report_time{100};
+constexpr std::size_t spread_bytes = 8;
 constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
 constexpr std::string_view responses_path = "/v1/responses/";
 constexpr std::string_view services_path = "/services/";
@@ -35,7 +38,8 @@
     schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
                                        [this] { return agent_->current(); }, retries_, gaps_});
-    services_ = std::make_unique<service_proxy>(*context_);
+    services_ = std::make_unique<service_proxy>(*context_,
+                                                [this](const upstream_id& id) { agent_->send(upstream_report{id}); });
     links_ = make_link_server(pool, settings_.link_listen, options, {}, counters_);
     server_ = make_http_server(
         pool, {settings_.listen, settings_.http},
@@ -45,6 +49,7 @@
         counters_);
     agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
         schedulers_->apply_view(view);
+        services_->apply_view(view);
         gaps_.keep_only(
             [&](const upstream_id& id) { return view->configuration->merged.find_upstream(id) != nullptr; });
     });
@@ -54,10 +59,16 @@
 
 gateway_daemon::~gateway_daemon() = default;
 
+void gateway_daemon::start()
+{
+    pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    pool_.timers().every(settings_.load_period, [this] { services_->poll_loads(); });
+}
+
 void gateway_daemon::run()
 {
     pool_.on_stop_signal([this] { stop_requested(); });
-    pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    start();
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
 }
@@ -89,7 +100,9 @@
     } else if (starts_with(path, responses_path)) {
         existing_response(request, exchange);
     } else if (starts_with(path, services_path)) {
-        services_->handle(std::move(request), exchange);
+        if (has_room(*exchange)) {
+            services_->handle(std::move(request), exchange);
+        }
     } else {
         reply_error(*exchange, make_error(error_kind::not_found, "no such path"));
     }
@@ -196,19 +209,21 @@
         reply_error(*exchange, owner.error());
         return;
     }
-    auto members = rank_members(view->members, request.peer_address + owner.value()->id.str());
-    const std::string zone(request.query("availability_zone"));
-    std::stable_partition(members.begin(), members.end(),
-                          [&](const member& it) { return it.availability_zone.str() == zone; });
+    endpoint_query query;
+    // Random, because callers behind one address would otherwise all get the same order.
+    query.spread_key = random_hex(spread_bytes);
+    query.availability_zone = zone_name(std::string(request.query("availability_zone")));
     nlohmann::json list = nlohmann::json::array();
-    for (const auto& it : members) {
-        if (it.addresses.gateway_http.empty() || it.state != member_state::alive) {
+    for (const auto& it : select_endpoints(view->members, query)) {
+        // This host may be leaving before its own agent says so.
+        if (leaving_ && it.address == server_->address()) {
             continue;
         }
-        list.push_back({{"address", it.addresses.gateway_http}, {"availability_zone", it.availability_zone.str()}});
+        list.push_back({{"address", it.address}, {"availability_zone", it.availability_zone.str()}});
     }
     exchange->reply(200, json_headers,
-                    nlohmann::json({{"endpoints", list}, {"ttl_ms", settings_.endpoints_ttl.count()}}).dump());
+                    nlohmann::json({{"endpoints", list}, {"ttl_ms", settings_.endpoints_ttl.count()}})
+                        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void gateway_daemon::stop_requested()
@@ -221,6 +236,7 @@
     }
     log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(*context_->open_requests)}});
     agent_->report({"gateway", true, 0, server_->address(), links_->address()});
+    server_->drain();
     // Callers keep the address for the time to live of their last answer.
     pool_.timers().after(settings_.endpoints_ttl + settings_.shutdown_skew, [this] {
         server_->stop_accepting();
@@ -231,7 +247,8 @@
 void gateway_daemon::exit_when_drained()
 {
     if (*context_->open_requests == 0 && server_->open_exchanges() == 0) {
-        pool_.stop();
+        schedulers_->report_progress();
+        pool_.timers().after(last_report_time, [this] { pool_.stop(); });
         return;
     }
     pool_.timers().after(drain_check_period, [this] { exit_when_drained(); });
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -16,8 +16,13 @@
     gateway_daemon(worker_pool& pool, gateway_settings settings);
     ~gateway_daemon();
 
+    /// Starts the periodic tasks. The pool may run before.
+    void start();
     /// Runs until a stop signal has been handled.
     void run();
+    /// First call: announces the end and stops the pool once nothing is open. Second call: stops it at once.
+    void stop_requested();
+    std::string address() const { return server_->address(); }
 
 private:
     void handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange);
@@ -29,7 +34,6 @@
     bool ready() const;
     /// Answers `overloaded` when the bound on open requests is reached.
     bool has_room(ihttp_exchange& exchange);
-    void stop_requested();
     void exit_when_drained();
 
     worker_pool& pool_;
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -16,6 +16,7 @@
     out.header_bytes = static_cast<std::size_t>(reader.number_or("header_bytes", byte_range, 16 * 1024));
     out.body_bytes = static_cast<std::size_t>(reader.number_or("body_bytes", byte_range, 4 * 1024 * 1024));
     out.connections = static_cast<std::size_t>(reader.number_or("connections", count_range, 4096));
+    out.send_buffer_bytes = static_cast<std::size_t>(reader.number_or("send_buffer_bytes", byte_range, 256 * 1024));
     out.request_timeout = milliseconds(reader.number_or("request_timeout_ms", period_range, 10'000));
     out.write_timeout = milliseconds(reader.number_or("write_timeout_ms", period_range, 30'000));
     out.keep_alive = milliseconds(reader.number_or("keep_alive_ms", period_range, 60'000));
@@ -53,6 +54,17 @@
     return out;
 }
 
+balancer_limits read_balancer_limits(field_reader& reader)
+{
+    balancer_limits out;
+    out.failures = static_cast<int>(reader.number_or("ejection_failures", {1, 1000}, out.failures));
+    out.ejected_share = reader.real_or("ejected_share", 0, 1, out.ejected_share);
+    out.ejection = milliseconds(reader.number_or("ejection_ms", period_range, out.ejection.count()));
+    out.slow_start = milliseconds(reader.number_or("slow_start_ms", period_range, out.slow_start.count()));
+    out.load_age = milliseconds(reader.number_or("load_age_ms", period_range, out.load_age.count()));
+    return out;
+}
+
 } // namespace
 
 gateway_settings read_gateway_settings(field_reader& reader)
@@ -65,6 +77,8 @@
     out.http = read_http_limits(reader);
     out.flow = read_flow_limits(reader);
     out.stall = read_stall_limits(reader, out.flow);
+    out.balancer = read_balancer_limits(reader);
+    out.load_period = milliseconds(reader.number_or("load_period_ms", period_range, 500));
     out.retries = read_retry_limits(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "apps/common/daemon.h"
 #include "routing/request_flow.h"
 #include "routing/retry_budget.h"
+#include "routing/service_balancer.h"
 #include "transport/http_types.h"
 
 namespace anvillead {
@@ -19,6 +20,9 @@
     http_limits http;
     flow_limits flow;
     stall_limits stall;
+    balancer_limits balancer;
+    /// Time between two load reports of a plain service in use.
+    milliseconds load_period{500};
     retry_budget_limits retries;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
--- a/src/apps/gateway/response_request.cpp
+++ b/src/apps/gateway/response_request.cpp
@@ -81,8 +81,13 @@
         return make_error(error_kind::unknown_model, "no service offers this model");
     }
     out.target = target->name;
-    if (!out.body.contains("input")) {
-        return invalid("input: expected a value (the field is required)");
+    const auto input_field = out.body.find("input");
+    if (input_field == out.body.end() || (!input_field->is_string() && !input_field->is_array())) {
+        return invalid("input: expected a string or an array");
+    }
+    const auto metadata = out.body.find("metadata");
+    if (metadata != out.body.end() && !metadata->is_object() && !metadata->is_null()) {
+        return invalid("metadata: expected an object");
     }
     const auto& stream = out.body.value("stream", nlohmann::json(false));
     if (!stream.is_boolean()) {
--- a/src/apps/gateway/service_proxy.cpp
+++ b/src/apps/gateway/service_proxy.cpp
@@ -3,91 +3,226 @@
 #include <algorithm>
 
 #include "apps/gateway/response_request.h"
+#include "apps/gateway/service_call.h"
+#include "core/bounded_json.h"
+#include "core/log.h"
 
 namespace anvillead {
 
 namespace {
 
 constexpr std::string_view prefix = "/services/";
-constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
-constexpr milliseconds answer_timeout{30000};
+// Time for the head of an answer when the workload has no deadline.
+constexpr milliseconds answer_timeout{30'000};
+constexpr milliseconds load_timeout{1000};
+constexpr std::size_t load_report_bytes = 64 * 1024;
+constexpr int most_running = 1'000'000;
+// Services without a call for this long are not asked for their load.
+constexpr seconds in_use{60};
+
+bool repeatable(const std::string& method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+/// Fills in what the named workload says; a workload is optional for plain services.
+result<void> apply_workload(const http_request& request, const document& configuration, service_request& out)
+{
+    const std::string name(request.header("Anvillead-Workload"));
+    if (name.empty()) {
+        return success();
+    }
+    const auto* work = configuration.find_workload(workload_name(name));
+    if (work == nullptr || work->target != out.target) {
+        return make_error(error_kind::unknown_workload, "no workload with this name for the service");
+    }
+    out.idempotent = out.idempotent || work->idempotent;
+    if (work->deadline.count() > 0) {
+        out.timeout = work->deadline;
+    }
+    return success();
+}
 
 } // namespace
 
+service_proxy::service_proxy(gateway_context& context, std::function<void(const upstream_id&)> report_leaving)
+    : context_(context), report_leaving_(std::move(report_leaving)), sequence_(context.pool.make_sequence())
+{}
+
 void service_proxy::handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto view = context_.view();
-    const auto owner = authenticate_caller(request, view->configuration->merged);
+    const auto& configuration = view->configuration->merged;
+    const auto owner = authenticate_caller(request, configuration);
     if (!owner) {
         reply_error(*exchange, owner.error());
         return;
     }
     const std::string rest = request.target.substr(prefix.size());
     const auto slash = rest.find('/');
-    const auto* target = view->configuration->merged.find_service(service_name(rest.substr(0, slash)));
+    const auto* target = configuration.find_service(service_name(rest.substr(0, slash)));
     if (target == nullptr || target->kind != service_kind::plain || slash == std::string::npos) {
         reply_error(*exchange, make_error(error_kind::not_found, "no plain service with this name"));
         return;
     }
-    const auto* chosen = choose(*target, view->leaving_upstreams);
-    if (chosen == nullptr) {
-        auto reason = make_error(error_kind::no_upstream, "the service has no upstream in use");
-        reason.retry_after = milliseconds(1000);
-        reply_error(*exchange, reason);
+    service_request out;
+    out.organisation = owner.value()->id;
+    out.target = target->name;
+    out.path = rest.substr(slash);
+    out.idempotent = repeatable(request.method);
+    out.timeout = answer_timeout;
+    const auto checked = apply_workload(request, configuration, out);
+    if (!checked) {
+        reply_error(*exchange, checked.error());
         return;
     }
-    forward(std::move(request), *chosen, rest.substr(slash), exchange);
+    out.call = std::move(request);
+    std::make_shared<service_call>(context_, *this, exchange, std::move(out))->start();
 }
 
-const upstream* service_proxy::choose(const service& target, const std::vector<upstream_id>& leaving)
+void service_proxy::apply_view(const view_ptr& view)
 {
+    const auto now = context_.pool.timers().now();
+    const auto& services = view->configuration->merged.services;
     const std::lock_guard lock(mutex_);
-    const upstream* best = nullptr;
-    for (const auto& it : target.upstreams) {
-        if (std::find(leaving.begin(), leaving.end(), it.id) != leaving.end()) {
+    for (auto it = pools_.begin(); it != pools_.end();) {
+        const bool kept = std::any_of(services.begin(), services.end(),
+                                      [&](const service& value) { return value.name == it->first; });
+        it = kept ? std::next(it) : pools_.erase(it);
+    }
+    for (const auto& it : services) {
+        if (it.kind != service_kind::plain) {
             continue;
         }
-        if (best == nullptr || outstanding_[it.id] < outstanding_[best->id]) {
-            best = &it;
+        auto& target =
+            pools_.try_emplace(it.name, pool{service_balancer(context_.settings.balancer), {}, {}}).first->second;
+        target.upstreams = it.upstreams;
+        std::vector<upstream_id> ids;
+        ids.reserve(it.upstreams.size());
+        for (const auto& value : it.upstreams) {
+            ids.push_back(value.id);
         }
+        target.balancer.configure(now, ids, view->leaving_upstreams);
     }
-    if (best != nullptr) {
-        ++outstanding_[best->id];
+}
+
+std::optional<upstream> service_proxy::choose(const service_name& target, const std::vector<upstream_id>& excluded)
+{
+    const auto now = context_.pool.timers().now();
+    std::vector<upstream_id> returned;
+    std::optional<upstream> out;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = pools_.find(target);
+        if (it == pools_.end()) {
+            return std::nullopt;
+        }
+        it->second.used_at = now;
+        returned = it->second.balancer.take_returned(now);
+        const auto chosen = it->second.balancer.choose(now, excluded);
+        for (const auto& value : it->second.upstreams) {
+            if (chosen == value.id) {
+                out = value;
+            }
+        }
+    }
+    for (const auto& id : returned) {
+        log(log_level::info, log_event::upstream_restored, {{"upstream", id.str()}});
     }
-    return best;
+    return out;
 }
 
-void service_proxy::forward(http_request request, const upstream& target, const std::string& path,
-                            const std::shared_ptr<ihttp_exchange>& exchange)
+bool service_proxy::has_other(const service_name& target, const std::vector<upstream_id>& excluded) const
 {
-    http_call_request call;
-    call.address = target.address;
-    call.method = request.method;
-    call.target = path;
-    call.body = std::move(request.body);
-    call.head_timeout = answer_timeout;
-    call.idle_timeout = answer_timeout;
-    const auto type = request.header("Content-Type");
-    if (!type.empty()) {
-        call.headers.emplace_back("Content-Type", std::string(type));
-    }
-    context_.client.fetch(
-        std::move(call), answer_bytes, exchange->sequence(),
-        [this, exchange, id = target.id](const http_call_end& end, const http_answer& answer) {
-            {
-                const std::lock_guard lock(mutex_);
-                --outstanding_[id];
+    const std::lock_guard lock(mutex_);
+    const auto it = pools_.find(target);
+    return it != pools_.end() &&
+           std::any_of(it->second.upstreams.begin(), it->second.upstreams.end(), [&](const upstream& value) {
+               return std::find(excluded.begin(), excluded.end(), value.id) == excluded.end();
+           });
+}
+
+void service_proxy::finished(const service_name& target, const upstream_id& id, service_balancer::outcome outcome)
+{
+    bool ejected = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = pools_.find(target);
+        ejected = it != pools_.end() && it->second.balancer.on_end(context_.pool.timers().now(), id, outcome);
+    }
+    if (ejected) {
+        context_.counters.add("upstreams_ejected_total");
+        log(log_level::warning, log_event::upstream_suspended, {{"upstream", id.str()}});
+    }
+}
+
+void service_proxy::poll_loads()
+{
+    const auto now = context_.pool.timers().now();
+    std::vector<std::pair<service_name, upstream>> wanted;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [name, it] : pools_) {
+            if (it.used_at == instant{} || now - it.used_at > in_use) {
+                continue;
             }
-            if (end.end == http_end::complete) {
-                exchange->reply(answer.status,
-                                {{"Content-Type", std::string(find_header(answer.headers, "Content-Type"))}},
-                                answer.body);
-                return;
+            for (const auto& value : it.upstreams) {
+                wanted.emplace_back(name, value);
             }
-            auto reason = make_error(end.may_have_been_sent ? error_kind::upstream_failed : error_kind::no_upstream,
-                                     "the service did not answer");
-            reply_error(*exchange, reason);
-        });
+        }
+    }
+    sequence_->post([this, wanted = std::move(wanted)] {
+        for (const auto& [name, value] : wanted) {
+            poll(name, value);
+        }
+    });
+}
+
+void service_proxy::poll(const service_name& target, const upstream& value)
+{
+    if (!polled_.insert(value.id).second) {
+        return;
+    }
+    http_call_request call;
+    call.address = value.address;
+    call.target = "/load";
+    call.head_timeout = load_timeout;
+    call.idle_timeout = load_timeout;
+    call.reuse_connection = true;
+    context_.client.fetch(std::move(call), load_report_bytes, sequence_,
+                          [this, target, id = value.id](const http_call_end& end, const http_answer& answer) {
+                              polled_.erase(id);
+                              if (end.end == http_end::complete && answer.status == 200) {
+                                  loaded(target, id, answer);
+                              } else {
+                                  context_.counters.add("load_reports_missed_total");
+                              }
+                          });
+}
+
+void service_proxy::loaded(const service_name& target, const upstream_id& id, const http_answer& answer)
+{
+    const auto body = parse_bounded_json(answer.body);
+    if (!body || !body->is_object()) {
+        context_.counters.add("load_reports_missed_total");
+        return;
+    }
+    const auto running = body->find("running");
+    const auto leaving = body->find("leaving");
+    const bool leaves = leaving != body->end() && leaving->is_boolean() && leaving->get<bool>();
+    const auto count = running != body->end() && running->is_number_integer() ? running->get<std::int64_t>() : 0;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = pools_.find(target);
+        if (it != pools_.end()) {
+            it->second.balancer.on_load(context_.pool.timers().now(), id,
+                                        static_cast<int>(std::clamp<std::int64_t>(count, 0, most_running)), leaves);
+        }
+    }
+    if (leaves) {
+        // Repeated with each report, because the link to the agent may have been down.
+        report_leaving_(id);
+    }
 }
 
 } // namespace anvillead
--- a/src/transport/http_types.h
+++ b/src/transport/http_types.h
@@ -36,6 +36,8 @@
     std::size_t header_bytes = 16 * 1024;
     std::size_t body_bytes = 4 * 1024 * 1024;
     std::size_t connections = 4096;
+    /// Bound of the kernel's send buffer of each connection; without one it grows to several megabytes.
+    std::size_t send_buffer_bytes = 256 * 1024;
     /// Time for the whole head and body of a request to arrive.
     milliseconds request_timeout{10000};
     /// Time without any progress while writing to a caller.
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -165,6 +165,8 @@
         }
         parser_.emplace();
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        // An answer to HEAD announces a body that does not follow.
+        parser_->skip(request_.method == "HEAD");
         http::async_read_header(*socket_, buffer_, *parser_,
                                 bound([self = shared_from_this()](const boost::system::error_code& read_ec,
                                                                   std::size_t) { self->head_read(read_ec); }));
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -56,6 +56,7 @@
 {
     boost::system::error_code ec;
     socket_.set_option(net::ip::tcp::no_delay(true), ec);
+    socket_.set_option(net::socket_base::send_buffer_size(static_cast<int>(state_->limits.send_buffer_bytes)), ec);
     read_head();
 }
 
--- a/src/transport/tests/raw_client.cpp
+++ b/src/transport/tests/raw_client.cpp
@@ -10,7 +10,7 @@
 
 namespace anvillead {
 
-raw_client::raw_client(const std::string& address)
+raw_client::raw_client(const std::string& address, int receive_buffer)
 {
     const auto colon = address.rfind(':');
     sockaddr_in to = {};
@@ -18,6 +18,9 @@
     to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
     socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0) {
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+    }
     ::connect(socket_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
 }
 
--- a/src/transport/tests/raw_client.h
+++ b/src/transport/tests/raw_client.h
@@ -11,7 +11,8 @@
 class raw_client
 {
 public:
-    explicit raw_client(const std::string& address);
+    /// A small `receive_buffer` makes a caller that does not read visible to the peer soon; 0 leaves the default.
+    explicit raw_client(const std::string& address, int receive_buffer = 0);
     ~raw_client();
     raw_client(const raw_client&) = delete;
     raw_client& operator=(const raw_client&) = delete;
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -103,8 +103,10 @@
 void engine_server::create(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto body = parse_bounded_json(request.body);
-    if (!body || !body->is_object() || refuse_) {
-        exchange->sequence()->post([exchange, refused = refuse_] {
+    // A leaving engine finishes what it has and takes nothing new.
+    const bool refuses = refuse_ || leaving_;
+    if (!body || !body->is_object() || refuses) {
+        exchange->sequence()->post([exchange, refused = refuses] {
             reply_json(*exchange, refused ? 503 : 400, {{"error", refused ? "refused" : "invalid body"}});
         });
         return;
@@ -153,6 +155,10 @@
     }
     const auto after = request.query("starting_after");
     const auto first = after.empty() ? 0 : std::strtoll(std::string(after).c_str(), nullptr, 10) + 1;
+    if (first < 0 || first > static_cast<std::int64_t>(entry.events.size())) {
+        exchange->sequence()->post([exchange] { reply_json(*exchange, 400, {{"error", "no such event"}}); });
+        return;
+    }
     std::string text;
     for (const auto& event : entry.events) {
         if (event.number >= first) {
@@ -206,6 +212,12 @@
     if (value.contains("slowdown")) {
         model_.set_slowdown(value["slowdown"].get<double>());
     }
+    if (value.value("cut_links", false)) {
+        drop_followers(true);
+    }
+    if (value.value("mute_links", false)) {
+        drop_followers(false);
+    }
     stalled_ = value.value("stalled", stalled_);
     if (!stalled_) {
         schedule_step();
@@ -297,6 +309,20 @@
     value.followers.clear();
 }
 
+void engine_server::drop_followers(bool abort)
+{
+    for (auto& [id, it] : generations_) {
+        for (const auto& follower : it.followers) {
+            if (abort) {
+                follower->sequence()->post([follower] { follower->abort(); });
+            } else {
+                muted_.push_back(follower);
+            }
+        }
+        it.followers.clear();
+    }
+}
+
 void engine_server::forget_old()
 {
     const auto limit = pool_.timers().now() - retention;
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -53,6 +53,8 @@
     void step();
     void emit(const std::string& id, generation& value, const std::string& type, const nlohmann::json& data);
     void emit_final(const std::string& id, generation& value, const std::string& type, const std::string& status);
+    /// Ends the open event streams: closes their connections, or leaves them open and silent as a half-open link is.
+    void drop_followers(bool abort);
     void forget_old();
 
     anvillead::worker_pool& pool_;
@@ -62,6 +64,7 @@
     std::map<std::string, generation> generations_;
     /// Everything that was ever started, for checks of `not_run`.
     nlohmann::json ran_ = nlohmann::json::array();
+    std::vector<std::shared_ptr<anvillead::ihttp_exchange>> muted_;
     std::deque<load_sample> loads_;
     nlohmann::json cache_events_ = nlohmann::json::array();
     nlohmann::json orders_ = nlohmann::json::array();
