Ask the socket before a waiting caller counts as gone

A readiness notice of data that was read before the wait began could complete the wait for the caller's disconnect; the exchange was then closed without an answer.

The session now peeks at the socket and waits on when it has neither data nor an end.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -55,6 +55,7 @@
 void http_session::start()
 {
     boost::system::error_code ec;
+    socket_.non_blocking(true, ec);
     socket_.set_option(net::ip::tcp::no_delay(true), ec);
     socket_.set_option(net::socket_base::send_buffer_size(static_cast<int>(state_->limits.send_buffer_bytes)), ec);
     read_head();
@@ -200,17 +201,23 @@
 
 void http_session::watch_peer()
 {
-    // A readable socket without data means that the peer closed it; pipelined data is left for the next request.
-    socket_.async_wait(net::ip::tcp::socket::wait_read,
-                       [self = shared_from_this(), n = exchange_number_](const boost::system::error_code& ec) {
-                           if (ec || n != self->exchange_number_ || !self->in_exchange_) {
-                               return;
-                           }
-                           boost::system::error_code available_ec;
-                           if (self->socket_.available(available_ec) == 0) {
-                               self->peer_gone();
-                           }
-                       });
+    // A readable socket at its end means that the peer closed it; pipelined data is left for the next request.
+    socket_.async_wait(net::ip::tcp::socket::wait_read, [self = shared_from_this(),
+                                                         n = exchange_number_](const boost::system::error_code& ec) {
+        if (ec || n != self->exchange_number_ || !self->in_exchange_) {
+            return;
+        }
+        // The readiness may be that of data that was read before the wait began, so the socket
+        // itself is asked.
+        char byte = 0;
+        boost::system::error_code peek_ec;
+        const auto count = self->socket_.receive(net::buffer(&byte, 1), net::socket_base::message_peek, peek_ec);
+        if (peek_ec == net::error::would_block || peek_ec == net::error::try_again) {
+            self->watch_peer();
+        } else if (peek_ec || count == 0) {
+            self->peer_gone();
+        }
+    });
 }
 
 void http_session::put_head(int status, const http_headers& headers)
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -181,3 +181,26 @@
     f.server->drain();
     CHECK(contains(f.ask("GET / HTTP/1.1\r\n\r\n"), "Connection: close"));
 }
+
+// Guards against stale readiness of a socket that is taken for a disconnect: the answer is then never sent.
+TEST(http_server_test, waiting_callers_are_not_taken_for_gone)
+{
+    server_fixture f([&](const http_request&, const std::shared_ptr<ihttp_exchange>& exchange) {
+        f.pool.timers().after(milliseconds(1), [exchange] {
+            exchange->sequence()->post([exchange] { exchange->reply(200, {}, "ok"); });
+        });
+    });
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.emplace_back([&] {
+            for (int n = 0; n < 300; ++n) {
+                unanswered += contains(f.ask("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"), "200 OK") ? 0 : 1;
+            }
+        });
+    }
+    for (auto& it : callers) {
+        it.join();
+    }
+    LONGS_EQUAL(0, unanswered);
+}
