Connect idempotency keys in the gateway

write_claim and withdraw_claim were placeholders that refused every non-idempotent request. The gateway now claims keys in the platform before dispatch, attaches repeated requests to the run that their key started, forwards keys bound to another gateway, keeps a registry of idempotent requests at two gateways, and deletes old claim objects. New code is in files of its own; the stream only gains a hook that hands its exchange over before the first event.

--- /dev/null
+++ b/src/apps/gateway/claim_pruning.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "apps/common/agent_link.h"
+#include "claims/claim_pruner.h"
+#include "core/metrics.h"
+#include "platform/iplatform_client.h"
+
+namespace anvillead {
+
+/// Deletes old claim objects of the shards for which this gateway is first in rendezvous order. Runs on the sequence of
+/// the platform client.
+class claim_pruning
+{
+public:
+    claim_pruning(iplatform_client& platform, metrics& counters, host_id self, pruning_limits limits);
+
+    /// Call once a second.
+    void tick(wall_time now, const view_snapshot& view);
+
+private:
+    void act(const list_claims& action);
+    void act(const remove_claims& action);
+
+    iplatform_client& platform_;
+    metrics& counters_;
+    host_id self_;
+    claim_pruner pruner_;
+};
+
+} // namespace anvillead
--- a/src/apps/gateway/gateway_context.h
+++ b/src/apps/gateway/gateway_context.h
@@ -12,6 +12,9 @@
 
 namespace anvillead {
 
+class iclaim_journal;
+class keyed_requests;
+
 /// What every request of a gateway uses. Owned by the daemon; outlives all exchanges.
 struct gateway_context
 {
@@ -28,6 +31,9 @@
     std::function<void()> on_success;
     /// Requests that were not answered in full yet, streams without a caller included.
     std::atomic<std::size_t> open_requests{0};
+    /// Both are set before the first request is served.
+    iclaim_journal* claims = nullptr;
+    keyed_requests* keyed = nullptr;
 };
 
 } // namespace anvillead
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -34,7 +34,8 @@
     : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), client_(make_http_client(pool)),
       retry_budget_(retry_budget_limit)
 {
-    const auto options = make_link_options(settings_.common, "gateway", new_incarnation());
+    const auto number = new_incarnation();
+    const auto options = make_link_options(settings_.common, "gateway", number);
     schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
                                        [this] { return agent_->current(); }, [this] { return allow_retry(); },
@@ -42,16 +43,19 @@
                                            const std::lock_guard lock(budget_mutex_);
                                            retry_budget_ = std::min(retry_budget_ + retry_share, retry_budget_limit);
                                        }});
+    keys_ = std::make_unique<gateway_keys>(*context_, options, number);
     services_ = std::make_unique<service_proxy>(*context_);
-    links_ = make_link_server(pool, settings_.link_listen, options, {}, counters_);
+    links_ = make_link_server(pool, settings_.link_listen, options, keys_->server_handlers(), counters_);
     server_ = make_http_server(
         pool, {settings_.listen, settings_.http},
         [this](http_request request, const std::shared_ptr<ihttp_exchange>& exchange) {
             handle(std::move(request), exchange);
         },
         counters_);
-    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_,
-                                          [this](const view_ptr& view) { schedulers_->apply_view(view); });
+    agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
+        schedulers_->apply_view(view);
+        keys_->apply_view(view);
+    });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
@@ -62,6 +66,7 @@
 {
     pool_.on_stop_signal([this] { stop_requested(); });
     pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    keys_->start_pruning();
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
 }
@@ -99,6 +104,8 @@
         reply_error(*exchange, reason);
     } else if (path == "/v1/endpoints" && request.method == "GET") {
         endpoints(request, exchange);
+    } else if (keys_->forward(request, exchange)) {
+        return;
     } else if (path == "/v1/responses" && request.method == "POST") {
         create_response(request, exchange);
     } else if (starts_with(path, responses_path)) {
@@ -124,7 +131,7 @@
         reply_error(*exchange, reason);
         return;
     }
-    std::make_shared<response_stream>(*context_, exchange)->start(std::move(parsed.value()));
+    context_->keyed->start(std::move(parsed.value()), view, exchange);
 }
 
 void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
@@ -211,7 +218,10 @@
         list.push_back({{"address", it.addresses.gateway_http}, {"availability_zone", it.availability_zone.str()}});
     }
     exchange->reply(200, json_headers,
-                    nlohmann::json({{"endpoints", list}, {"ttl_ms", settings_.endpoints_ttl.count()}}).dump());
+                    nlohmann::json({{"endpoints", list},
+                                    {"ttl_ms", settings_.endpoints_ttl.count()},
+                                    {"bound_key_prefix", leaving_ ? std::string() : keys_->bound_prefix()}})
+                        .dump());
 }
 
 void gateway_daemon::stop_requested()
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "apps/gateway/gateway_context.h"
+#include "apps/gateway/gateway_keys.h"
 #include "apps/gateway/service_proxy.h"
 #include "transport/ihttp_server.h"
 #include "transport/ilink.h"
@@ -40,6 +41,7 @@
     std::unique_ptr<scheduler_links> schedulers_;
     std::unique_ptr<agent_link> agent_;
     std::unique_ptr<gateway_context> context_;
+    std::unique_ptr<gateway_keys> keys_;
     std::unique_ptr<service_proxy> services_;
     std::unique_ptr<ilink_server> links_;
     std::unique_ptr<ihttp_server> server_;
--- /dev/null
+++ b/src/apps/gateway/gateway_keys.cpp
@@ -0,0 +1,35 @@
+#include "apps/gateway/gateway_keys.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr milliseconds pruning_period{1000};
+// Larger than the platform's value limit of a megabyte; listings hold up to 100 small objects.
+constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
+
+} // namespace
+
+gateway_keys::gateway_keys(gateway_context& context, const link_options& options, incarnation number)
+    : context_(context), codec_(context.settings.common.fleet_keys), self_{context.settings.common.host, number},
+      sequence_(context.pool.make_sequence()),
+      platform_(context.client, sequence_,
+                {context.settings.common.platform, context.settings.claims.platform_timeout, answer_bytes},
+                context.counters),
+      claims_({context.pool, sequence_, platform_, context.counters, codec_, self_}, context.settings.claims),
+      registry_(context.pool, options, self_.host, context.settings.claims, context.counters),
+      keyed_(context, registry_), forwarder_(context, codec_, self_),
+      pruning_(platform_, context.counters, self_.host, context.settings.claims.pruning)
+{
+    context.claims = &claims_;
+    context.keyed = &keyed_;
+}
+
+void gateway_keys::start_pruning()
+{
+    context_.pool.timers().every(pruning_period, [this] {
+        sequence_->post([this] { pruning_.tick(context_.pool.timers().wall_now(), *context_.view()); });
+    });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/gateway/gateway_keys.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+
+#include "apps/gateway/claim_driver.h"
+#include "apps/gateway/claim_pruning.h"
+#include "apps/gateway/key_forwarder.h"
+#include "apps/gateway/keyed_requests.h"
+#include "platform/http_platform_client.h"
+
+namespace anvillead {
+
+/// Everything in a gateway that deals with idempotency keys. Sets `claims` and `keyed` of the context.
+class gateway_keys
+{
+public:
+    gateway_keys(gateway_context& context, const link_options& options, incarnation number);
+
+    /// Prefix that callers put before the UUIDv7 of a key to bind it to this process.
+    std::string bound_prefix() const { return codec_.prefix_for(self_); }
+    link_handlers server_handlers() { return registry_.server_handlers(); }
+    void apply_view(const view_ptr& view) { registry_.apply_view(view); }
+    bool forward(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+    {
+        return forwarder_.forward(request, exchange);
+    }
+    /// Starts the periodic deletion of old claims.
+    void start_pruning();
+
+private:
+    gateway_context& context_;
+    bound_key_codec codec_;
+    bound_key_owner self_;
+    std::shared_ptr<isequence> sequence_;
+    http_platform_client platform_;
+    claim_driver claims_;
+    registry_links registry_;
+    keyed_requests keyed_;
+    key_forwarder forwarder_;
+    claim_pruning pruning_;
+};
+
+} // namespace anvillead
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -41,6 +41,7 @@
     out.agent = reader.text("agent");
     out.http = read_http_limits(reader);
     out.flow = read_flow_limits(reader);
+    out.claims = read_claim_settings(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
     out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/common/daemon.h"
+#include "apps/gateway/claim_settings.h"
 #include "routing/request_flow.h"
 #include "transport/http_types.h"
 
@@ -17,6 +18,7 @@
     std::string agent;
     http_limits http;
     flow_limits flow;
+    claim_settings claims;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
     /// How long callers may keep an answer of /v1/endpoints.
--- /dev/null
+++ b/src/apps/gateway/keyed_requests.cpp
@@ -0,0 +1,161 @@
+#include "apps/gateway/keyed_requests.h"
+
+#include "core/crypto.h"
+
+namespace anvillead {
+
+namespace {
+
+// Time between a claim and the engine's knowledge of the generation, with a wide margin for a slow gateway.
+constexpr milliseconds attach_patience{1000};
+constexpr milliseconds attach_pause{100};
+constexpr std::size_t digest_digits = 32;
+
+error gone()
+{
+    return make_error(error_kind::run_elsewhere, "the key was used before and its run cannot be reached");
+}
+
+/// Digest of what must be equal in a repetition. Whether the answer is streamed may differ.
+std::string request_digest(const response_request& request)
+{
+    auto body = request.body;
+    body.erase("stream");
+    return sha256_hex("responses\n" + request.work->name.str() + '\n' +
+                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace))
+        .substr(0, digest_digits);
+}
+
+std::string registry_key(const response_request& request)
+{
+    return sha256_hex(request.owner->id.str() + '\n' + request.idempotency_key + '\n' + request_digest(request));
+}
+
+} // namespace
+
+keyed_requests::keyed_requests(gateway_context& context, registry_links& registry)
+    : context_(context), registry_(registry)
+{}
+
+claim_request keyed_requests::claim_for(const response_request& request, const response_location& location) const
+{
+    return {request.owner->id, request.idempotency_key, request_digest(request), context_.ids.encode(location)};
+}
+
+void keyed_requests::dispatched(const response_request& request, const response_location& location)
+{
+    if (request.work->idempotent && !request.idempotency_key.empty()) {
+        registry_.put(registry_key(request), context_.ids.encode(location));
+    }
+}
+
+void keyed_requests::start(response_request request, const view_ptr& view,
+                           const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    if (request.idempotency_key.empty()) {
+        run(std::move(request), view, exchange, false);
+        return;
+    }
+    const auto closed = std::make_shared<bool>(false);
+    exchange->on_closed([closed] { *closed = true; });
+    if (request.work->idempotent) {
+        const auto key = registry_key(request);
+        registry_.look_up(key, [this, request, view, exchange, closed](const std::optional<std::string>& found) {
+            exchange->sequence()->post([this, request, view, exchange, closed, found] {
+                if (*closed) {
+                    return;
+                }
+                const auto earlier = found ? make_attachment(request, view, exchange, *found) : nullptr;
+                if (!earlier || !attach(earlier, false)) {
+                    run(request, view, exchange, false);
+                }
+            });
+        });
+        return;
+    }
+    context_.claims->look_up(claim_for(request, {}), [this, request, view, exchange, closed](claim_result answer) {
+        exchange->sequence()->post([this, request, view, exchange, closed, answer = std::move(answer)] {
+            if (*closed) {
+                return;
+            }
+            if (answer.value == claim_result::verdict::free) {
+                run(request, view, exchange, false);
+                return;
+            }
+            if (answer.value == claim_result::verdict::refused) {
+                reply_error(*exchange, answer.reason);
+                return;
+            }
+            const auto earlier = make_attachment(request, view, exchange, answer.existing.record);
+            if (!earlier || !attach(earlier, false)) {
+                reply_error(*exchange, gone());
+            }
+        });
+    });
+}
+
+void keyed_requests::run(response_request request, const view_ptr& view,
+                         const std::shared_ptr<ihttp_exchange>& exchange, bool head_sent)
+{
+    const auto stream = std::make_shared<response_stream>(context_, exchange);
+    stream->continue_head(head_sent);
+    stream->start(std::move(request), view);
+}
+
+std::shared_ptr<keyed_requests::attachment>
+keyed_requests::make_attachment(const response_request& request, const view_ptr& view,
+                                const std::shared_ptr<ihttp_exchange>& exchange, const std::string& record) const
+{
+    const auto location = context_.ids.decode(record);
+    if (!location || location.value().organisation != request.owner->id) {
+        return nullptr;
+    }
+    return std::make_shared<attachment>(
+        attachment{request, view, exchange, location.value(), context_.pool.timers().now() + attach_patience});
+}
+
+bool keyed_requests::attach(const std::shared_ptr<attachment>& value, bool head_sent)
+{
+    const auto view = context_.view();
+    const auto* engine = view->configuration->merged.find_upstream(value->location.engine);
+    if (engine == nullptr) {
+        return false;
+    }
+    context_.counters.add("requests_attached_total");
+    const auto stream = std::make_shared<response_stream>(context_, value->exchange);
+    stream->continue_head(head_sent);
+    stream->on_lost([this, value](error& reason, bool head) { return lost(value, reason, head); });
+    stream->attach(value->location, engine->address, value->request.stream);
+    return true;
+}
+
+bool keyed_requests::lost(const std::shared_ptr<attachment>& value, error& reason, bool head_sent)
+{
+    if (value->request.work->idempotent) {
+        run(value->request, value->view, value->exchange, head_sent);
+        return true;
+    }
+    reason = gone();
+    if (context_.pool.timers().now() >= value->patience) {
+        return false;
+    }
+    context_.pool.timers().after(attach_pause, [this, value, head_sent] {
+        value->exchange->sequence()->post([this, value, head_sent] {
+            if (!attach(value, head_sent)) {
+                reply_error(*value->exchange, gone());
+            }
+        });
+    });
+    return true;
+}
+
+lost_handler keyed_requests::attach_instead(const response_request& request, const view_ptr& view,
+                                            const std::shared_ptr<ihttp_exchange>& exchange,
+                                            const claim_record& existing)
+{
+    return [this, earlier = make_attachment(request, view, exchange, existing.record)](error&, bool head_sent) {
+        return earlier && attach(earlier, head_sent);
+    };
+}
+
+} // namespace anvillead
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "apps/gateway/keyed_requests.h"
 #include "core/bounded_json.h"
 #include "core/crypto.h"
 #include "core/log.h"
@@ -40,7 +41,6 @@
 {
     started_ = context_.pool.timers().now();
     last_token_ = started_;
-    view_ = context_.view();
     flow_hooks hooks;
     hooks.allow_retry = context_.allow_retry;
     hooks.new_generation = [] { return generation_id(random_hex(id_bytes)); };
@@ -63,9 +63,10 @@
     });
 }
 
-void response_stream::start(response_request request)
+void response_stream::start(response_request request, view_ptr view)
 {
     request_ = std::move(request);
+    view_ = std::move(view);
     wants_stream_ = request_.stream;
     prepare(request_.work->idempotent, request_.work->deadline);
     location_.organisation = request_.owner->id;
@@ -134,20 +135,6 @@
     context_.schedulers.cancel(id_);
 }
 
-void response_stream::act(const write_claim&)
-{
-    claim_answer answer{claim_answer::verdict::unavailable,
-                        make_error(error_kind::platform_unavailable, "claims are not available")};
-    on_sequence([this, answer] { carry_out(flow_->on_claim(context_.pool.timers().now(), answer)); });
-}
-
-void response_stream::act(const withdraw_claim&)
-{
-    on_sequence([this] {
-        carry_out(flow_->on_claim(context_.pool.timers().now(), {claim_answer::verdict::withdrawn, {}}));
-    });
-}
-
 void response_stream::act(const dispatch_generation& action)
 {
     location_.engine = action.engine;
@@ -163,6 +150,7 @@
     progress.input = request_.input;
     context_.progress.begin(scheduler_, progress);
     active_grant_ = progress.id;
+    context_.keyed->dispatched(request_, location_);
     context_.counters.observe_ms("grant_wait", elapsed_ms(started_, context_.pool.timers().now()));
 
     auto body = request_.body;
@@ -295,7 +283,12 @@
 
 void response_stream::act(const fail_request& action)
 {
-    const auto& reason = action.reason;
+    auto reason = action.reason;
+    if (handed_over(reason)) {
+        release_grant(grant_state::lost);
+        close_timers();
+        return;
+    }
     context_.counters.add(fmt::format("requests_failed_total{{kind=\"{}\"}}", to_string(reason.kind)));
     log(log_level::warning, log_event::request_failed,
         {{"request", id_.str()},
@@ -367,6 +360,7 @@
 
 void response_stream::close_timers()
 {
+    release_claim();
     if (call_) {
         call_->abandon();
         call_.reset();
--- a/src/apps/gateway/response_stream.h
+++ b/src/apps/gateway/response_stream.h
@@ -6,11 +6,16 @@
 #include "apps/gateway/engine_call.h"
 #include "apps/gateway/gateway_context.h"
 #include "apps/gateway/response_request.h"
+#include "claims/types/claim.h"
 #include "routing/request_flow.h"
 #include "transport/ihttp_server.h"
 
 namespace anvillead {
 
+/// Called when a stream failed before its first event. Returns true when it took over the exchange; may change the
+/// reason otherwise. `head_sent` says that the caller has the head of the answer already.
+using lost_handler = std::function<bool(error& reason, bool head_sent)>;
+
 /// Carries out the decisions of one request_flow: grants, engine calls and the caller's stream. Everything runs on the
 /// exchange's sequence.
 class response_stream : public std::enable_shared_from_this<response_stream>
@@ -22,9 +27,16 @@
     response_stream& operator=(const response_stream&) = delete;
 
     /// Starts a new generation for a checked request.
-    void start(response_request request);
+    /// `view` holds the document that the request points into.
+    void start(response_request request, view_ptr view);
     /// Follows a generation that already runs.
     void resume(const response_location& location, const std::string& address, sequence_number starting_after);
+    /// Like resume() from the first event, for a caller that repeated its request.
+    void attach(const response_location& location, const std::string& address, bool wants_stream);
+    /// Call before start() or attach().
+    void on_lost(lost_handler handler) { on_lost_ = std::move(handler); }
+    /// An earlier stream of the exchange has sent the head of the answer. Call before start() or attach().
+    void continue_head(bool sent) { head_sent_ = sent; }
 
 private:
     void prepare(bool idempotent, milliseconds deadline);
@@ -43,6 +55,10 @@
 
     void call_engine(http_call_request request, const generation_id& generation);
     void engine_event(const generation_id& generation, const stream_event& event);
+    void claim_answered(const claim_result& answer);
+    /// True when the exchange goes on without this stream.
+    bool handed_over(error& reason);
+    void release_claim();
     void on_sequence(std::function<void()> task);
     void begin_stream();
     void keep_alive();
@@ -61,6 +77,9 @@
     request_id id_;
     response_location location_;
     std::string scheduler_;
+    /// Set from the claim until its withdrawal or the end of the request.
+    std::optional<claim_ticket> ticket_;
+    lost_handler on_lost_;
     std::optional<grant_id> active_grant_;
     std::shared_ptr<engine_call> call_;
     std::optional<timer_token> timer_;
--- a/src/claims/claim_pruner.h
+++ b/src/claims/claim_pruner.h
@@ -23,7 +23,7 @@
     /// A gateway that becomes responsible looks this far further back for objects that its predecessor left.
     seconds reach{24 * 60 * 60};
     /// Platform calls per tick.
-    std::size_t calls_per_tick = 2;
+    std::size_t calls_per_tick = 1;
 };
 
 /// List the claim objects with this prefix and call on_listed().
@@ -52,6 +52,8 @@
     /// `responsible` holds the shards for which this gateway is first in rendezvous order.
     pruning_actions on_tick(wall_time now, const std::set<unsigned>& responsible);
     void on_listed(const std::string& prefix, const result<platform_listing>& answer);
+    /// A removal that failed for another reason than a changed or missing object is tried again.
+    void on_removed(const remove_claims& removal, const result<void>& answer);
 
 private:
     struct shard_state
--- a/src/claims/internal/claim_pruner.cpp
+++ b/src/claims/internal/claim_pruner.cpp
@@ -66,4 +66,11 @@
     ++it.window;
 }
 
+void claim_pruner::on_removed(const remove_claims& removal, const result<void>& answer)
+{
+    if (!answer && answer.error().kind != error_kind::not_found && answer.error().kind != error_kind::conflict) {
+        removals_.push_back(removal);
+    }
+}
+
 } // namespace anvillead
