Add a harness for tests with real processes

Tests of the invariants need processes that can be killed, paused and restarted at their old address, and a caller that checks every token. tests/support has the process, caller and cluster classes; a restart reuses the address that the process had.

--- /dev/null
+++ b/tests/invariants/harness_test.cpp
@@ -0,0 +1,41 @@
+#include <CppUTest/TestHarness.h>
+
+#include "tests/support/cluster.h"
+
+using namespace testing;
+
+TEST_GROUP(harness){};
+
+// Guards against a harness that does not notice a wrong answer: all other rows rely on the checker.
+TEST(harness, checker_accepts_a_whole_answer_and_refuses_damaged_ones)
+{
+    cluster it;
+    const question value{"Is S. Perera cleared?", "clearance-check", 8};
+    const auto answer = it.client().ask(it.gateway(), value);
+    CHECK(answer->wait_end());
+    auto events = answer->events();
+    STRCMP_EQUAL("", check_answer(events, value).c_str());
+    LONGS_EQUAL(1, it.count_ran(value.input));
+
+    for (const std::size_t lost : {1U, 4U, 8U}) {
+        auto damaged = events;
+        damaged.erase(damaged.begin() + static_cast<std::ptrdiff_t>(lost));
+        CHECK(!check_answer(damaged, value).empty());
+    }
+    std::swap(events[3], events[4]);
+    CHECK(!check_answer(events, value).empty());
+    CHECK(!check_answer(answer->events(), {"Is K. Silva cleared?", "clearance-check", 8}).empty());
+}
+
+// Guards against a restart at another address, which would make every restart test meaningless.
+TEST(harness, restarts_processes_at_their_addresses)
+{
+    cluster it(sized(2));
+    for (const auto* name : {"gateway-1", "scheduler-1", "agent-2", "engine-1"}) {
+        const auto before = it.address(name);
+        it.kill(name);
+        it.restart(name);
+        STRCMP_EQUAL(before.c_str(), it.address(name).c_str());
+    }
+    CHECK(it.wait_ready());
+}
--- /dev/null
+++ b/tests/support/cluster.cpp
@@ -0,0 +1,262 @@
+#include "tests/support/cluster.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include <fmt/format.h>
+
+namespace testing {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* zones[] = {"colombo-a", "colombo-b", "negombo"};
+constexpr const char* fleet_key = "test-fleet-key";
+
+std::string zone_of(int number)
+{
+    return zones[(number - 1) % std::size(zones)];
+}
+
+json read_json(const std::string& path)
+{
+    std::ifstream in(path);
+    return json::parse(in);
+}
+
+} // namespace
+
+cluster::cluster(cluster_options options) : options_(std::move(options))
+{
+    start_standin("platform", "standin-platform", json::object());
+    for (int i = 1; i <= options_.engines; ++i) {
+        start_standin(fmt::format("engine-{}", i), "standin-engine", options_.engine_control);
+    }
+    for (int i = 1; i <= options_.services; ++i) {
+        start_standin(fmt::format("service-{}", i), "standin-service", options_.service_control);
+    }
+    for (auto& [name, value] : nodes_) {
+        read_addresses(value);
+    }
+    write_folder();
+    for (int i = 1; i <= options_.hosts; ++i) {
+        start_host(i);
+    }
+    if (!options_.apply_configuration) {
+        return;
+    }
+    publish_hosts();
+    const auto problem = apply();
+    if (!problem.empty()) {
+        throw std::runtime_error("anvilleadctl: " + problem);
+    }
+    if (!wait_ready()) {
+        throw std::runtime_error("the gateways did not become ready");
+    }
+}
+
+std::string cluster::route(const std::string& name)
+{
+    return options_.route ? options_.route(name, address(name)) : address(name);
+}
+
+void cluster::start_standin(const std::string& name, const std::string& program_name, const json& control)
+{
+    auto& it = nodes_[name];
+    it.name = name;
+    it.arguments = {program(program_name), "--control", control.dump(), "--listen", "127.0.0.1:0"};
+    it.running = std::make_unique<process>(directory_.file(name + ".log"), it.arguments);
+}
+
+void cluster::start_host(int number)
+{
+    const json common = {{"host", fmt::format("entry-{}", number)},
+                         {"availability_zone", zone_of(number)},
+                         {"platform", route("platform")},
+                         {"fleet_keys", {fleet_key}}};
+    const auto merged = [&](json own, const json& extra) {
+        own.update(common);
+        own.update(extra);
+        return own;
+    };
+    const auto agent = fmt::format("agent-{}", number);
+    const auto scheduler = fmt::format("scheduler-{}", number);
+    const auto gateway_name = fmt::format("gateway-{}", number);
+    start_daemon(agent, "anvillead-agent",
+                 merged({{"link_listen", "127.0.0.1:0"}, {"probe_listen", "127.0.0.1:0"}}, options_.agent_settings));
+    read_addresses(at(agent));
+    start_daemon(scheduler, "anvillead-scheduler",
+                 merged({{"listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}}, options_.scheduler_settings));
+    start_daemon(gateway_name, "anvillead-gateway",
+                 merged({{"listen", "127.0.0.1:0"}, {"link_listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}},
+                        options_.gateway_settings));
+    read_addresses(at(scheduler));
+    read_addresses(at(gateway_name));
+}
+
+void cluster::start_daemon(const std::string& name, const std::string& program_name, json settings)
+{
+    auto& it = nodes_[name];
+    it.name = name;
+    it.arguments = {program(program_name), "--settings", directory_.write(name + ".json", settings.dump(2))};
+    it.running = std::make_unique<process>(directory_.file(name + ".log"), it.arguments);
+}
+
+void cluster::read_addresses(node& value)
+{
+    const auto first = value.running->find_output("(listening [0-9.:]+|process_started[^\n]*)\n");
+    const auto field = [&](const std::string& name) {
+        const auto at = first.find(name);
+        const auto start = at + name.size();
+        return at == std::string::npos ? std::string() : first.substr(start, first.find(' ', start) - start);
+    };
+    value.address = field("listening ") + field("listen=");
+    value.link_address = field("link=");
+    value.probe_address = field("probe=");
+    if (value.address.empty()) {
+        value.address = value.link_address;
+    }
+    if (value.address.empty()) {
+        throw std::runtime_error(fmt::format("{} did not start: {}", value.name, value.running->output()));
+    }
+}
+
+void cluster::write_folder()
+{
+    const auto source = std::filesystem::path(ANVILLEAD_SOURCE_DIR) / "examples" / "config";
+    std::filesystem::create_directory(folder());
+    for (const auto& it : std::filesystem::directory_iterator(source)) {
+        std::filesystem::copy(it.path(), std::filesystem::path(folder()) / it.path().filename());
+    }
+    const auto path = folder() + "/20-services.json";
+    auto services = read_json(path);
+    for (auto& service : services["services"]) {
+        const bool engines = service["kind"] == "engine";
+        const auto pattern = service["upstreams"][0];
+        service["upstreams"] = json::array();
+        for (int i = 1; i <= (engines ? options_.engines : options_.services); ++i) {
+            auto upstream = pattern;
+            upstream["id"] = fmt::format("{}-{}", engines ? "engine" : "roster-app", i);
+            upstream["address"] = route(fmt::format("{}-{}", engines ? "engine" : "service", i));
+            upstream["availability_zone"] = zone_of(i);
+            service["upstreams"].push_back(upstream);
+        }
+    }
+    std::ofstream(path) << services.dump(2);
+}
+
+void cluster::pause(const std::string& name)
+{
+    running(name).send_signal(SIGSTOP);
+}
+
+void cluster::resume(const std::string& name)
+{
+    running(name).send_signal(SIGCONT);
+}
+
+void cluster::restart(const std::string& name)
+{
+    auto& it = at(name);
+    it.running->kill();
+    if (it.arguments[1] == "--settings") {
+        auto settings = read_json(it.arguments[2]);
+        for (const auto& [field, value] : {std::pair<const char*, std::string>{"listen", it.address},
+                                           {"link_listen", it.link_address},
+                                           {"probe_listen", it.probe_address}}) {
+            if (settings.contains(field) && !value.empty()) {
+                settings[field] = value;
+            }
+        }
+        directory_.write(name + ".json", settings.dump(2));
+    } else {
+        it.arguments.back() = it.address;
+    }
+    it.running = std::make_unique<process>(directory_.file(name + ".log"), it.arguments);
+    read_addresses(it);
+}
+
+std::string cluster::configure(const std::string& file, const json& value)
+{
+    directory_.write("config/" + file, value.dump(2));
+    return apply();
+}
+
+std::string cluster::apply()
+{
+    std::string output;
+    return ctl({"config", "apply", folder(), address("platform")}, output) == 0 ? "" : "failed: " + output;
+}
+
+int cluster::ctl(const std::vector<std::string>& arguments, std::string& output)
+{
+    std::vector<std::string> all = {program("anvilleadctl")};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    process it(directory_.file(fmt::format("anvilleadctl-{}.log", clock::now().time_since_epoch().count())), all);
+    const auto code = it.wait_exit();
+    output = it.output();
+    return code.value_or(-1);
+}
+
+bool cluster::wait_ready(milliseconds bound)
+{
+    return eventually(
+        [this] {
+            for (int i = 1; i <= options_.hosts; ++i) {
+                if (running(fmt::format("gateway-{}", i)).running() &&
+                    caller_.call(gateway(i), "GET", "/readyz").status != 200) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        bound);
+}
+
+std::map<std::string, json> cluster::ran()
+{
+    std::map<std::string, json> out;
+    for (auto& [name, it] : nodes_) {
+        if ((name.rfind("engine-", 0) == 0 || name.rfind("service-", 0) == 0) && it.running->running()) {
+            out[name] = caller_.get(it.address, "/ran").value("ran", json::array());
+        }
+    }
+    return out;
+}
+
+int cluster::count_ran(const std::string& input)
+{
+    int count = 0;
+    for (const auto& [name, records] : ran()) {
+        for (const auto& it : records) {
+            const auto tag = it.value("tag", "");
+            count += !tag.empty() && input.rfind(tag, 0) == 0 ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+void cluster::publish_hosts(const std::vector<std::string>& leaving)
+{
+    json hosts = json::array();
+    const auto add = [&](const std::string& name, const std::string& at, int number) {
+        const bool leaves = std::find(leaving.begin(), leaving.end(), name) != leaving.end();
+        hosts.push_back({{"id", name}, {"address", at}, {"availability_zone", zone_of(number)}, {"leaving", leaves}});
+    };
+    for (int i = 1; i <= options_.hosts; ++i) {
+        add(fmt::format("entry-{}", i), at(fmt::format("agent-{}", i)).link_address, i);
+    }
+    for (int i = 1; i <= options_.engines; ++i) {
+        add(fmt::format("engine-{}", i), route(fmt::format("engine-{}", i)), i);
+    }
+    for (int i = 1; i <= options_.services; ++i) {
+        add(fmt::format("roster-app-{}", i), route(fmt::format("service-{}", i)), i);
+    }
+    caller_.control(address("platform"), {{"hosts", hosts}});
+}
+
+} // namespace testing
--- /dev/null
+++ b/tests/support/cluster.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <map>
+
+#include "tests/support/caller.h"
+
+namespace testing {
+
+/// Size and settings of a cluster.
+struct cluster_options
+{
+    int hosts = 1;
+    int engines = 1;
+    int services = 1;
+    nlohmann::json engine_control = {{"default_output_tokens", 20}, {"step_base_ms", 4}};
+    nlohmann::json service_control = nlohmann::json::object();
+    /// Merged into the settings files of the daemons.
+    nlohmann::json agent_settings = nlohmann::json::object();
+    nlohmann::json scheduler_settings = nlohmann::json::object();
+    nlohmann::json gateway_settings = nlohmann::json::object();
+    /// The configuration folder is applied and the host list published before the constructor returns.
+    bool apply_configuration = true;
+    /// Address that others use to reach an upstream ("engine-1", "service-1") or the platform ("platform"); used to put
+    /// a fault proxy in front. The address itself when empty.
+    std::function<std::string(const std::string& name, const std::string& address)> route;
+};
+
+inline cluster_options sized(int hosts, int engines = 1, int services = 1)
+{
+    cluster_options out;
+    out.hosts = hosts;
+    out.engines = engines;
+    out.services = services;
+    return out;
+}
+
+/// One process of the cluster that can be started again at the address it had.
+struct node
+{
+    std::string name;
+    std::vector<std::string> arguments;
+    std::unique_ptr<process> running;
+    /// HTTP address of a gateway or stand-in, link address of an agent or scheduler.
+    std::string address;
+    std::string link_address;
+    std::string probe_address;
+};
+
+/// Platform, engines, services and entry hosts (agent, scheduler and gateway each) as real processes on loopback.
+/// Names of processes: "platform", "engine-1", "service-1", "agent-1", "scheduler-1", "gateway-1", counted from 1.
+class cluster
+{
+public:
+    explicit cluster(cluster_options options = {});
+
+    node& at(const std::string& name) { return nodes_.at(name); }
+    process& running(const std::string& name) { return *at(name).running; }
+    const std::string& address(const std::string& name) { return at(name).address; }
+    const std::string& gateway(int host = 1) { return address("gateway-" + std::to_string(host)); }
+    caller& client() { return caller_; }
+    const cluster_options& options() const { return options_; }
+    const work_directory& directory() const { return directory_; }
+
+    /// Kills the process.
+    void kill(const std::string& name) { running(name).kill(); }
+    void pause(const std::string& name);
+    void resume(const std::string& name);
+    /// Starts a process that has ended again, at the addresses that it had.
+    void restart(const std::string& name);
+    /// Writes a file of the configuration folder and applies the folder; the output of anvilleadctl on a failure.
+    std::string configure(const std::string& file, const nlohmann::json& value);
+    std::string apply();
+    /// Runs anvilleadctl; the exit code, with the output in `output`.
+    int ctl(const std::vector<std::string>& arguments, std::string& output);
+    /// The configuration folder.
+    std::string folder() const { return directory_.file("config"); }
+    /// Waits until all gateways answer /readyz with 200.
+    bool wait_ready(milliseconds bound = default_bound);
+    /// Everything that ran on the engines and services: name of the upstream to its records.
+    std::map<std::string, nlohmann::json> ran();
+    /// Runs on any engine whose tag is the beginning of `input`.
+    int count_ran(const std::string& input);
+    /// Publishes the host list; hosts in `leaving` are listed as leaving.
+    void publish_hosts(const std::vector<std::string>& leaving = {});
+
+private:
+    void start_standin(const std::string& name, const std::string& program_name, const nlohmann::json& control);
+    void start_host(int number);
+    void start_daemon(const std::string& name, const std::string& program_name, nlohmann::json settings);
+    void read_addresses(node& value);
+    void write_folder();
+    std::string route(const std::string& name);
+
+    cluster_options options_;
+    work_directory directory_;
+    caller caller_;
+    std::map<std::string, node> nodes_;
+};
+
+} // namespace testing
