--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -1,6 +1,9 @@
 #include "transport/worker_pool.h"
 
 #include <csignal>
+#include <ctime>
+
+#include <pthread.h>
 
 #include "transport/internal/worker_pool_implementation.h"
 
@@ -77,9 +80,7 @@
 worker_pool::~worker_pool()
 {
     stop();
-    for (auto& it : implementation_->workers) {
-        it.join();
-    }
+    implementation_->join();
 }
 
 std::shared_ptr<isequence> worker_pool::make_sequence()
@@ -116,10 +117,32 @@
 
 void worker_pool::run()
 {
-    for (unsigned i = 1; i < implementation_->threads; ++i) {
-        implementation_->workers.emplace_back([this] { implementation_->context.run(); });
+    start();
+    // The owner destroys what the workers use once this returns.
+    implementation_->join();
+}
+
+microseconds worker_pool::processor_time() const
+{
+    microseconds out{0};
+    for (const auto& it : implementation_->workers) {
+        clockid_t clock = 0;
+        timespec value = {};
+        if (pthread_getcpuclockid(const_cast<std::thread&>(it).native_handle(), &clock) == 0 &&
+            clock_gettime(clock, &value) == 0) {
+            out += std::chrono::duration_cast<microseconds>(seconds(value.tv_sec) +
+                                                            std::chrono::nanoseconds(value.tv_nsec));
+        }
+    }
+    return out;
+}
+
+void worker_pool::implementation::join()
+{
+    for (auto& it : workers) {
+        it.join();
     }
-    implementation_->context.run();
+    workers.clear();
 }
 
 void worker_pool::stop()
--- a/src/transport/internal/worker_pool_implementation.h
+++ b/src/transport/internal/worker_pool_implementation.h
@@ -58,6 +58,8 @@
 {
     explicit implementation(unsigned count) : threads(count), context(static_cast<int>(count)), timers(context) {}
 
+    void join();
+
     unsigned threads;
     net::io_context context;
     net::executor_work_guard<net::io_context::executor_type> guard = net::make_work_guard(context);
--- a/src/transport/worker_pool.h
+++ b/src/transport/worker_pool.h
@@ -32,11 +32,13 @@
     itimer_service& timers();
     /// Calls `handler` for each SIGTERM or SIGINT.
     void on_stop_signal(std::function<void()> handler);
-    /// Runs until stop() is called. The calling thread becomes one of the workers.
+    /// Runs until stop() is called; all workers have ended on return.
     void run();
     /// Starts the workers and returns; used by clients that wait on something else.
     void start();
     void stop();
+    /// Processor time that the running workers have used.
+    microseconds processor_time() const;
 
     implementation& internals() { return *implementation_; }
 
