--- a/src/apps/gateway/gateway_context.h
+++ b/src/apps/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 namespace anvillead {
 
 class iclaim_journal;
+class keyed_requests;
 
 /// What every request of a gateway uses. Owned by the daemon; outlives all exchanges.
 struct gateway_context
@@ -30,8 +31,9 @@
     std::function<view_ptr()> view;
     retry_budget& retries;
     gap_table& gaps;
-    /// Null while the gateway runs without claims; requests that need one are then refused.
+    /// Both are set before the first request is served.
     iclaim_journal* claims = nullptr;
+    keyed_requests* keyed = nullptr;
     /// Requests that were not answered in full yet, streams without a caller included. Shared, because requests that
     /// the transport still holds are destroyed after the daemon.
     std::shared_ptr<std::atomic<std::size_t>> open_requests = std::make_shared<std::atomic<std::size_t>>(0);
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -34,13 +34,15 @@
     : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), retries_(settings_.retries),
       gaps_(settings_.stall), client_(make_http_client(pool))
 {
-    const auto options = make_link_options(settings_.common, "gateway", new_incarnation());
+    const auto number = new_incarnation();
+    const auto options = make_link_options(settings_.common, "gateway", number);
     schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
                                        [this] { return agent_->current(); }, retries_, gaps_});
+    keys_ = std::make_unique<gateway_keys>(*context_, options, number);
     services_ = std::make_unique<service_proxy>(*context_,
                                                 [this](const upstream_id& id) { agent_->send(upstream_report{id}); });
-    links_ = make_link_server(pool, settings_.link_listen, options, {}, counters_);
+    links_ = make_link_server(pool, settings_.link_listen, options, keys_->server_handlers(), counters_);
     server_ = make_http_server(
         pool, {settings_.listen, settings_.http},
         [this](http_request request, const std::shared_ptr<ihttp_exchange>& exchange) {
@@ -52,6 +54,7 @@
         services_->apply_view(view);
         gaps_.keep_only(
             [&](const upstream_id& id) { return view->configuration->merged.find_upstream(id) != nullptr; });
+        keys_->apply_view(view);
     });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
@@ -63,6 +66,7 @@
 {
     pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
     pool_.timers().every(settings_.load_period, [this] { services_->poll_loads(); });
+    keys_->start_pruning();
 }
 
 void gateway_daemon::run()
@@ -95,6 +99,8 @@
         reply_error(*exchange, reason);
     } else if (path == "/v1/endpoints" && request.method == "GET") {
         endpoints(request, exchange);
+    } else if (keys_->forward(request, exchange)) {
+        return;
     } else if (path == "/v1/responses" && request.method == "POST") {
         create_response(request, exchange);
     } else if (starts_with(path, responses_path)) {
@@ -131,7 +137,7 @@
     if (!has_room(*exchange)) {
         return;
     }
-    std::make_shared<response_stream>(*context_, exchange)->start(std::move(parsed.value()), view);
+    context_->keyed->start(std::move(parsed.value()), view, exchange);
 }
 
 void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
@@ -222,7 +228,9 @@
         list.push_back({{"address", it.address}, {"availability_zone", it.availability_zone.str()}});
     }
     exchange->reply(200, json_headers,
-                    nlohmann::json({{"endpoints", list}, {"ttl_ms", settings_.endpoints_ttl.count()}})
+                    nlohmann::json({{"endpoints", list},
+                                    {"ttl_ms", settings_.endpoints_ttl.count()},
+                                    {"bound_key_prefix", leaving_ ? std::string() : keys_->bound_prefix()}})
                         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/common/daemon.h"
+#include "apps/gateway/claim_settings.h"
 #include "routing/request_flow.h"
 #include "routing/retry_budget.h"
 #include "routing/service_balancer.h"
@@ -24,6 +25,7 @@
     /// Time between two load reports of a plain service in use.
     milliseconds load_period{500};
     retry_budget_limits retries;
+    claim_settings claims;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
     /// How long callers may keep an answer of /v1/endpoints.
