--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -21,6 +21,7 @@
 /// One row per subcommand; each is defined in its own file.
 constexpr subcommand subcommands[] = {
     {"decisions", "admission decisions against baselines in virtual time", run_decisions},
+    {"overhead", "what the path through a gateway adds to the gaps between tokens", run_overhead},
 };
 
 int usage()
