Add the membership module: probing, gossip, sticky leaving

Hosts learn of each other only through the local agent's own record so far, so no gateway or scheduler on another host is visible and a leaving upstream is not spread.

The module probes one member per 400 ms with indirect probes before suspicion, merges records by incarnation, version and severity, keeps leaving sticky per incarnation (members) or version (upstreams), and seals datagrams of at most 1,200 bytes with a key derived from the fleet keys. It performs no I/O; time, datagrams and a random seed go in, actions come out.

--- /dev/null
+++ b/src/membership/datagram_seal.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace anvillead {
+
+/// Authenticates datagrams with keys derived from the fleet keys by label.
+class datagram_seal
+{
+public:
+    /// Bytes that seal() adds.
+    static constexpr std::size_t overhead = 32;
+
+    explicit datagram_seal(const std::vector<std::string>& fleet_keys);
+
+    std::string seal(std::string payload) const;
+    /// The payload; nothing when no key authenticates the datagram.
+    std::optional<std::string_view> open(std::string_view datagram) const;
+
+private:
+    std::vector<std::string> keys_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/membership/gossip_queue.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/types/ids.h"
+
+namespace anvillead {
+
+/// Updates that still have to be spread. Each is sent a bounded number of times; the least sent goes first.
+class gossip_queue
+{
+public:
+    enum class subject
+    {
+        member,
+        upstream
+    };
+    using key = std::pair<subject, std::string>;
+
+    void push(subject kind, const std::string& id) { sent_[{kind, id}] = 0; }
+    void clear() { sent_.clear(); }
+    std::size_t size() const { return sent_.size(); }
+    /// Offers updates, least sent first, to `take`, which returns false when the update does not fit. Updates taken
+    /// `limit` times leave the queue.
+    void fill(std::size_t limit, const std::function<bool(const key&)>& take);
+
+private:
+    std::map<key, std::size_t> sent_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/datagram_seal.h"
+#include "membership/gossip_queue.h"
+#include "membership/member_table.h"
+#include "membership/probe_tracker.h"
+#include "membership/pull_planner.h"
+#include "membership/types/membership_action.h"
+#include "membership/types/membership_options.h"
+#include "membership/upstream_marks.h"
+#include "messages/types/messages.h"
+
+namespace anvillead {
+
+/// Membership of one agent: probes a few peers a second, suspects and declares dead, and spreads records and upstream
+/// marks by gossip. Sans-I/O and without a thread: time, datagrams and a random seed go in, actions come out.
+class membership
+{
+public:
+    membership(membership_options options, const member& self, std::uint64_t random_seed);
+
+    /// Call it about ten times a second.
+    membership_actions on_tick(instant now);
+    membership_actions on_datagram(instant now, const std::string& from_address, std::string_view datagram);
+    /// The answer to a `pull_state` with members.
+    membership_actions on_state(instant now, const std::vector<member>& members,
+                                const std::vector<upstream_mark>& upstreams);
+    /// Link addresses to join through.
+    void set_seeds(std::vector<std::string> addresses) { pulls_.set_seeds(std::move(addresses)); }
+    /// Changes this host's own record (addresses, leaving roles).
+    membership_actions update_self(instant now, const std::function<void(member&)>& change);
+    membership_actions set_generation(instant now, config_generation generation);
+    membership_actions report_upstream(instant now, const upstream_id& id, bool leaving);
+    /// The platform's host list says that a host is leaving.
+    membership_actions report_host_leaving(instant now, const host_id& host);
+    /// Announces that this host leaves; cannot be taken back in this incarnation.
+    membership_actions leave(instant now);
+
+    /// False after a pause until a peer's newer state has arrived: an old table must not be handed to a joining agent.
+    bool can_serve_state() const { return !pulls_.is_stale(); }
+    const member& self() const { return self_; }
+    const member_table& table() const { return table_; }
+    const upstream_marks& upstreams() const { return upstreams_; }
+    /// Members whose record changed after `revision`, with effective states.
+    std::vector<member> members_since(std::uint64_t revision) const;
+    /// Hosts that are not dead, this one included.
+    std::size_t live_count() const;
+
+private:
+    void notice_pause(instant now);
+    void expire_probes(instant now);
+    void expire_suspicions(instant now);
+    void probe_next(instant now);
+    void suspect(instant now, const host_id& host);
+    void apply_updates(instant now, const gossip& updates);
+    void apply_member(instant now, const member& value);
+    void apply_self(instant now, const member& value);
+    void apply_mark(const upstream_mark& value);
+    void self_changed(instant now, bool urgent);
+    void spread_urgent(instant now);
+    void check_sender(instant now, const host_id& host, config_generation generation, std::uint64_t digest);
+    void handle(instant now, const std::string& from, config_generation generation, const probe& value);
+    void handle(instant now, const std::string& from, config_generation generation, const probe_ack& value);
+    void handle(instant now, const std::string& from, config_generation generation, const probe_request& value);
+
+    void add_updates(gossip& updates, std::size_t used, const std::vector<host_id>& first);
+    template <typename Message>
+    void send(const std::string& address, Message value, const std::vector<host_id>& first);
+    void send_probe(const member& target, std::uint64_t number);
+    /// Up to `count` random peers that are not dead, without `except`.
+    std::vector<member> pick_peers(std::size_t count, const host_id& except);
+    std::uint64_t digest() const { return table_.digest() ^ upstreams_.digest(); }
+    std::size_t spread_limit() const;
+    membership_actions take_actions();
+
+    membership_options options_;
+    member self_;
+    datagram_seal seal_;
+    std::mt19937_64 random_;
+    member_table table_;
+    upstream_marks upstreams_;
+    gossip_queue queue_;
+    std::vector<host_id> probe_order_;
+    probe_tracker probes_;
+    pull_planner pulls_;
+    std::uint64_t probe_rounds_ = 0;
+    config_generation generation_ = 0;
+    instant last_tick_{};
+    instant next_probe_{};
+    instant last_match_{};
+    instant last_urgent_{};
+    bool urgent_ = false;
+    membership_actions actions_;
+};
+
+} // namespace anvillead
--- a/src/membership/types/member.h
+++ b/src/membership/types/member.h
@@ -42,7 +42,15 @@
     host_id host;
     zone_name availability_zone;
     incarnation number = 0;
+    /// Raised by the member itself when its record changes or when it refutes a suspicion; the higher version wins.
+    std::uint64_t version = 0;
+    /// In records between agents: alive, suspect or dead. In views, `leaving` takes precedence over alive and suspect.
     member_state state = member_state::alive;
+    /// Sticky for the incarnation.
+    bool leaving = false;
+    /// The process of this role is shutting down. Its address for new work is empty in views.
+    bool gateway_leaving = false;
+    bool scheduler_leaving = false;
     member_addresses addresses;
     /// Generation of the configuration that this member has in force.
     config_generation generation = 0;
--- /dev/null
+++ b/src/membership/types/membership_action.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership/types/member.h"
+#include "membership/types/upstream_mark.h"
+
+namespace anvillead {
+
+/// Send a sealed datagram.
+struct send_datagram
+{
+    std::string address;
+    std::string payload;
+};
+
+/// Pull state over a link: the member table, or the configuration when the peer has a newer one.
+struct pull_state
+{
+    /// Link address of the peer.
+    std::string address;
+    bool members = false;
+};
+
+/// A member's state or record changed; for logs.
+struct member_changed
+{
+    member value;
+    member_state before = member_state::alive;
+    bool is_new = false;
+};
+
+struct upstream_changed
+{
+    upstream_mark value;
+};
+
+using membership_action = std::variant<send_datagram, pull_state, member_changed, upstream_changed>;
+using membership_actions = std::vector<membership_action>;
+
+} // namespace anvillead
--- a/src/messages/codec.h
+++ b/src/messages/codec.h
@@ -15,6 +15,9 @@
 std::string encode(const envelope& value);
 /// `protocol_violation` for anything that is not a complete, valid message of this version.
 result<envelope> decode(std::string_view payload);
+/// Bytes that a record takes inside a membership datagram.
+std::size_t encoded_size(const member& value);
+std::size_t encoded_size(const upstream_mark& value);
 /// Wire name of a message's type, used in metrics and logs.
 std::string_view message_type(const message& value);
 
--- a/src/messages/internal/codec.cpp
+++ b/src/messages/internal/codec.cpp
@@ -8,6 +8,7 @@
 #include "configuration/parse.h"
 #include "core/bounded_json.h"
 #include "core/field_reader.h"
+#include "messages/internal/membership_codec.h"
 
 namespace anvillead {
 
@@ -15,8 +16,6 @@
 
 using nlohmann::json;
 
-constexpr number_range any_number{0, INT64_MAX};
-constexpr number_range signed_number{INT64_MIN, INT64_MAX};
 constexpr number_range small_number{0, 1'000'000};
 
 template <typename Id>
@@ -48,51 +47,6 @@
     return value.value_or(work_class::normal);
 }
 
-json to_json(const member& value)
-{
-    return {{"host", value.host.str()},
-            {"zone", value.availability_zone.str()},
-            {"incarnation", value.number},
-            {"state", static_cast<int>(value.state)},
-            {"agent_udp", value.addresses.agent_udp},
-            {"agent_link", value.addresses.agent_link},
-            {"gateway_http", value.addresses.gateway_http},
-            {"gateway_link", value.addresses.gateway_link},
-            {"scheduler_link", value.addresses.scheduler_link},
-            {"generation", value.generation}};
-}
-
-std::string optional_text(field_reader& reader, std::string_view name)
-{
-    const auto& value = reader.any_or_null(name);
-    return value.is_string() ? value.get<std::string>() : std::string();
-}
-
-member read_member(field_reader& reader)
-{
-    member out;
-    out.host = host_id(reader.text("host"));
-    out.availability_zone = zone_name(reader.text("zone"));
-    out.number = static_cast<incarnation>(reader.number("incarnation", any_number));
-    out.state = static_cast<member_state>(reader.number("state", {0, 3}));
-    out.addresses = {optional_text(reader, "agent_udp"), optional_text(reader, "agent_link"),
-                     optional_text(reader, "gateway_http"), optional_text(reader, "gateway_link"),
-                     optional_text(reader, "scheduler_link")};
-    out.generation = static_cast<config_generation>(reader.number("generation", any_number));
-    return out;
-}
-
-template <typename T, typename Read>
-std::vector<T> read_items(field_reader& reader, std::string_view name, std::vector<field_problem>& problems, Read read)
-{
-    std::vector<T> out;
-    for (const auto& it : reader.array_or_empty(name)) {
-        field_reader item(it, reader.file(), reader.path_of(name), problems);
-        out.push_back(read(item));
-    }
-    return out;
-}
-
 json to_json(const process_report& value)
 {
     return {{"role", value.role},
@@ -128,11 +82,9 @@
 
 json to_json(const view& value)
 {
-    json members = json::array();
-    for (const auto& it : value.members) {
-        members.push_back(to_json(it));
-    }
-    json out = {{"members", members}, {"leaving_upstreams", ids_to_json(value.leaving_upstreams)}};
+    json out = {{"members", items_to_json(value.members)},
+                {"partial", value.partial},
+                {"leaving_upstreams", ids_to_json(value.leaving_upstreams)}};
     if (value.configuration) {
         out["configuration"] = to_json(*value.configuration);
     }
@@ -143,17 +95,19 @@
 {
     read_configuration(reader, problems, out.configuration);
     out.members = read_items<member>(reader, "members", problems, read_member);
+    out.partial = reader.flag_or("partial", false);
     out.leaving_upstreams = read_ids<upstream_id>(reader, "leaving_upstreams");
 }
 
 json to_json(const upstream_report& value)
 {
-    return {{"id", value.id.str()}};
+    return {{"id", value.id.str()}, {"leaving", value.leaving}};
 }
 
 void read(field_reader& reader, std::vector<field_problem>&, upstream_report& out)
 {
     out.id = upstream_id(reader.text("id"));
+    out.leaving = reader.flag_or("leaving", true);
 }
 
 json to_json(const grant_request& value)
@@ -320,28 +274,36 @@
 
 json to_json(const state_pull& value)
 {
-    return {{"have", value.have}};
+    return {{"have", value.have}, {"members", value.members}};
 }
 
 void read(field_reader& reader, std::vector<field_problem>&, state_pull& out)
 {
     out.have = static_cast<config_generation>(reader.number("have", any_number));
+    out.members = reader.flag_or("members", false);
 }
 
 json to_json(const state_push& value)
 {
-    return value.configuration ? json{{"configuration", to_json(*value.configuration)}} : json::object();
+    json out = {{"members", items_to_json(value.members)}, {"upstreams", items_to_json(value.upstreams)}};
+    if (value.configuration) {
+        out["configuration"] = to_json(*value.configuration);
+    }
+    return out;
 }
 
 void read(field_reader& reader, std::vector<field_problem>& problems, state_push& out)
 {
     read_configuration(reader, problems, out.configuration);
+    out.members = read_items<member>(reader, "members", problems, read_member);
+    out.upstreams = read_items<upstream_mark>(reader, "upstreams", problems, read_mark);
 }
 
 // Wire names in the order of the variant's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<message>> type_names = {
-    "process_report",  "view",         "upstream_report", "grant_request",  "grant",      "refusal",   "grant_cancel",
-    "progress_report", "registry_put", "registry_lookup", "registry_entry", "state_pull", "state_push"};
+    "process_report",  "view",         "upstream_report", "grant_request",  "grant",      "refusal",    "grant_cancel",
+    "progress_report", "registry_put", "registry_lookup", "registry_entry", "state_pull", "state_push", "probe",
+    "probe_ack",       "probe_request"};
 
 template <std::size_t Index>
 message read_alternative(field_reader& reader, std::vector<field_problem>& problems)
--- a/src/messages/types/messages.h
+++ b/src/messages/types/messages.h
@@ -11,6 +11,7 @@
 #include "core/types/units.h"
 #include "core/types/work_class.h"
 #include "membership/types/member.h"
+#include "membership/types/upstream_mark.h"
 
 namespace anvillead {
 
@@ -31,15 +32,18 @@
 {
     /// Absent when the receiver already has the generation in the envelope.
     std::optional<accepted_configuration> configuration;
+    /// All members, or with `partial` those that changed since the previous view on the same link.
     std::vector<member> members;
+    bool partial = false;
     /// Upstreams that get no new work: the union of all reports.
     std::vector<upstream_id> leaving_upstreams;
 };
 
-/// Gateway or scheduler to its local agent: an upstream said that it is leaving.
+/// Gateway or scheduler to its local agent: an upstream said that it is leaving, or that a leaving one is back.
 struct upstream_report
 {
     upstream_id id;
+    bool leaving = true;
 };
 
 /// Gateway to scheduler: asks for permission to start a generation.
@@ -139,19 +143,59 @@
     std::string response_id;
 };
 
-/// Agent to agent: asks for the accepted configuration.
+/// Asks an agent for the accepted configuration when it is newer than `have`. Agents also ask each other for the
+/// member table; gateways and schedulers get a `view` as answer.
 struct state_pull
 {
     config_generation have = 0;
+    bool members = false;
 };
 
 struct state_push
 {
     std::optional<accepted_configuration> configuration;
+    std::vector<member> members;
+    std::vector<upstream_mark> upstreams;
+};
+
+/// Part of each membership datagram: what its sender spreads.
+struct gossip
+{
+    std::vector<member> members;
+    std::vector<upstream_mark> upstreams;
+    /// Hash of the sender's table, to notice missed updates.
+    std::uint64_t digest = 0;
+};
+
+/// Agent to agent (UDP): asks `target` for a probe_ack.
+struct probe
+{
+    std::uint64_t number = 0;
+    host_id from;
+    host_id target;
+    gossip updates;
+};
+
+/// Answer to a probe; `from` is the probed member, also when a third agent passes the answer on.
+struct probe_ack
+{
+    std::uint64_t number = 0;
+    host_id from;
+    gossip updates;
+};
+
+/// Agent to agent (UDP): asks the receiver to probe `target` on behalf of the sender.
+struct probe_request
+{
+    std::uint64_t number = 0;
+    host_id from;
+    host_id target;
+    gossip updates;
 };
 
 using message = std::variant<process_report, view, upstream_report, grant_request, grant, refusal, grant_cancel,
-                             progress_report, registry_put, registry_lookup, registry_entry, state_pull, state_push>;
+                             progress_report, registry_put, registry_lookup, registry_entry, state_pull, state_push,
+                             probe, probe_ack, probe_request>;
 
 /// What travels on a link: the sender's configuration generation and one message.
 struct envelope
