Accept configuration with a sans-I/O state machine

The agent accepted whatever the collection held at a poll, without reports, audit or a defined answer to lost writes, and a set that was written halfway could be accepted.

The accepting agent proposes a generation by conditional update of the accepted object and reads it back after a conflict or a lost answer. The audit entry travels inside the accepted object, so another agent records it when the accepting one dies. Invalid sets are reported by file and field. Drained upstreams that do not exist are now reported with their file, and addresses must be an IP address and a port.

--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include "core/crypto.h"
@@ -17,6 +18,21 @@
 constexpr number_range deadline_range{0, 86'400'000};
 constexpr double rate_limit = 1e9;
 
+/// "address:port" with an IP address and a port above 0.
+bool is_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6 ||
+        text.find_first_not_of("0123456789", colon + 1) != std::string::npos) {
+        return false;
+    }
+    const auto port = std::stoul(text.substr(colon + 1));
+    const auto ip = text.substr(0, colon);
+    in6_addr parsed{};
+    return port > 0 && port <= UINT16_MAX &&
+           (inet_pton(AF_INET, ip.c_str(), &parsed) == 1 || inet_pton(AF_INET6, ip.c_str(), &parsed) == 1);
+}
+
 /// Reads one file into the document and remembers which names were already used.
 class file_merger
 {
@@ -36,6 +52,8 @@
                 out_.merged.drains.hosts.emplace_back(it);
             }
             for (const auto& it : drains.texts_or_empty("upstreams")) {
+                const auto path = fmt::format("drains.upstreams[{}]", out_.merged.drains.upstreams.size());
+                drain_references_.push_back({0, it, file, path});
                 out_.merged.drains.upstreams.emplace_back(it);
             }
             drains.reject_unknown();
@@ -56,10 +74,9 @@
                 out_.problems.push_back({it.file, it.path, "the name of a model in the folder"});
             }
         }
-        for (const auto& it : out_.merged.drains.upstreams) {
-            if (upstreams_.count(it.str()) == 0) {
-                out_.problems.push_back(
-                    {"(merged)", "drains.upstreams", fmt::format("an upstream id, not {}", it.str())});
+        for (const auto& it : drain_references_) {
+            if (upstreams_.count(it.name) == 0) {
+                out_.problems.push_back({it.file, it.path, fmt::format("the id of an upstream, not {}", it.name)});
             }
         }
     }
@@ -116,8 +133,8 @@
         upstream out;
         out.id = upstream_id(unique_name(reader, upstreams_, "id"));
         out.address = reader.text("address");
-        if (!out.address.empty() && out.address.find(':') == std::string::npos) {
-            reader.problem("address", "\"address:port\"");
+        if (!out.address.empty() && !is_endpoint(out.address)) {
+            reader.problem("address", "\"address:port\" with an IP address");
         }
         out.availability_zone = zone_name(reader.text("availability_zone"));
         if (kind == service_kind::engine) {
@@ -186,6 +203,7 @@
     std::set<std::string> models_;
     std::vector<position> workload_positions_;
     std::vector<position> model_references_;
+    std::vector<position> drain_references_;
 };
 
 template <typename Ids>
@@ -294,10 +312,9 @@
 
 json to_json(const accepted_configuration& value)
 {
-    return {{"generation", value.generation},
-            {"collection_revision", value.collection_revision},
-            {"digest", value.digest},
-            {"document", to_json(value.merged)}};
+    return {{"generation", value.generation}, {"collection_revision", value.collection_revision},
+            {"digest", value.digest},         {"files", value.files},
+            {"audit", value.audit},           {"document", to_json(value.merged)}};
 }
 
 result<accepted_configuration> parse_accepted(const json& value)
@@ -308,6 +325,13 @@
     out.generation = static_cast<config_generation>(reader.number("generation", {0, INT64_MAX}));
     out.collection_revision = static_cast<std::uint64_t>(reader.number("collection_revision", {0, INT64_MAX}));
     out.digest = reader.text_or("digest", "");
+    for (const auto& it : reader.object_or_empty("files").items()) {
+        if (it.value().is_string()) {
+            out.files[it.key()] = it.value().get<std::string>();
+        }
+    }
+    const auto& audit = reader.any_or_null("audit");
+    out.audit = audit.is_string() ? audit.get<std::string>() : std::string();
     auto merged = parse_document(reader.object_or_empty("document"), "accepted");
     reader.reject_unknown();
     problems.insert(problems.end(), merged.problems.begin(), merged.problems.end());
--- /dev/null
+++ b/src/configuration/tests/acceptance_test.cpp
@@ -0,0 +1,302 @@
+#include "configuration/acceptance.h"
+
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+#include "configuration/tests/sample_files.h"
+
+using namespace anvillead;
+
+namespace {
+
+/// Objects with versions, conditional updates, outages and answers that are lost after the write.
+class fake_platform
+{
+public:
+    result<std::uint64_t> put(const std::string& name, nlohmann::json value, std::uint64_t if_version)
+    {
+        if (outage) {
+            return make_error(error_kind::platform_unavailable, "down");
+        }
+        if (version(name) != if_version) {
+            return make_error(error_kind::conflict, "another version");
+        }
+        objects[name] = {name, ++last_, std::move(value)};
+        if (name.rfind(config_prefix, 0) == 0) {
+            revision = last_;
+        }
+        ++writes;
+        if (lose_answers > 0) {
+            --lose_answers;
+            return make_error(error_kind::platform_unavailable, "lost");
+        }
+        return last_;
+    }
+
+    void set_file(const std::string& name, const std::string& text)
+    {
+        put(config_prefix + name, nlohmann::json::parse(text), version(config_prefix + name));
+    }
+
+    std::uint64_t version(const std::string& name) const
+    {
+        const auto it = objects.find(name);
+        return it == objects.end() ? 0 : it->second.version;
+    }
+
+    result<platform_listing> list() const
+    {
+        if (outage) {
+            return make_error(error_kind::platform_unavailable, "down");
+        }
+        platform_listing out{revision, {}};
+        for (const auto& [name, it] : objects) {
+            if (name.rfind(config_prefix, 0) == 0) {
+                out.objects.push_back(it);
+            }
+        }
+        return out;
+    }
+
+    result<platform_object> get(const std::string& name) const
+    {
+        if (outage) {
+            return make_error(error_kind::platform_unavailable, "down");
+        }
+        const auto it = objects.find(name);
+        if (it == objects.end()) {
+            return make_error(error_kind::not_found, "none");
+        }
+        return it->second;
+    }
+
+    std::map<std::string, platform_object> objects;
+    std::uint64_t revision = 0;
+    bool outage = false;
+    int lose_answers = 0;
+    int writes = 0;
+
+private:
+    std::uint64_t last_ = 0;
+};
+
+/// One agent: carries out actions one at a time, so that a test chooses the interleaving.
+class fake_agent
+{
+public:
+    fake_agent(fake_platform& platform, std::size_t rank)
+        : platform_(platform), core("agent-" + std::to_string(rank)), role{true, rank}
+    {}
+
+    void tick(instant now) { add(core.on_tick(now, 86'400'000, role)); }
+    bool busy() const { return !actions.empty(); }
+
+    void carry_out_one(instant now)
+    {
+        const auto action = actions.front();
+        actions.pop_front();
+        if (std::holds_alternative<list_collection>(action)) {
+            add(core.on_listing(now, platform_.list()));
+        } else if (std::holds_alternative<watch_collection>(action)) {
+            const auto listing = platform_.list();
+            add(core.on_watch(now, listing ? result<std::uint64_t>(listing.value().revision) : listing.error()));
+        } else if (std::holds_alternative<read_accepted>(action)) {
+            add(core.on_accepted(now, platform_.get(accepted_object)));
+        } else if (const auto* write = std::get_if<write_accepted>(&action)) {
+            add(core.on_written(now, platform_.put(accepted_object, to_json(write->value), write->if_version)));
+        } else if (const auto* apply = std::get_if<apply_configuration>(&action)) {
+            // A lower or equal generation must never be applied.
+            CHECK(apply->value.generation > applied);
+            applied = apply->value.generation;
+        } else if (const auto* status = std::get_if<write_status>(&action)) {
+            platform_.put(status_object, status->value, platform_.version(status_object));
+        } else if (const auto* audit = std::get_if<write_audit>(&action)) {
+            platform_.put(audit->name, audit->value, 0);
+        }
+    }
+
+    void add(const acceptance_actions& more) { actions.insert(actions.end(), more.begin(), more.end()); }
+
+private:
+    fake_platform& platform_;
+
+public:
+    acceptance core;
+    acceptance_role role;
+    std::deque<acceptance_action> actions;
+    config_generation applied = 0;
+};
+
+} // namespace
+
+TEST_GROUP(acceptance_test)
+{
+    fake_platform platform;
+    instant now = instant() + seconds(1000);
+    std::vector<std::unique_ptr<fake_agent>> agents;
+
+    void start(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            agents.push_back(std::make_unique<fake_agent>(platform, i));
+        }
+    }
+
+    void write_sample()
+    {
+        for (const auto& [name, text] : sample_files()) {
+            platform.set_file(name, text);
+        }
+    }
+
+    void run(milliseconds time)
+    {
+        for (const auto end = now + time; now < end; now += milliseconds(50)) {
+            for (auto& it : agents) {
+                it->tick(now);
+                while (it->busy()) {
+                    it->carry_out_one(now);
+                }
+            }
+        }
+    }
+
+    nlohmann::json status() const
+    {
+        return platform.objects.at(status_object).value;
+    }
+    std::size_t audit_count() const
+    {
+        std::size_t out = 0;
+        for (const auto& [name, it] : platform.objects) {
+            out += name.rfind(audit_prefix, 0) == 0 ? 1 : 0;
+        }
+        return out;
+    }
+};
+
+TEST(acceptance_test, the_first_agent_accepts_at_once_and_the_others_apply_it)
+{
+    write_sample();
+    start(3);
+    run(milliseconds(200));
+    LONGS_EQUAL(1, agents[0]->applied);
+    run(seconds(3));
+    for (const auto& it : agents) {
+        LONGS_EQUAL(1, it->applied);
+    }
+    LONGS_EQUAL(1, audit_count());
+    STRCMP_EQUAL("accepted", status()["state"].get<std::string>().c_str());
+}
+
+// Guards against a change that waits for an agent that is dead or paused.
+TEST(acceptance_test, the_next_agent_accepts_when_the_first_does_not)
+{
+    write_sample();
+    start(2);
+    agents.erase(agents.begin());
+    run(milliseconds(400));
+    LONGS_EQUAL(0, agents[0]->applied);
+    run(milliseconds(400));
+    LONGS_EQUAL(1, agents[0]->applied);
+}
+
+// Guards against a lost answer that leads to a second generation for the same set.
+TEST(acceptance_test, a_lost_answer_is_settled_by_reading_back)
+{
+    write_sample();
+    start(1);
+    platform.lose_answers = 1;
+    run(seconds(2));
+    LONGS_EQUAL(1, agents[0]->applied);
+    LONGS_EQUAL(1, platform.objects.at(accepted_object).value["generation"].get<int>());
+}
+
+TEST(acceptance_test, an_invalid_set_changes_nothing_and_its_report_is_written_once)
+{
+    write_sample();
+    start(2);
+    run(seconds(2));
+    platform.set_file("40-bad.json", R"({"models":[{"name":"m"}]})");
+    run(seconds(3));
+    LONGS_EQUAL(1, agents[0]->applied);
+    STRCMP_EQUAL("rejected", status()["state"].get<std::string>().c_str());
+    STRCMP_EQUAL("40-bad.json", status()["errors"][0]["file"].get<std::string>().c_str());
+    LONGS_EQUAL(2, audit_count());
+    const auto writes = platform.writes;
+    run(seconds(10));
+    LONGS_EQUAL(writes, platform.writes);
+}
+
+// Guards against a paused agent that overwrites a newer configuration when it resumes between read and write.
+TEST(acceptance_test, a_paused_writer_cannot_replace_a_newer_configuration)
+{
+    write_sample();
+    start(2);
+    auto& paused = *agents[0];
+    paused.tick(now);
+    while (!std::holds_alternative<write_accepted>(paused.actions.front())) {
+        paused.carry_out_one(now);
+        paused.tick(now);
+    }
+    auto resumed = std::move(agents[0]);
+    agents.erase(agents.begin());
+    platform.set_file("40-more.json", R"({"models":[{"name":"n"}]})");
+    run(seconds(2));
+    const auto revision = platform.objects.at(accepted_object).value["collection_revision"];
+    agents.push_back(std::move(resumed));
+    run(seconds(2));
+    CHECK(platform.objects.at(accepted_object).value["collection_revision"] == revision);
+    LONGS_EQUAL(1, agents.back()->applied);
+}
+
+// Guards against a generation that goes down, or two sets with one generation, in any interleaving of the agents'
+// steps with edits, outages, lost answers, pauses and news from peers.
+TEST(acceptance_test, generations_only_rise_in_random_interleavings)
+{
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        std::mt19937 random(seed);
+        platform = {};
+        agents.clear();
+        write_sample();
+        start(4);
+        std::map<config_generation, std::string> digests;
+        config_generation highest = 0;
+        for (int i = 0; i < 3000; ++i) {
+            now += milliseconds(random() % 100);
+            auto& agent = *agents[random() % agents.size()];
+            if (agent.busy() && random() % 4 != 0) {
+                agent.carry_out_one(now);
+            } else {
+                agent.tick(now);
+            }
+            if (random() % 60 == 0) {
+                platform.outage = false;
+                platform.set_file("50-edit.json", R"({"models":[{"name":"n)" + std::to_string(i) + R"("}]})");
+                platform.lose_answers = static_cast<int>(random() % 3);
+                platform.outage = random() % 4 == 0;
+            }
+            if (random() % 10 == 0) {
+                agent.add(agent.core.on_peer(agents[random() % agents.size()]->core.accepted()));
+            }
+            const auto object = platform.objects.find(accepted_object);
+            if (object != platform.objects.end()) {
+                const auto value = parse_accepted(object->second.value).value();
+                CHECK(value.generation >= highest);
+                highest = value.generation;
+                CHECK(digests.emplace(value.generation, value.digest).first->second == value.digest);
+            }
+        }
+        platform.outage = false;
+        run(seconds(5));
+        for (const auto& it : agents) {
+            CHECK(it->core.accepted().collection_revision == platform.revision);
+        }
+    }
+    std::printf("[seeds 1 to 40] ");
+}
--- a/src/configuration/tests/parse_test.cpp
+++ b/src/configuration/tests/parse_test.cpp
@@ -2,15 +2,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "configuration/tests/sample_files.h"
+
 using namespace anvillead;
 
 TEST_GROUP(parse_test)
 {
-    config_files files = {
-        {"10-models.json", R"({"models":[{"name":"m"}]})"},
-        {"20-services.json", R"({"services":[{"name":"pool","kind":"engine","models":["m"],"upstreams":[
-            {"id":"e1","address":"127.0.0.1:1","availability_zone":"leith","capacity_tokens":100,"batch_limit":4}]}]})"},
-        {"30-workloads.json", R"({"workloads":[{"name":"w","class":"draft","service":"pool"}]})"}};
+    config_files files = sample_files();
 
     void check_problem(const std::string& file, const std::string& field)
     {
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -105,6 +106,10 @@
     std::uint64_t collection_revision = 0;
     std::string digest;
     document merged;
+    /// Digest of each file that was merged.
+    std::map<std::string, std::string> files;
+    /// The audit entry of this change as JSON text. It travels with the object, so that any agent can record it.
+    std::string audit;
 };
 
 } // namespace anvillead
