Keep one leaving mark per source of an upstream's state

An upstream's own report and the host list may disagree; with one mark, a host list entry that is not leaving would clear what the upstream reports. Each source now has its own mark and the union applies.

--- a/src/membership/gossip_queue.h
+++ b/src/membership/gossip_queue.h
@@ -3,10 +3,12 @@
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "core/types/ids.h"
+#include "membership/upstream_marks.h"
 
 namespace anvillead {
 
@@ -14,14 +16,9 @@
 class gossip_queue
 {
 public:
-    enum class subject
-    {
-        member,
-        upstream
-    };
-    using key = std::pair<subject, std::string>;
+    using key = std::variant<host_id, upstream_marks::key>;
 
-    void push(subject kind, const std::string& id) { sent_[{kind, id}] = 0; }
+    void push(key id) { sent_[std::move(id)] = 0; }
     void clear() { sent_.clear(); }
     std::size_t size() const { return sent_.size(); }
     /// Offers updates, least sent first, to `take`, which returns false when the update does not fit. Updates taken
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -27,7 +27,7 @@
 {
     self_.version = std::max<std::uint64_t>(self_.version, 1);
     table_.replace(self_, {});
-    queue_.push(gossip_queue::subject::member, self_.host.str());
+    queue_.push(self_.host);
 }
 
 membership_actions membership::take_actions()
@@ -272,7 +272,7 @@
         return;
     }
     const auto& after = *table_.find(value.host);
-    queue_.push(gossip_queue::subject::member, value.host.str());
+    queue_.push(value.host);
     const bool is_new = before.number != after.number;
     if (is_new || effective_state(before) != effective_state(after)) {
         actions_.emplace_back(member_changed{after, effective_state(before), is_new});
@@ -305,12 +305,12 @@
 
 void membership::apply_mark(const upstream_mark& value)
 {
-    const auto* found = upstreams_.find(value.id);
+    const auto* found = upstreams_.find({value.id, value.source});
     const bool was_leaving = found != nullptr && found->leaving;
     if (!upstreams_.merge(value)) {
         return;
     }
-    queue_.push(gossip_queue::subject::upstream, value.id.str());
+    queue_.push(upstream_marks::key{value.id, value.source});
     urgent_ = urgent_ || value.leaving != was_leaving;
     if (value.leaving != was_leaving) {
         actions_.emplace_back(upstream_changed{value});
@@ -321,7 +321,7 @@
 {
     ++self_.version;
     table_.replace(self_, now);
-    queue_.push(gossip_queue::subject::member, self_.host.str());
+    queue_.push(self_.host);
     urgent_ = urgent_ || urgent;
 }
 
@@ -357,12 +357,12 @@
     return take_actions();
 }
 
-membership_actions membership::report_upstream(instant now, const upstream_id& id, bool leaving)
+membership_actions membership::report_upstream(instant now, const upstream_marks::key& id, bool leaving)
 {
     if (!upstreams_.report(now, id, leaving)) {
         return {};
     }
-    queue_.push(gossip_queue::subject::upstream, id.str());
+    queue_.push(id);
     actions_.emplace_back(upstream_changed{*upstreams_.find(id)});
     spread_urgent(now);
     return take_actions();
@@ -421,11 +421,10 @@
     };
     std::for_each(first.begin(), first.end(), add_member);
     queue_.fill(spread_limit(), [&](const gossip_queue::key& it) {
-        if (it.first == gossip_queue::subject::member) {
-            const host_id host(it.second);
-            return std::find(first.begin(), first.end(), host) != first.end() || add_member(host);
+        if (const auto* host = std::get_if<host_id>(&it)) {
+            return std::find(first.begin(), first.end(), *host) != first.end() || add_member(*host);
         }
-        const auto* mark = upstreams_.find(upstream_id(it.second));
+        const auto* mark = upstreams_.find(std::get<upstream_marks::key>(it));
         if (mark == nullptr || !fits(encoded_size(*mark))) {
             return mark == nullptr;
         }
@@ -443,7 +442,8 @@
     value.updates.digest = digest();
     const auto used = encode({generation_, value}).size() + datagram_seal::overhead + 2 * array_overhead;
     add_updates(value.updates, used, first);
-    actions_.emplace_back(send_datagram{address, seal_.seal(encode({generation_, std::move(value)}))});
+    const envelope out{generation_, std::move(value)};
+    actions_.emplace_back(send_datagram{address, seal_.seal(encode(out)), message_type(out.body)});
 }
 
 std::vector<member> membership::pick_peers(std::size_t count, const host_id& except)
--- a/src/membership/internal/upstream_marks.cpp
+++ b/src/membership/internal/upstream_marks.cpp
@@ -8,19 +8,19 @@
 
 namespace {
 
-// A longer silence breaks a run of reports; the schedulers poll load every 200 ms.
-constexpr milliseconds longest_report_gap{2000};
+// A longer silence breaks a run of reports. Schedulers poll load every 200 ms, agents the host list every 5 s.
+constexpr milliseconds longest_report_gap{15000};
 
 } // namespace
 
 bool upstream_marks::merge(const upstream_mark& value)
 {
-    const auto it = marks_.find(value.id);
+    const auto it = marks_.find({value.id, value.source});
     if (it == marks_.end()) {
         if (marks_.size() >= limit_) {
             return false;
         }
-        marks_.emplace(value.id, value);
+        marks_.emplace(key{value.id, value.source}, value);
         ++revision_;
         return true;
     }
@@ -30,19 +30,19 @@
         return false;
     }
     mark = value;
-    returning_.erase(value.id);
+    returning_.erase({value.id, value.source});
     ++revision_;
     return true;
 }
 
-bool upstream_marks::report(instant now, const upstream_id& id, bool leaving)
+bool upstream_marks::report(instant now, const key& id, bool leaving)
 {
     const auto it = marks_.find(id);
     const bool marked = it != marks_.end() && it->second.leaving;
     const auto version = it == marks_.end() ? 0 : it->second.version;
     if (leaving) {
         returning_.erase(id);
-        return !marked && merge({id, version + 1, true});
+        return !marked && merge({id.first, id.second, version + 1, true});
     }
     if (!marked) {
         return false;
@@ -52,10 +52,10 @@
         run->second.first = now;
     }
     run->second.second = now;
-    return now - run->second.first >= return_hold_ && merge({id, version + 1, false});
+    return now - run->second.first >= return_hold_ && merge({id.first, id.second, version + 1, false});
 }
 
-const upstream_mark* upstream_marks::find(const upstream_id& id) const
+const upstream_mark* upstream_marks::find(const key& id) const
 {
     const auto it = marks_.find(id);
     return it == marks_.end() ? nullptr : &it->second;
@@ -74,8 +74,9 @@
 {
     std::vector<upstream_id> out;
     for (const auto& [id, mark] : marks_) {
-        if (mark.leaving) {
-            out.push_back(id);
+        // Marks are in id order, so the marks of one upstream are neighbours.
+        if (mark.leaving && (out.empty() || out.back() != id.first)) {
+            out.push_back(id.first);
         }
     }
     return out;
@@ -85,7 +86,8 @@
 {
     std::uint64_t out = 0;
     for (const auto& [id, mark] : marks_) {
-        out ^= placement_hash(fmt::format("{}#{}/{}", id.str(), mark.version, mark.leaving ? 1 : 0));
+        out ^= placement_hash(fmt::format("{}#{}/{}/{}", id.first.str(), static_cast<int>(id.second), mark.version,
+                                          mark.leaving ? 1 : 0));
     }
     return out;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,7 +36,7 @@
     /// Changes this host's own record (addresses, leaving roles).
     membership_actions update_self(instant now, const std::function<void(member&)>& change);
     membership_actions set_generation(instant now, config_generation generation);
-    membership_actions report_upstream(instant now, const upstream_id& id, bool leaving);
+    membership_actions report_upstream(instant now, const upstream_marks::key& id, bool leaving);
     /// The platform's host list says that a host is leaving.
     membership_actions report_host_leaving(instant now, const host_id& host);
     /// Announces that this host leaves; cannot be taken back in this incarnation.
@@ -49,6 +49,8 @@
     const upstream_marks& upstreams() const { return upstreams_; }
     /// Members whose record changed after `revision`, with effective states.
     std::vector<member> members_since(std::uint64_t revision) const;
+    /// Another member's table has arrived.
+    bool has_joined() const { return pulls_.has_joined(); }
     /// Hosts that are not dead, this one included.
     std::size_t live_count() const;
 
--- a/src/membership/tests/member_table_test.cpp
+++ b/src/membership/tests/member_table_test.cpp
@@ -111,7 +111,7 @@
 TEST_GROUP(upstream_marks_test)
 {
     upstream_marks marks{10, milliseconds(5000)};
-    upstream_id engine{"e1"};
+    upstream_marks::key engine{upstream_id("e1"), upstream_source::load};
     instant now = instant() + seconds(100);
 
     bool is_leaving() const
@@ -141,15 +141,33 @@
 
 TEST(upstream_marks_test, an_old_mark_does_not_come_back)
 {
-    marks.merge({engine, 1, true});
-    marks.merge({engine, 2, false});
-    marks.merge({engine, 1, true});
+    const auto mark = [&](std::uint64_t version, bool leaving) {
+        marks.merge({engine.first, engine.second, version, leaving});
+    };
+    mark(1, true);
+    mark(2, false);
+    mark(1, true);
     CHECK_FALSE(is_leaving());
-    marks.merge({engine, 2, true});
-    marks.merge({engine, 2, false});
+    mark(2, true);
+    mark(2, false);
     CHECK(is_leaving());
 }
 
+// Guards against one source that clears what another still reports.
+TEST(upstream_marks_test, an_upstream_is_leaving_while_any_source_says_so)
+{
+    const upstream_marks::key listed{engine.first, upstream_source::hosts};
+    marks.report(now, engine, true);
+    marks.report(now, listed, true);
+    LONGS_EQUAL(1, marks.leaving().size());
+    marks.report(now, engine, false);
+    marks.report(now + seconds(6), engine, false);
+    CHECK(is_leaving());
+    marks.report(now, listed, false);
+    marks.report(now + seconds(6), listed, false);
+    CHECK_FALSE(is_leaving());
+}
+
 TEST_GROUP(datagram_seal_test){};
 
 // Guards against a key rotation that separates the members, and against unauthenticated datagrams.
--- a/src/membership/tests/membership_network_test.cpp
+++ b/src/membership/tests/membership_network_test.cpp
@@ -213,7 +213,7 @@
     net.loss_per_mille = 50;
     net.nodes[5].paused_until = net.now + seconds(6);
     net.carry_out(3, net.nodes[3].core->leave(net.now));
-    net.carry_out(4, net.nodes[4].core->report_upstream(net.now, upstream_id("e1"), true));
+    net.carry_out(4, net.nodes[4].core->report_upstream(net.now, {upstream_id("e1"), upstream_source::load}, true));
     milliseconds time{0};
     while (!net.all_see_leaving(3) && time < seconds(3)) {
         net.run(step);
--- a/src/membership/types/membership_action.h
+++ b/src/membership/types/membership_action.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,8 @@
 {
     std::string address;
     std::string payload;
+    /// Wire name of the message, for metrics.
+    std::string_view kind;
 };
 
 /// Pull state over a link: the member table, or the configuration when the peer has a newer one.
--- a/src/messages/internal/membership_codec.cpp
+++ b/src/messages/internal/membership_codec.cpp
@@ -42,7 +42,7 @@
 
 json to_json(const upstream_mark& value)
 {
-    return {{"i", value.id.str()}, {"v", value.version}, {"l", value.leaving}};
+    return {{"i", value.id.str()}, {"s", static_cast<int>(value.source)}, {"v", value.version}, {"l", value.leaving}};
 }
 
 std::string optional_text(field_reader& reader, std::string_view name)
@@ -73,6 +73,7 @@
 {
     upstream_mark out;
     out.id = upstream_id(reader.text("i"));
+    out.source = static_cast<upstream_source>(reader.number("s", {0, 1}));
     out.version = static_cast<std::uint64_t>(reader.number("v", any_number));
     out.leaving = reader.flag_or("l", false);
     return out;
