Connect the agents with each other and with the platform's watch

The agent polled the collection every 500 ms, knew only its own host and accepted without a turn, so daemons of different hosts did not see each other.

The daemon is split into membership driver, platform follower, local publisher and peer puller. Two agents per availability zone watch the collection; the others pull a generation from the peer whose datagram names it. Views carry changed members only. Roles that leave or fall silent are withdrawn from the member record. A process whose agent is silent for a second asks another agent, and a scheduler gets a newer configuration before it decides on a message that names one.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -1,7 +1,8 @@
 #include "apps/agent/agent_daemon.h"
 
-#include "configuration/parse.h"
-#include "core/crypto.h"
+#include <algorithm>
+
+#include "apps/agent/control_traffic.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -9,37 +10,95 @@
 
 namespace {
 
-constexpr const char* accepted_object = "accepted";
-constexpr const char* collection_prefix = "config/";
+constexpr milliseconds tick_period{100};
+// A starting agent tells its processes nothing until it knows the other members, but not longer than this.
+constexpr milliseconds join_wait{3000};
+// Time for the news that this host leaves to reach the others.
+constexpr milliseconds leave_time{1500};
+constexpr milliseconds drain_check_period{200};
+
+bool is_agent(const link_ptr& link)
+{
+    return link->peer().rfind("agent/", 0) == 0;
+}
 
 } // namespace
 
 agent_daemon::agent_daemon(worker_pool& pool, agent_settings settings)
-    : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()), client_(make_http_client(pool))
+    : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()), started_(pool.timers().now())
 {
-    platform_client_options options;
-    options.address = settings_.common.platform;
-    platform_ = std::make_unique<http_platform_client>(*client_, sequence_, options, counters_);
     self_.host = settings_.common.host;
     self_.availability_zone = settings_.common.availability_zone;
     self_.number = new_incarnation();
-    link_handlers handlers;
-    handlers.on_open = [this](const link_ptr& link) { sequence_->post([this, link] { links_[link] = {}; }); };
-    handlers.on_closed = [this](const link_ptr& link) { sequence_->post([this, link] { links_.erase(link); }); };
-    handlers.on_message = [this](const link_ptr& link, const std::string& payload) { received(link, payload); };
-    server_ = make_link_server(pool, settings_.link_listen, make_link_options(settings_.common, "agent", self_.number),
-                               std::move(handlers), counters_);
+    link_options_ = make_link_options(settings_.common, "agent", self_.number);
+    make_server();
     self_.addresses.agent_link = server_->address();
-    log(log_level::info, log_event::process_started, {{"link", server_->address()}});
+    make_parts();
+    status_ = std::make_unique<status_server>(pool, settings_.http_listen, counters_, [this] { return ready_.load(); });
+    log(log_level::info, log_event::process_started,
+        {{"link", server_->address()},
+         {"probe", membership_->core().self().addresses.agent_udp},
+         {"http", status_->address()}});
 }
 
 agent_daemon::~agent_daemon() = default;
 
+void agent_daemon::make_server()
+{
+    link_handlers handlers;
+    handlers.on_open = [this](const link_ptr& link) {
+        if (!is_agent(link)) {
+            sequence_->post([this, link] { publisher_->opened(link); });
+        }
+    };
+    handlers.on_closed = [this](const link_ptr& link) {
+        if (!is_agent(link)) {
+            sequence_->post([this, link] { publisher_->closed(pool_.timers().now(), link); });
+        }
+    };
+    handlers.on_message = [this](const link_ptr& link, const std::string& payload) { received(link, payload); };
+    server_ = make_link_server(pool_, settings_.link_listen, link_options_, std::move(handlers), counters_);
+}
+
+void agent_daemon::make_parts()
+{
+    puller_ = std::make_unique<peer_puller>(
+        pool_, sequence_, link_options_, counters_, [this] { return follower_->accepted().generation; },
+        [this](const state_push& value) { pushed(value); });
+    membership_ = std::make_unique<membership_driver>(
+        pool_, sequence_, settings_, self_, counters_,
+        [this](const pull_state& it) { puller_->pull(it.address, it.members); },
+        [this] { publisher_->publish(pool_.timers().now()); });
+    platform_follower::hooks platform;
+    platform.members = [this] { return membership_->core().members_since(0); };
+    platform.on_applied = [this](const accepted_configuration& value) { applied(value); };
+    platform.on_hosts = [this](const std::vector<platform_host>& hosts) { hosts_read(hosts); };
+    follower_ = std::make_unique<platform_follower>(pool_, sequence_, settings_, counters_, std::move(platform));
+    local_publisher::hooks local;
+    local.accepted = [this]() -> const accepted_configuration& { return follower_->accepted(); };
+    local.members = [this]() -> const membership& { return membership_->core(); };
+    local.ready = [this] { return may_publish(); };
+    local.on_roles = [this] { roles_changed(); };
+    publisher_ = std::make_unique<local_publisher>(settings_.common.host, counters_, std::move(local));
+}
+
 void agent_daemon::run()
 {
-    pool_.on_stop_signal([this] { pool_.stop(); });
-    pool_.timers().every(settings_.platform_period, [this] { sequence_->post([this] { follow_platform(); }); });
-    sequence_->post([this] { follow_platform(); });
+    pool_.on_stop_signal([this] { sequence_->post([this] { stop_requested(); }); });
+    sequence_->post([this] {
+        membership_->apply([this](membership& it, instant) {
+            it.set_seeds(settings_.seeds);
+            return membership_actions();
+        });
+        follower_->start();
+    });
+    pool_.timers().every(tick_period, [this] {
+        sequence_->post([this] {
+            // Membership goes first: after a pause it finds its table out of date, and nothing may be published.
+            membership_->tick();
+            publisher_->tick(pool_.timers().now());
+        });
+    });
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
 }
@@ -54,109 +113,160 @@
         link->close("invalid message");
         return;
     }
-    if (const auto* value = std::get_if<process_report>(&decoded.value().body)) {
-        sequence_->post([this, link, copy = *value] { report(link, copy); });
+    count_received(decoded.value(), payload.size(), counters_);
+    sequence_->post([this, link, value = std::move(decoded.value())] { handle(link, value); });
+}
+
+void agent_daemon::handle(const link_ptr& link, const envelope& value)
+{
+    const auto now = pool_.timers().now();
+    if (const auto* report = std::get_if<process_report>(&value.body)) {
+        publisher_->report(now, link, *report);
+    } else if (const auto* upstream = std::get_if<upstream_report>(&value.body)) {
+        membership_->apply([upstream](membership& it, instant at) {
+            return it.report_upstream(at, {upstream->id, upstream_source::load}, upstream->leaving);
+        });
+    } else if (const auto* pull = std::get_if<state_pull>(&value.body)) {
+        handle_pull(link, *pull);
+    }
+    if (value.generation > follower_->accepted().generation) {
+        pull_newest();
     }
 }
 
-void agent_daemon::report(const link_ptr& link, const process_report& value)
+void agent_daemon::handle_pull(const link_ptr& link, const state_pull& value)
 {
-    links_[link] = value;
-    if (value.role == "gateway") {
-        self_.addresses.gateway_http = value.http_address;
-        self_.addresses.gateway_link = value.link_address;
-    } else {
-        self_.addresses.scheduler_link = value.link_address;
+    const auto& accepted = follower_->accepted();
+    if (!is_agent(link)) {
+        if (accepted.generation > value.have) {
+            publisher_->asked(pool_.timers().now(), link, value.have);
+        } else {
+            pull_newest();
+        }
+        return;
+    }
+    state_push out;
+    if (accepted.generation > value.have) {
+        out.configuration = accepted;
     }
-    if (value.leaving) {
-        self_.state = member_state::leaving;
+    if (value.members && membership_->core().can_serve_state(pool_.timers().now())) {
+        for (const auto& [host, it] : membership_->core().table().entries()) {
+            out.members.push_back(it.record);
+        }
+        out.upstreams = membership_->core().upstreams().all();
     }
-    publish(link, value.generation < accepted_.generation);
-    publish_all(false);
+    send_counted(*link, {accepted.generation, std::move(out)}, counters_);
 }
 
-void agent_daemon::publish(const link_ptr& link, bool with_configuration)
+void agent_daemon::pull_newest()
 {
-    view out;
-    if (with_configuration) {
-        out.configuration = accepted_;
+    // A process of this host has heard of a generation that this agent does not have.
+    const member* newest = nullptr;
+    for (const auto& [host, it] : membership_->core().table().entries()) {
+        const auto& record = it.record;
+        if (host == settings_.common.host || record.state == member_state::dead ||
+            record.addresses.agent_link.empty()) {
+            continue;
+        }
+        if (newest == nullptr || record.generation > newest->generation) {
+            newest = &record;
+        }
+    }
+    if (newest != nullptr) {
+        puller_->pull(newest->addresses.agent_link, false);
     }
-    out.members = {self_};
-    out.leaving_upstreams = accepted_.merged.drains.upstreams;
-    link->send(encode({accepted_.generation, std::move(out)}));
 }
 
-void agent_daemon::publish_all(bool with_configuration)
+void agent_daemon::pushed(const state_push& value)
 {
-    for (const auto& [link, report] : links_) {
-        publish(link, with_configuration);
+    if (value.configuration) {
+        follower_->on_peer(*value.configuration);
+    }
+    if (!value.members.empty()) {
+        membership_->apply(
+            [&](membership& it, instant now) { return it.on_state(now, value.members, value.upstreams); });
+        publisher_->publish(pool_.timers().now());
     }
 }
 
-void agent_daemon::follow_platform()
+void agent_daemon::applied(const accepted_configuration& value)
 {
-    platform_->list(collection_prefix,
-                    [this](result<platform_listing> listing) { collection_read(std::move(listing)); });
+    log(log_level::info, log_event::configuration_applied,
+        {{"generation", std::to_string(value.generation)}, {"digest", value.digest}});
+    ready_ = true;
+    membership_->apply([&](membership& it, instant now) { return it.set_generation(now, value.generation); });
+    publisher_->publish(pool_.timers().now());
 }
 
-void agent_daemon::collection_read(result<platform_listing> listing)
+void agent_daemon::roles_changed()
 {
-    if (bool(listing) != platform_up_) {
-        platform_up_ = bool(listing);
-        log(log_level::warning, platform_up_ ? log_event::platform_reachable : log_event::platform_unreachable, {});
-    }
-    if (!listing || listing.value().revision <= accepted_.collection_revision) {
-        return;
-    }
-    accept(listing.value());
+    const auto& roles = publisher_->roles();
+    membership_->apply([&](membership& core, instant now) {
+        return core.update_self(now, [&](member& it) {
+            it.addresses.gateway_http = roles.gateway_http;
+            it.addresses.gateway_link = roles.gateway_link;
+            it.addresses.scheduler_link = roles.scheduler_link;
+            it.gateway_leaving = roles.gateway_leaving;
+            it.scheduler_leaving = roles.scheduler_leaving;
+        });
+    });
 }
 
-void agent_daemon::accept(const platform_listing& listing)
+void agent_daemon::hosts_read(const std::vector<platform_host>& hosts)
 {
-    config_files files;
-    for (const auto& it : listing.objects) {
-        files[it.name.substr(std::string(collection_prefix).size())] = it.value.dump();
-    }
-    auto merged = merge_files(files);
-    if (files.empty() || !merged.problems.empty()) {
-        return;
-    }
-    platform_->get(accepted_object, [this, listing, merged](const result<platform_object>& current) {
-        accepted_configuration next;
-        std::uint64_t version = 0;
-        if (current) {
-            const auto parsed = parse_accepted(current.value().value);
-            version = current.value().version;
-            if (parsed && parsed.value().collection_revision >= listing.revision) {
-                apply(parsed.value());
-                return;
+    auto seeds = settings_.seeds;
+    const auto& configuration = follower_->accepted().merged;
+    membership_->apply([&](membership& core, instant now) {
+        membership_actions out;
+        const auto add = [&out](membership_actions more) {
+            std::move(more.begin(), more.end(), std::back_inserter(out));
+        };
+        for (const auto& it : hosts) {
+            const upstream_id upstream(it.id);
+            if (configuration.find_upstream(upstream) != nullptr) {
+                add(core.report_upstream(now, {upstream, upstream_source::hosts}, it.leaving));
+                continue;
             }
-            next.generation = parsed ? parsed.value().generation : 0;
-        } else if (current.error().kind != error_kind::not_found) {
-            return;
-        }
-        ++next.generation;
-        next.collection_revision = listing.revision;
-        next.merged = merged.merged;
-        next.digest = sha256_hex(to_json(next.merged).dump());
-        platform_->put(accepted_object, to_json(next), version, [this, next](const result<std::uint64_t>& written) {
-            if (written) {
-                log(log_level::info, log_event::configuration_accepted,
-                    {{"generation", std::to_string(next.generation)}});
-                apply(next);
+            if (it.leaving) {
+                add(core.report_host_leaving(now, host_id(it.id)));
+            } else if (it.id != settings_.common.host.str() && !it.address.empty()) {
+                seeds.push_back(it.address);
             }
-        });
+        }
+        core.set_seeds(seeds);
+        return out;
     });
 }
 
-void agent_daemon::apply(accepted_configuration value)
+bool agent_daemon::may_publish() const
+{
+    const auto& core = membership_->core();
+    const bool alone = follower_->hosts_asked() && !core.has_seeds();
+    const auto now = pool_.timers().now();
+    return core.can_serve_state(now) && (core.has_joined() || alone || now - started_ >= join_wait);
+}
+
+void agent_daemon::stop_requested()
+{
+    if (std::exchange(stopping_, true)) {
+        log(log_level::warning, log_event::shutdown_forced, {});
+        pool_.stop();
+        return;
+    }
+    log(log_level::info, log_event::shutdown_began, {});
+    membership_->apply([](membership& it, instant now) { return it.leave(now); });
+    publisher_->publish(pool_.timers().now());
+    pool_.timers().after(leave_time, [this] { sequence_->post([this] { exit_when_drained(); }); });
+}
+
+void agent_daemon::exit_when_drained()
 {
-    if (value.generation <= accepted_.generation) {
+    // A draining gateway needs views until its last stream has ended.
+    if (!publisher_->has_leaving_process()) {
+        pool_.stop();
         return;
     }
-    accepted_ = std::move(value);
-    self_.generation = accepted_.generation;
-    publish_all(true);
+    pool_.timers().after(drain_check_period, [this] { sequence_->post([this] { exit_when_drained(); }); });
 }
 
 } // namespace anvillead
--- a/src/apps/agent/agent_daemon.h
+++ b/src/apps/agent/agent_daemon.h
@@ -1,17 +1,18 @@
 #pragma once
 
-#include <map>
+#include <atomic>
 #include <memory>
 
 #include "apps/agent/agent_settings.h"
-#include "configuration/types/document.h"
-#include "messages/types/messages.h"
-#include "platform/http_platform_client.h"
-#include "transport/ilink.h"
+#include "apps/agent/local_publisher.h"
+#include "apps/agent/membership_driver.h"
+#include "apps/agent/peer_puller.h"
+#include "apps/agent/platform_follower.h"
+#include "apps/common/status_server.h"
 
 namespace anvillead {
 
-/// Follows the platform's configuration and members and gives both to the local gateway and scheduler.
+/// Connects membership, configuration and the local processes of one host.
 class agent_daemon
 {
 public:
@@ -22,26 +23,35 @@
     void run();
 
 private:
+    void make_server();
+    void make_parts();
     void received(const link_ptr& link, const std::string& payload);
-    void report(const link_ptr& link, const process_report& value);
-    void publish(const link_ptr& link, bool with_configuration);
-    void publish_all(bool with_configuration);
-    void follow_platform();
-    void collection_read(result<platform_listing> listing);
-    void accept(const platform_listing& listing);
-    void apply(accepted_configuration value);
+    void handle(const link_ptr& link, const envelope& value);
+    void handle_pull(const link_ptr& link, const state_pull& value);
+    void pull_newest();
+    void pushed(const state_push& value);
+    void applied(const accepted_configuration& value);
+    void roles_changed();
+    void hosts_read(const std::vector<platform_host>& hosts);
+    bool may_publish() const;
+    void stop_requested();
+    void exit_when_drained();
 
     worker_pool& pool_;
     agent_settings settings_;
     metrics counters_;
     std::shared_ptr<isequence> sequence_;
-    std::unique_ptr<ihttp_client> client_;
-    std::unique_ptr<iplatform_client> platform_;
-    std::unique_ptr<ilink_server> server_;
-    std::map<link_ptr, process_report> links_;
+    link_options link_options_;
     member self_;
-    accepted_configuration accepted_;
-    bool platform_up_ = true;
+    instant started_;
+    std::unique_ptr<peer_puller> puller_;
+    std::unique_ptr<membership_driver> membership_;
+    std::unique_ptr<platform_follower> follower_;
+    std::unique_ptr<local_publisher> publisher_;
+    std::unique_ptr<ilink_server> server_;
+    std::unique_ptr<status_server> status_;
+    std::atomic<bool> ready_{false};
+    bool stopping_ = false;
 };
 
 } // namespace anvillead
--- a/src/apps/agent/agent_settings.h
+++ b/src/apps/agent/agent_settings.h
@@ -11,8 +11,22 @@
     std::string link_listen;
     /// "address:port" for membership probes.
     std::string probe_listen;
+    /// "address:port" for /metrics, /healthz and /readyz; empty for none.
+    std::string http_listen;
+    /// Link addresses of agents to join through, beside the platform's host list.
+    std::vector<std::string> seeds;
+    /// Wait after a platform call that failed.
     milliseconds platform_period{500};
+    /// Longest time that one watch of the configuration stays open.
     milliseconds watch_wait{10000};
+    /// Time between two reads of the platform's host list.
+    milliseconds hosts_period{5000};
+    /// Agents per availability zone that watch the configuration.
+    std::size_t watchers_per_zone = 2;
+    /// Time between two membership probes.
+    milliseconds probe_period{400};
+    /// Time that a suspected member has to refute.
+    milliseconds suspicion{3000};
 };
 
 agent_settings read_agent_settings(field_reader& reader);
--- /dev/null
+++ b/src/apps/agent/local_publisher.cpp
@@ -0,0 +1,179 @@
+#include "apps/agent/local_publisher.h"
+
+#include <algorithm>
+
+#include "apps/agent/control_traffic.h"
+
+namespace anvillead {
+
+namespace {
+
+// A process that hears nothing for a second asks another agent.
+constexpr milliseconds heartbeat{300};
+// Processes report every 500 ms and reconnect within 1 s.
+constexpr milliseconds silence_limit{2000};
+
+} // namespace
+
+local_publisher::local_publisher(host_id host, metrics& counters, hooks callbacks)
+    : host_(std::move(host)), counters_(counters), hooks_(std::move(callbacks))
+{}
+
+bool local_publisher::is_local(const link_ptr& link) const
+{
+    // Processes of other hosts connect when their own agent is silent.
+    const auto& peer = link->peer();
+    const auto first = peer.find('/');
+    return peer.compare(first + 1, peer.rfind('/') - first - 1, host_.str()) == 0;
+}
+
+void local_publisher::closed(instant now, const link_ptr& link)
+{
+    links_.erase(link);
+    update_roles(now);
+}
+
+void local_publisher::report(instant now, const link_ptr& link, const process_report& value)
+{
+    auto& state = links_[link];
+    const bool is_first = state.report.role.empty();
+    state.report = value;
+    state.heard = now;
+    state.generation = std::max(state.generation, value.generation);
+    update_roles(now);
+    if (is_first) {
+        publish(now, link);
+    }
+}
+
+void local_publisher::asked(instant now, const link_ptr& link, config_generation have)
+{
+    links_[link].generation = have;
+    publish(now, link);
+}
+
+void local_publisher::update_roles(instant now)
+{
+    local_roles next;
+    for (const auto& [link, state] : links_) {
+        if (!is_local(link) || now - state.heard > silence_limit) {
+            continue;
+        }
+        if (state.report.role == "gateway") {
+            next.gateway_http = state.report.http_address;
+            next.gateway_link = state.report.link_address;
+            next.gateway_leaving = state.report.leaving;
+            gateway_seen_ = now;
+        } else if (state.report.role == "scheduler") {
+            next.scheduler_link = state.report.link_address;
+            next.scheduler_leaving = state.report.leaving;
+            scheduler_seen_ = now;
+        }
+    }
+    // A short reconnection must not make the process disappear for the fleet.
+    if (next.gateway_http.empty() && now - gateway_seen_ < silence_limit) {
+        next.gateway_http = roles_.gateway_http;
+        next.gateway_link = roles_.gateway_link;
+        next.gateway_leaving = roles_.gateway_leaving;
+    }
+    if (next.scheduler_link.empty() && now - scheduler_seen_ < silence_limit) {
+        next.scheduler_link = roles_.scheduler_link;
+        next.scheduler_leaving = roles_.scheduler_leaving;
+    }
+    const bool changed = next.gateway_http != roles_.gateway_http || next.gateway_link != roles_.gateway_link ||
+                         next.scheduler_link != roles_.scheduler_link ||
+                         next.gateway_leaving != roles_.gateway_leaving ||
+                         next.scheduler_leaving != roles_.scheduler_leaving;
+    roles_ = next;
+    if (changed) {
+        hooks_.on_roles();
+    }
+}
+
+void local_publisher::tick(instant now)
+{
+    update_roles(now);
+    publish(now);
+}
+
+void local_publisher::publish(instant now, const link_ptr& asking)
+{
+    if (!hooks_.ready()) {
+        return;
+    }
+    const auto& core = hooks_.members();
+    for (auto& [link, state] : links_) {
+        if (state.report.role.empty()) {
+            continue;
+        }
+        const bool behind = !state.has_members || state.generation < hooks_.accepted().generation ||
+                            state.members_revision != core.table().revision() ||
+                            state.upstreams_revision != core.upstreams().revision();
+        if (behind || link == asking || now - state.sent >= heartbeat) {
+            send(now, link, state);
+        }
+    }
+}
+
+void local_publisher::send(instant now, const link_ptr& link, link_state& state)
+{
+    const auto& core = hooks_.members();
+    const auto& accepted = hooks_.accepted();
+    view out;
+    if (state.generation < accepted.generation) {
+        out.configuration = accepted;
+    }
+    // Drains are part of the configuration and change the state of members, so a new one brings all of them.
+    const bool full = !state.has_members || out.configuration;
+    out.members = members_for(state, full);
+    out.partial = !full;
+    out.leaving_upstreams = leaving_upstreams();
+    state.generation = std::max(state.generation, accepted.generation);
+    state.members_revision = core.table().revision();
+    state.upstreams_revision = core.upstreams().revision();
+    state.has_members = true;
+    state.sent = now;
+    send_counted(*link, {accepted.generation, std::move(out)}, counters_);
+}
+
+std::vector<member> local_publisher::members_for(const link_state& state, bool full) const
+{
+    auto out = hooks_.members().members_since(full ? 0 : state.members_revision);
+    if (full) {
+        out.erase(
+            std::remove_if(out.begin(), out.end(), [](const member& it) { return it.state == member_state::dead; }),
+            out.end());
+    }
+    const auto& drained = hooks_.accepted().merged.drains.hosts;
+    for (auto& it : out) {
+        const bool is_drained = std::find(drained.begin(), drained.end(), it.host) != drained.end();
+        if (is_drained && it.state != member_state::dead) {
+            it.state = member_state::leaving;
+        }
+        if (it.gateway_leaving) {
+            it.addresses.gateway_http.clear();
+        }
+        if (it.scheduler_leaving) {
+            it.addresses.scheduler_link.clear();
+        }
+    }
+    return out;
+}
+
+std::vector<upstream_id> local_publisher::leaving_upstreams() const
+{
+    auto out = hooks_.members().upstreams().leaving();
+    const auto& drained = hooks_.accepted().merged.drains.upstreams;
+    out.insert(out.end(), drained.begin(), drained.end());
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
+bool local_publisher::has_leaving_process() const
+{
+    return std::any_of(links_.begin(), links_.end(),
+                       [&](const auto& it) { return it.second.report.leaving && is_local(it.first); });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/agent/platform_follower.cpp
@@ -0,0 +1,204 @@
+#include "apps/agent/platform_follower.h"
+
+#include <algorithm>
+#include <map>
+
+#include <fmt/format.h>
+
+#include "core/log.h"
+#include "routing/rendezvous.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr milliseconds tick_period{100};
+// An audit entry is retried through short outages only: it also travels in the accepted object.
+constexpr int audit_attempts = 20;
+constexpr milliseconds audit_retry{3000};
+constexpr const char* rank_key = "configuration";
+
+std::int64_t wall_ms(const itimer_service& timers)
+{
+    return std::chrono::duration_cast<milliseconds>(timers.wall_now().time_since_epoch()).count();
+}
+
+} // namespace
+
+platform_follower::platform_follower(worker_pool& pool, std::shared_ptr<isequence> sequence,
+                                     const agent_settings& settings, metrics& counters, hooks callbacks)
+    : pool_(pool), sequence_(std::move(sequence)), settings_(settings), counters_(counters),
+      hooks_(std::move(callbacks)), client_(make_http_client(pool)),
+      core_(settings.common.host.str(), settings.platform_period)
+{
+    platform_client_options options;
+    options.address = settings.common.platform;
+    platform_ = std::make_unique<http_platform_client>(*client_, sequence_, options, counters_);
+}
+
+void platform_follower::start()
+{
+    pool_.timers().every(tick_period, [this] { sequence_->post([this] { tick(); }); });
+}
+
+void platform_follower::tick()
+{
+    const auto now = pool_.timers().now();
+    role_ = role();
+    counters_.set("configuration_watcher", role_.watches ? 1 : 0);
+    carry_out(core_.on_tick(now, wall_ms(pool_.timers()), role_));
+    if ((role_.watches || !hosts_asked_) && now >= next_hosts_) {
+        next_hosts_ = now + settings_.hosts_period;
+        read_hosts();
+    }
+}
+
+acceptance_role platform_follower::role() const
+{
+    acceptance_role out;
+    std::map<zone_name, std::size_t> watchers;
+    std::size_t rank = 0;
+    for (const auto& it : rank_members(hooks_.members(), rank_key)) {
+        if (watchers[it.availability_zone]++ >= settings_.watchers_per_zone) {
+            continue;
+        }
+        if (it.host == settings_.common.host) {
+            out.watches = true;
+            out.rank = rank;
+        }
+        ++rank;
+    }
+    return out;
+}
+
+void platform_follower::read_hosts()
+{
+    count("hosts");
+    platform_->hosts([this](const result<std::vector<platform_host>>& hosts) {
+        hosts_asked_ = true;
+        note_platform(bool(hosts));
+        if (hosts) {
+            hooks_.on_hosts(hosts.value());
+        }
+    });
+}
+
+void platform_follower::count(const char* purpose)
+{
+    counters_.add(fmt::format("platform_requests_total{{purpose=\"{}\"}}", purpose));
+}
+
+void platform_follower::note_platform(bool up)
+{
+    if (up == platform_up_) {
+        return;
+    }
+    platform_up_ = up;
+    counters_.set("platform_up", up ? 1 : 0);
+    log(log_level::warning, up ? log_event::platform_reachable : log_event::platform_unreachable, {});
+}
+
+void platform_follower::carry_out(const acceptance_actions& actions)
+{
+    for (const auto& it : actions) {
+        std::visit([this](const auto& action) { carry_out(action); }, it);
+    }
+}
+
+void platform_follower::carry_out(const watch_collection& action)
+{
+    count("watch");
+    platform_->watch(config_prefix, action.after, settings_.watch_wait, [this](const result<std::uint64_t>& revision) {
+        note_platform(bool(revision));
+        carry_out(core_.on_watch(pool_.timers().now(), revision));
+    });
+}
+
+void platform_follower::carry_out(const list_collection&)
+{
+    count("list");
+    platform_->list(config_prefix, [this](const result<platform_listing>& listing) {
+        note_platform(bool(listing));
+        carry_out(core_.on_listing(pool_.timers().now(), listing));
+    });
+}
+
+void platform_follower::carry_out(const read_accepted&)
+{
+    count("read_accepted");
+    platform_->get(accepted_object, [this](const result<platform_object>& current) {
+        carry_out(core_.on_accepted(pool_.timers().now(), current));
+    });
+}
+
+void platform_follower::carry_out(const write_accepted& action)
+{
+    count("write_accepted");
+    const auto generation = action.value.generation;
+    platform_->put(
+        accepted_object, to_json(action.value), action.if_version,
+        [this, generation](const result<std::uint64_t>& written) {
+            if (written) {
+                log(log_level::info, log_event::configuration_accepted, {{"generation", std::to_string(generation)}});
+            }
+            carry_out(core_.on_written(pool_.timers().now(), written));
+        });
+}
+
+void platform_follower::carry_out(const apply_configuration& action)
+{
+    counters_.set("configuration_generation", static_cast<double>(action.value.generation));
+    hooks_.on_applied(action.value);
+}
+
+void platform_follower::carry_out(const write_status& action)
+{
+    if (action.value.value("state", "") != "accepted") {
+        const auto errors = action.value.value("errors", nlohmann::json::array());
+        log(log_level::warning, log_event::configuration_rejected,
+            {{"revision", action.value.value("collection_revision", nlohmann::json()).dump()},
+             {"state", action.value.value("state", "")},
+             {"errors", errors.dump()}});
+    }
+    count("read_status");
+    platform_->get(status_object, [this, value = action.value](const result<platform_object>& current) {
+        const bool missing = !current && current.error().kind == error_kind::not_found;
+        if ((!current && !missing) || (current && current.value().value == value)) {
+            return;
+        }
+        const auto revision = [](const nlohmann::json& it) {
+            return it.value("collection_revision", std::uint64_t(0));
+        };
+        if (current && current.value().value.is_object() && revision(current.value().value) > revision(value)) {
+            return;
+        }
+        count("write_status");
+        platform_->put(status_object, value, missing ? 0 : current.value().version,
+                       [](const result<std::uint64_t>&) {});
+    });
+}
+
+void platform_follower::carry_out(const write_audit& action)
+{
+    put_audit(action, audit_attempts);
+}
+
+void platform_follower::put_audit(const write_audit& action, int attempts)
+{
+    count("write_audit");
+    platform_->put(action.name, action.value, 0, [this, action, attempts](const result<std::uint64_t>& written) {
+        // A conflict means that another agent recorded the change.
+        if (written || written.error().kind == error_kind::conflict) {
+            return;
+        }
+        if (attempts <= 1) {
+            counters_.add("audit_entries_lost_total");
+            return;
+        }
+        pool_.timers().after(audit_retry, [this, action, attempts] {
+            sequence_->post([this, action, attempts] { put_audit(action, attempts - 1); });
+        });
+    });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/agent/platform_follower.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "apps/agent/agent_settings.h"
+#include "configuration/acceptance.h"
+#include "core/metrics.h"
+#include "membership/types/member.h"
+#include "platform/http_platform_client.h"
+
+namespace anvillead {
+
+/// Connects the acceptance of configuration to the platform's object API: watch, accepted object, status, audit and
+/// host list. Runs on the agent's sequence.
+class platform_follower
+{
+public:
+    struct hooks
+    {
+        /// Live members, for this agent's rank among the watching agents.
+        std::function<std::vector<member>()> members;
+        std::function<void(const accepted_configuration&)> on_applied;
+        std::function<void(const std::vector<platform_host>&)> on_hosts;
+    };
+
+    platform_follower(worker_pool& pool, std::shared_ptr<isequence> sequence, const agent_settings& settings,
+                      metrics& counters, hooks callbacks);
+
+    void start();
+    void on_peer(const accepted_configuration& value) { carry_out(core_.on_peer(value)); }
+    const accepted_configuration& accepted() const { return core_.accepted(); }
+    /// The host list was read or the attempt failed.
+    bool hosts_asked() const { return hosts_asked_; }
+
+private:
+    void tick();
+    acceptance_role role() const;
+    void read_hosts();
+    void carry_out(const acceptance_actions& actions);
+    void carry_out(const watch_collection& action);
+    void carry_out(const list_collection& action);
+    void carry_out(const read_accepted& action);
+    void carry_out(const write_accepted& action);
+    void carry_out(const apply_configuration& action);
+    void carry_out(const write_status& action);
+    void carry_out(const write_audit& action);
+    void put_audit(const write_audit& action, int attempts);
+    void note_platform(bool up);
+    void count(const char* purpose);
+
+    worker_pool& pool_;
+    std::shared_ptr<isequence> sequence_;
+    const agent_settings& settings_;
+    metrics& counters_;
+    hooks hooks_;
+    std::unique_ptr<ihttp_client> client_;
+    std::unique_ptr<iplatform_client> platform_;
+    acceptance core_;
+    acceptance_role role_;
+    instant next_hosts_{};
+    bool hosts_asked_ = false;
+    bool platform_up_ = true;
+};
+
+} // namespace anvillead
--- a/src/apps/common/agent_link.h
+++ b/src/apps/common/agent_link.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <random>
+#include <vector>
 
 #include "messages/types/messages.h"
 #include "transport/ilink.h"
@@ -19,7 +21,8 @@
 using view_ptr = std::shared_ptr<const view_snapshot>;
 
 /// Link of a gateway or scheduler to the agent on its host. Keeps the last view when the agent is gone and never
-/// replaces a configuration by one of a lower generation.
+/// replaces a configuration by one of a lower generation. While the local agent is silent, for example paused, the
+/// view comes from the agent of another member.
 class agent_link
 {
 public:
@@ -31,20 +34,47 @@
     agent_link& operator=(const agent_link&) = delete;
 
     view_ptr current() const;
-    /// Sends the report now and again after each reconnection.
+    /// Sends the report now, regularly, and after each reconnection.
     void report(process_report value);
     void send(message value);
+    /// Runs `task` once this process has a configuration of at least `generation`, pulling it from the agent when
+    /// needed. Use it before deciding on a message from a process with that generation. The task also runs when the
+    /// generation cannot be had within the time limit.
+    void when_current(config_generation generation, std::function<void()> task);
 
 private:
-    void received(const link_ptr& link, const std::string& payload);
+    struct waiting_task
+    {
+        config_generation generation = 0;
+        instant deadline;
+        std::function<void()> task;
+    };
+
+    link_handlers make_handlers(bool is_backup);
+    void received(const link_ptr& link, const std::string& payload, bool is_backup);
     void apply(view value);
     void send_report(const link_ptr& link);
+    void send_to_agents(const message& value);
+    void tick();
+    void update_backup(instant now);
+    std::string choose_backup();
+    std::vector<std::function<void()>> take_ready_tasks(instant now);
 
+    worker_pool& pool_;
+    std::string address_;
+    link_options options_;
+    metrics& counters_;
     mutable ranked_mutex mutex_{lock_rank::configuration};
     view_ptr current_ = std::make_shared<view_snapshot>();
     process_report report_;
+    std::vector<waiting_task> waiting_;
+    instant heard_;
+    instant reported_{};
+    std::mt19937 random_;
     std::function<void(view_ptr)> on_view_;
     std::shared_ptr<ilink_client> client_;
+    std::shared_ptr<ilink_client> backup_;
+    timer_token timer_ = 0;
 };
 
 } // namespace anvillead
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -58,8 +58,10 @@
     agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
         sequence_->post([this, view] { apply_view(view); });
     });
+    status_ = std::make_unique<status_server>(pool, settings_.http_listen, counters_,
+                                              [this] { return agent_->current()->configuration->generation > 0; });
     agent_->report({"scheduler", false, 0, "", server_->address()});
-    log(log_level::info, log_event::process_started, {{"listen", server_->address()}});
+    log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"http", status_->address()}});
 }
 
 scheduler_daemon::~scheduler_daemon() = default;
@@ -83,7 +85,11 @@
         }
         for (const auto& group : cells_of(it)) {
             const auto ranked = rank_members(view->members, placement_key(group));
-            if (ranked.empty() || ranked.front().host != settings_.common.host) {
+            // A member without a scheduler address has none running, or one that is leaving.
+            const auto first = std::find_if(ranked.begin(), ranked.end(), [](const member& value) {
+                return !value.addresses.scheduler_link.empty();
+            });
+            if (first == ranked.end() || first->host != settings_.common.host) {
                 continue;
             }
             for (const auto& id : group.engines) {
@@ -103,6 +109,7 @@
         applied_ = view->configuration->generation;
         carry_out(core_->on_configuration(now, view->configuration->merged, ids));
     }
+    leaving_ = {view->leaving_upstreams.begin(), view->leaving_upstreams.end()};
     carry_out(core_->on_leaving(now, view->leaving_upstreams));
 }
 
@@ -116,7 +123,11 @@
         link->close("invalid message");
         return;
     }
-    sequence_->post([this, link, value = std::move(decoded.value())] { handle(link, value); });
+    // A gateway may already have a newer configuration; this process gets it before it decides.
+    const auto generation = decoded.value().generation;
+    agent_->when_current(generation, [this, link, value = std::move(decoded.value())] {
+        sequence_->post([this, link, value] { handle(link, value); });
+    });
 }
 
 void scheduler_daemon::handle(const link_ptr& link, const envelope& value)
@@ -174,8 +185,8 @@
                            return;
                        }
                        const auto load = read_load(engine, value);
-                       if (load.leaving) {
-                           agent_->send(upstream_report{engine});
+                       if (load.leaving || leaving_.count(engine) != 0) {
+                           agent_->send(upstream_report{engine, load.leaving});
                        }
                        carry_out(core_->on_load(pool_.timers().now(), load));
                    });
--- a/src/apps/scheduler/scheduler_daemon.h
+++ b/src/apps/scheduler/scheduler_daemon.h
@@ -6,6 +6,7 @@
 
 #include "admission/ischeduler_core.h"
 #include "apps/common/agent_link.h"
+#include "apps/common/status_server.h"
 #include "apps/scheduler/scheduler_settings.h"
 #include "transport/ihttp_client.h"
 
@@ -41,9 +42,11 @@
     std::map<gateway_identity, link_ptr> gateways_;
     std::map<upstream_id, std::string> owned_;
     std::set<upstream_id> polled_;
+    std::set<upstream_id> leaving_;
     config_generation applied_ = 0;
     std::unique_ptr<ilink_server> server_;
     std::unique_ptr<agent_link> agent_;
+    std::unique_ptr<status_server> status_;
     bool stopping_ = false;
 };
 
--- a/src/apps/scheduler/scheduler_settings.h
+++ b/src/apps/scheduler/scheduler_settings.h
@@ -11,6 +11,8 @@
     std::string listen;
     /// Link address of the agent on this host.
     std::string agent;
+    /// "address:port" for /metrics, /healthz and /readyz; empty for none.
+    std::string http_listen;
     milliseconds load_period{200};
     milliseconds tick{20};
 };
--- a/src/configuration/acceptance.h
+++ b/src/configuration/acceptance.h
@@ -16,7 +16,9 @@
 class acceptance
 {
 public:
-    explicit acceptance(std::string host) : host_(std::move(host)) {}
+    explicit acceptance(std::string host, milliseconds retry_delay = milliseconds(500))
+        : host_(std::move(host)), retry_delay_(retry_delay)
+    {}
 
     acceptance_actions on_tick(instant now, std::int64_t wall_ms, const acceptance_role& role);
     acceptance_actions on_watch(instant now, const result<std::uint64_t>& revision);
@@ -48,6 +50,8 @@
     acceptance_actions take_actions();
 
     std::string host_;
+    /// Wait after a platform call that failed.
+    milliseconds retry_delay_;
     accepted_configuration accepted_;
     acceptance_role role_;
     std::int64_t wall_ms_ = 0;
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -15,7 +15,6 @@
 
 // Four agents in turn fit into 2 s of the 6 s within which a configuration must be in force everywhere.
 constexpr milliseconds turn_length{500};
-constexpr milliseconds retry_delay{500};
 // A set that stays incomplete longer than one upload takes is reported to the operators.
 constexpr milliseconds incomplete_after{3000};
 
@@ -91,7 +90,7 @@
 void acceptance::retry_later(instant now)
 {
     step_ = step::idle;
-    not_before_ = now + retry_delay;
+    not_before_ = now + retry_delay_;
 }
 
 acceptance_actions acceptance::on_listing(instant now, const result<platform_listing>& listing)
@@ -177,7 +176,7 @@
     } else {
         // The write may have taken effect; the next turn reads the object back before it decides anything.
         step_ = step::waiting;
-        not_before_ = now + retry_delay;
+        not_before_ = now + retry_delay_;
     }
     return take_actions();
 }
--- a/src/configuration/tests/acceptance_test.cpp
+++ b/src/configuration/tests/acceptance_test.cpp
@@ -40,7 +40,7 @@
 
     void set_file(const std::string& name, const std::string& text)
     {
-        put(config_prefix + name, nlohmann::json::parse(text), version(config_prefix + name));
+        (void)put(config_prefix + name, nlohmann::json::parse(text), version(config_prefix + name));
     }
 
     std::uint64_t version(const std::string& name) const
@@ -114,9 +114,9 @@
             CHECK(apply->value.generation > applied);
             applied = apply->value.generation;
         } else if (const auto* status = std::get_if<write_status>(&action)) {
-            platform_.put(status_object, status->value, platform_.version(status_object));
+            (void)platform_.put(status_object, status->value, platform_.version(status_object));
         } else if (const auto* audit = std::get_if<write_audit>(&action)) {
-            platform_.put(audit->name, audit->value, 0);
+            (void)platform_.put(audit->name, audit->value, 0);
         }
     }
 
--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -82,6 +82,7 @@
         row(e::member_lost, "member_lost"),
         row(e::member_leaving, "member_leaving"),
         row(e::upstream_leaving, "upstream_leaving"),
+        row(e::upstream_returned, "upstream_returned"),
         row(e::upstream_suspended, "upstream_suspended"),
         row(e::upstream_restored, "upstream_restored"),
         row(e::engine_attached_again, "engine_attached_again"),
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -29,6 +29,7 @@
     member_lost = 402,
     member_leaving = 403,
     upstream_leaving = 404,
+    upstream_returned = 405,
     upstream_suspended = 500,
     upstream_restored = 501,
     engine_attached_again = 502,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -42,8 +42,11 @@
     /// Announces that this host leaves; cannot be taken back in this incarnation.
     membership_actions leave(instant now);
 
-    /// False after a pause until a peer's newer state has arrived: an old table must not be handed to a joining agent.
-    bool can_serve_state() const { return !pulls_.is_stale(); }
+    /// False after a pause until a peer's newer state has arrived: an old table must not be handed to others.
+    bool can_serve_state(instant now) const
+    {
+        return !pulls_.is_stale() && (last_tick_ == instant{} || now - last_tick_ <= options_.pause_limit);
+    }
     const member& self() const { return self_; }
     const member_table& table() const { return table_; }
     const upstream_marks& upstreams() const { return upstreams_; }
@@ -51,6 +54,7 @@
     std::vector<member> members_since(std::uint64_t revision) const;
     /// Another member's table has arrived.
     bool has_joined() const { return pulls_.has_joined(); }
+    bool has_seeds() const { return pulls_.has_seeds(); }
     /// Hosts that are not dead, this one included.
     std::size_t live_count() const;
 
--- a/src/membership/pull_planner.h
+++ b/src/membership/pull_planner.h
@@ -26,6 +26,7 @@
     /// Link address to pull from now; empty for none.
     std::string next(instant now, const member_table& table, const host_id& self, std::mt19937_64& random);
     bool is_stale() const { return stale_; }
+    bool has_seeds() const { return !seeds_.empty(); }
     bool has_joined() const { return joined_; }
 
 private:
--- a/src/membership/tests/membership_network_test.cpp
+++ b/src/membership/tests/membership_network_test.cpp
@@ -139,7 +139,7 @@
     void serve_pull(int from, int to, bool members)
     {
         const auto& peer = nodes[to];
-        if (!members || peer.stopped || now < peer.paused_until || !peer.core->can_serve_state()) {
+        if (!members || peer.stopped || now < peer.paused_until || !peer.core->can_serve_state(now)) {
             return;
         }
         std::vector<member> records;
