Rewrite anvilleadctl: status, audit, diff, drain and safe apply

apply wrote every file with version 0, so it worked once only, and it did not tell whether the configuration was accepted.

apply now writes the manifest by conditional update first, then only changed files, removes the others and waits for the decision; of two racing operators the later one fails before any file is touched. A set that stays incomplete for 3 s is reported in the status object.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,7 +63,7 @@
 start gateway "$bin/anvillead-gateway" --settings "$work/gateway.json"
 gateway=$(await gateway 'process_started listen=([0-9.:]+)')
 
-"$bin/anvilleadctl" config apply "$work/config" "$platform"
+"$bin/anvilleadctl" config apply "$work/config" --platform "$platform" --operator demo
 for _ in $(seq 200); do
     curl -fs "http://$gateway/readyz" >/dev/null && break
     sleep 0.05
--- /dev/null
+++ b/src/apps/ctl/commands.cpp
@@ -0,0 +1,269 @@
+#include "apps/ctl/commands.h"
+
+#include <chrono>
+#include <ctime>
+#include <thread>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include "apps/common/daemon.h"
+#include "apps/ctl/config_folder.h"
+#include "apps/ctl/drain_file.h"
+#include "apps/ctl/folder_upload.h"
+#include "configuration/diff.h"
+
+namespace anvillead {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds poll_period{200};
+
+int fail(const ctl_options& options, const error& value)
+{
+    if (options.json) {
+        fmt::print("{}\n", json({{"error", {{"kind", to_string(value.kind)}, {"message", value.message}}}}).dump());
+    } else {
+        fmt::print(stderr, "anvilleadctl: {}\n", value.message);
+    }
+    return value.kind == error_kind::invalid_settings ? exit_usage : exit_failure;
+}
+
+json problems_to_json(const std::vector<field_problem>& problems)
+{
+    json out = json::array();
+    for (const auto& it : problems) {
+        out.push_back({{"file", it.file}, {"field", it.field}, {"expected", it.expected}});
+    }
+    return out;
+}
+
+/// Prints the problems of a folder. Returns the exit code.
+int report_problems(const ctl_options& options, const std::vector<field_problem>& problems)
+{
+    if (options.json) {
+        fmt::print("{}\n", json({{"valid", problems.empty()}, {"errors", problems_to_json(problems)}}).dump());
+    } else {
+        for (const auto& it : problems) {
+            fmt::print(stderr, "{}\n", to_string(it));
+        }
+    }
+    return problems.empty() ? exit_ok : exit_usage;
+}
+
+std::string text_field(const json& value, const char* name)
+{
+    const auto it = value.find(name);
+    return it == value.end() ? std::string() : it->is_string() ? it->get<std::string>() : it->dump();
+}
+
+int validate(const ctl_options& options, const config_files& files)
+{
+    return report_problems(options, merge_files(files).problems);
+}
+
+int diff(const ctl_options& options, const config_files& files)
+{
+    const auto merged = merge_files(files);
+    if (!merged.problems.empty()) {
+        return report_problems(options, merged.problems);
+    }
+    platform_session platform(options.platform);
+    const auto remote = folder_upload(platform).read();
+    if (!remote) {
+        return fail(options, remote.error());
+    }
+    const auto changes = diff_documents(merge_files(remote.value().texts).merged, merged.merged);
+    json list = json::array();
+    for (const auto& it : changes) {
+        list.push_back(to_json(it));
+        if (!options.json) {
+            fmt::print("{}\n", to_string(it));
+        }
+    }
+    if (options.json) {
+        fmt::print("{}\n", json({{"changes", list}}).dump());
+    }
+    return exit_ok;
+}
+
+/// The decision about the collection's revision: the accepted or status object; null while there is none.
+json read_decision(platform_session& platform, std::uint64_t revision)
+{
+    const auto accepted = platform.get(accepted_object);
+    if (accepted && accepted.value().value.value("collection_revision", std::uint64_t(0)) >= revision) {
+        return {{"state", "accepted"},
+                {"generation", accepted.value().value.value("generation", 0)},
+                {"digest", accepted.value().value.value("digest", "")}};
+    }
+    const auto status = platform.get(status_object);
+    if (status && status.value().value.value("collection_revision", std::uint64_t(0)) >= revision) {
+        return status.value().value;
+    }
+    return nullptr;
+}
+
+json wait_for_decision(platform_session& platform, folder_upload& upload, int wait_seconds)
+{
+    const auto remote = upload.read();
+    const auto end = std::chrono::steady_clock::now() + seconds(wait_seconds);
+    while (remote && std::chrono::steady_clock::now() < end) {
+        auto decision = read_decision(platform, remote.value().revision);
+        if (!decision.is_null()) {
+            return decision;
+        }
+        std::this_thread::sleep_for(poll_period);
+    }
+    return {{"state", "undecided"}};
+}
+
+int print_decision(const ctl_options& options, json decision, const upload_result& upload)
+{
+    const auto state = text_field(decision, "state");
+    decision["written"] = upload.written;
+    decision["removed"] = upload.removed;
+    decision["unchanged"] = upload.unchanged;
+    if (options.json) {
+        fmt::print("{}\n", decision.dump());
+    } else if (state == "accepted") {
+        fmt::print("accepted: generation {}, {} files written, {} removed\n", text_field(decision, "generation"),
+                   upload.written.size(), upload.removed.size());
+    } else {
+        fmt::print(stderr, "{}\n",
+                   state == "undecided" ? "undecided: no agent has accepted or rejected the files yet" : state);
+        for (const auto& it : decision.value("errors", json::array())) {
+            fmt::print(stderr, "{}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
+                       text_field(it, "expected"));
+        }
+    }
+    return state == "accepted" ? exit_ok : state == "rejected" ? exit_usage : exit_failure;
+}
+
+int apply(const ctl_options& options, const config_files& files)
+{
+    const auto merged = merge_files(files);
+    if (!merged.problems.empty()) {
+        return report_problems(options, merged.problems);
+    }
+    if (files.empty()) {
+        return fail(options, make_error(error_kind::invalid_settings,
+                                        options.folder + ": (root): expected at least one .json file"));
+    }
+    platform_session platform(options.platform);
+    folder_upload upload(platform);
+    const auto before = upload.read();
+    if (!before) {
+        return fail(options, before.error());
+    }
+    const auto done = upload.write(before.value(), files, options.operator_name);
+    if (!done) {
+        return fail(options, done.error());
+    }
+    if (options.wait_seconds == 0) {
+        return print_decision(options, {{"state", "undecided"}}, done.value()) == exit_usage ? exit_usage : exit_ok;
+    }
+    return print_decision(options, wait_for_decision(platform, upload, options.wait_seconds), done.value());
+}
+
+int show_status(const ctl_options& options)
+{
+    platform_session platform(options.platform);
+    const auto accepted = platform.get(accepted_object);
+    const auto status = platform.get(status_object);
+    if (!accepted && accepted.error().kind != error_kind::not_found) {
+        return fail(options, accepted.error());
+    }
+    json out = {{"generation", 0}, {"status", status ? status.value().value : json()}};
+    if (accepted) {
+        for (const auto* name : {"generation", "collection_revision", "digest", "files"}) {
+            out[name] = accepted.value().value.value(name, json());
+        }
+    }
+    if (options.json) {
+        fmt::print("{}\n", out.dump());
+        return exit_ok;
+    }
+    fmt::print("accepted generation {} revision {} digest {}\n", out["generation"].dump(),
+               text_field(out, "collection_revision"), text_field(out, "digest"));
+    if (status) {
+        const auto& value = status.value().value;
+        fmt::print("last change: {} (revision {})\n", text_field(value, "state"),
+                   text_field(value, "collection_revision"));
+        for (const auto& it : value.value("errors", json::array())) {
+            fmt::print("{}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
+                       text_field(it, "expected"));
+        }
+    }
+    return exit_ok;
+}
+
+void print_audit_entry(const json& entry)
+{
+    const std::time_t time = entry.value("time_ms", std::int64_t(0)) / 1000;
+    std::string files;
+    for (const auto& it : entry.value("files", json::array())) {
+        files += (files.empty() ? "" : ",") + it.get<std::string>();
+    }
+    fmt::print("{:%Y-%m-%dT%H:%M:%SZ} {} {} generation={} operator={} files={} {:.8} -> {:.8}\n", fmt::gmtime(time),
+               text_field(entry, "number"), text_field(entry, "outcome"), text_field(entry, "generation"),
+               text_field(entry, "operator"), files, text_field(entry, "old_digest"), text_field(entry, "new_digest"));
+    for (const auto& it : entry.value("errors", json::array())) {
+        fmt::print("    {}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
+                   text_field(it, "expected"));
+    }
+}
+
+int audit(const ctl_options& options)
+{
+    platform_session platform(options.platform);
+    json entries = json::array();
+    const auto today = std::time(nullptr);
+    for (int i = options.days - 1; i >= 0; --i) {
+        const auto prefix = fmt::format("{}{:%Y%m%d}/", audit_prefix, fmt::gmtime(today - i * 86'400));
+        const auto listing = platform.list(prefix);
+        if (!listing) {
+            return fail(options, listing.error());
+        }
+        for (const auto& it : listing.value().objects) {
+            entries.push_back(it.value);
+        }
+    }
+    if (options.json) {
+        fmt::print("{}\n", json({{"entries", entries}}).dump());
+        return exit_ok;
+    }
+    for (const auto& it : entries) {
+        print_audit_entry(it);
+    }
+    return exit_ok;
+}
+
+} // namespace
+
+int run_command(const ctl_options& options)
+{
+    if (options.command == "status") {
+        return show_status(options);
+    }
+    if (options.command == "audit") {
+        return audit(options);
+    }
+    if (options.command == "drain") {
+        const auto edited = edit_drain_file(options.folder, options.drain_kind, options.drain_name, options.remove);
+        if (!edited) {
+            return fail(options, edited.error());
+        }
+    }
+    const auto files = read_folder(options.folder);
+    if (!files) {
+        return fail(options, files.error());
+    }
+    if (options.command == "validate") {
+        return validate(options, files.value());
+    }
+    return options.command == "diff" ? diff(options, files.value()) : apply(options, files.value());
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/ctl/ctl_options.cpp
@@ -0,0 +1,103 @@
+#include "apps/ctl/ctl_options.h"
+
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include "apps/common/daemon.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr const char* summary =
+    "Client for operators. Commands: config validate DIR | config diff DIR | config apply DIR | config status | audit "
+    "| drain host|upstream NAME --dir DIR [--remove]";
+
+[[noreturn]] void usage(const std::string& problem)
+{
+    fmt::print(stderr, "anvilleadctl: {}; see --help\n", problem);
+    std::exit(exit_usage);
+}
+
+std::string environment_user()
+{
+    const char* user = std::getenv("USER");
+    return user == nullptr ? "unknown" : user;
+}
+
+void read_words(const std::vector<std::string>& words, ctl_options& out)
+{
+    const auto is = [&](std::size_t i, const char* text) { return words.size() > i && words[i] == text; };
+    if (is(0, "config") && is(1, "status") && words.size() == 2) {
+        out.command = "status";
+    } else if (is(0, "config") && words.size() >= 3 && (is(1, "validate") || is(1, "diff") || is(1, "apply"))) {
+        out.command = words[1];
+        out.folder = words[2];
+        // The platform's address may also follow the folder.
+        if (words.size() == 4) {
+            out.platform = words[3];
+        } else if (words.size() > 4) {
+            usage("too many arguments");
+        }
+    } else if (is(0, "audit") && words.size() == 1) {
+        out.command = "audit";
+    } else if (is(0, "drain") && words.size() == 3 && (is(1, "host") || is(1, "upstream"))) {
+        out.command = "drain";
+        out.drain_kind = words[1];
+        out.drain_name = words[2];
+    } else {
+        usage("the command is not known or not complete");
+    }
+}
+
+void check(const ctl_options& options)
+{
+    if (options.command != "validate" && options.platform.empty()) {
+        usage("--platform ADDRESS:PORT is required");
+    }
+    if (options.command == "drain" && options.folder.empty()) {
+        usage("drain needs --dir DIR");
+    }
+    if (options.days < 1 || options.days > 366 || options.wait_seconds < 0 || options.wait_seconds > 3600) {
+        usage("--days must be 1 to 366 and --wait 0 to 3600");
+    }
+}
+
+} // namespace
+
+ctl_options parse_ctl_options(std::vector<std::string> arguments)
+{
+    ctl_options out;
+    try {
+        TCLAP::CmdLine line(summary, ' ', ANVILLEAD_VERSION);
+        line.setExceptionHandling(false);
+        TCLAP::ValueArg<std::string> platform("p", "platform", "Platform's object API", false, "", "ADDRESS", line);
+        TCLAP::ValueArg<std::string> who("o", "operator", "Name for the audit trail, by default $USER", false,
+                                         environment_user(), "NAME", line);
+        TCLAP::ValueArg<std::string> folder("d", "dir", "Folder that drain edits", false, "", "DIR", line);
+        TCLAP::ValueArg<int> days("", "days", "Days that audit lists", false, 7, "N", line);
+        TCLAP::ValueArg<int> wait("w", "wait", "Seconds to wait for the result of apply", false, 10, "SECONDS", line);
+        TCLAP::SwitchArg remove("r", "remove", "Ends a drain", line);
+        TCLAP::SwitchArg json("j", "json", "Prints JSON", line);
+        TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its arguments", true, "WORD", line);
+        line.parse(arguments);
+        out.platform = platform.getValue();
+        out.operator_name = who.getValue();
+        out.folder = folder.getValue();
+        out.days = days.getValue();
+        out.wait_seconds = wait.getValue();
+        out.remove = remove.getValue();
+        out.json = json.getValue();
+        read_words(words.getValue(), out);
+    } catch (const TCLAP::ArgException& ex) {
+        usage(ex.argId() + ": " + ex.error());
+    } catch (const TCLAP::ExitException& ex) {
+        std::exit(ex.getExitStatus());
+    }
+    check(out);
+    return out;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/ctl/ctl_options.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace anvillead {
+
+/// The parsed command line.
+struct ctl_options
+{
+    /// "validate", "diff", "apply", "status", "audit" or "drain"
+    std::string command;
+    /// Folder of configuration files.
+    std::string folder;
+    std::string platform;
+    std::string operator_name;
+    /// "host" or "upstream"
+    std::string drain_kind;
+    std::string drain_name;
+    bool remove = false;
+    bool json = false;
+    int days = 7;
+    int wait_seconds = 10;
+};
+
+/// Parses the command line; prints one line and exits with code 2 when it is not valid.
+ctl_options parse_ctl_options(std::vector<std::string> arguments);
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/ctl/folder_upload.cpp
@@ -0,0 +1,146 @@
+#include "apps/ctl/folder_upload.h"
+
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace anvillead {
+
+namespace {
+
+constexpr int attempts_limit = 3;
+
+error conflict_on(const std::string& name)
+{
+    return make_error(error_kind::conflict,
+                      fmt::format("{}: another operator changed the configuration at the same time; compare with "
+                                  "\"config diff\" and apply again",
+                                  name));
+}
+
+std::int64_t wall_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+} // namespace
+
+result<remote_folder> folder_upload::read()
+{
+    const auto listing = platform_.list(config_prefix);
+    if (!listing) {
+        return listing.error();
+    }
+    remote_folder out;
+    out.revision = listing.value().revision;
+    for (const auto& it : listing.value().objects) {
+        if (it.name == manifest_object) {
+            out.manifest_version = it.version;
+            continue;
+        }
+        const auto name = it.name.substr(std::string_view(config_prefix).size());
+        out.files[name] = {it.version, content_digest(it.value)};
+        out.texts[name] = it.value.dump();
+    }
+    out.state = read_collection(listing.value()).state;
+    return out;
+}
+
+result<upload_result> folder_upload::write(const remote_folder& before, const config_files& files,
+                                           const std::string& operator_name)
+{
+    upload_result out;
+    const config_manifest manifest{folder_digests(files), operator_name, wall_ms()};
+    std::map<std::string, std::string> digests;
+    for (const auto& [name, file] : before.files) {
+        digests[name] = file.digest;
+    }
+    const auto changed = changed_files(digests, manifest.files);
+    // Without a manifest the platform may hold files that were written by hand; the first apply adds it.
+    out.unchanged = changed.empty() && before.state == collection_state::valid && before.manifest_version != 0;
+    if (out.unchanged) {
+        return out;
+    }
+    // The manifest goes first: the later of two operators fails here, before any file is touched, and from here until
+    // the last file is in place the set does not match the manifest and is not accepted.
+    const auto announced = write_manifest(before, manifest);
+    if (!announced) {
+        return announced.error();
+    }
+    for (const auto& name : changed) {
+        const auto old = before.files.find(name);
+        const auto version = old == before.files.end() ? 0 : old->second.version;
+        const auto text = files.find(name);
+        const auto done = text == files.end() ? remove_file(name, version)
+                                              : write_file(name, nlohmann::json::parse(text->second), version);
+        if (!done) {
+            return done.error();
+        }
+        (text == files.end() ? out.removed : out.written).push_back(name);
+    }
+    return out;
+}
+
+result<void> folder_upload::write_manifest(const remote_folder& before, const config_manifest& manifest)
+{
+    const auto value = to_json(manifest);
+    for (int i = 0; i < attempts_limit; ++i) {
+        const auto written = platform_.put(manifest_object, value, before.manifest_version);
+        if (written) {
+            return success();
+        }
+        // After a lost answer or a conflict the object tells whether our own write took effect.
+        const auto current = platform_.get(manifest_object);
+        if (current && current.value().value == value) {
+            return success();
+        }
+        if (written.error().kind == error_kind::conflict) {
+            return conflict_on("manifest");
+        }
+        if (!current && current.error().kind != error_kind::not_found) {
+            return current.error();
+        }
+    }
+    return make_error(error_kind::platform_unavailable, "the platform does not accept the manifest");
+}
+
+result<void> folder_upload::write_file(const std::string& name, const nlohmann::json& value, std::uint64_t version)
+{
+    for (int i = 0; i < attempts_limit; ++i) {
+        const auto written = platform_.put(config_prefix + name, value, version);
+        if (written) {
+            return success();
+        }
+        const auto current = platform_.get(config_prefix + name);
+        if (current && current.value().value == value) {
+            return success();
+        }
+        if (written.error().kind == error_kind::conflict) {
+            return conflict_on(name);
+        }
+    }
+    return make_error(error_kind::platform_unavailable,
+                      fmt::format("{}: the platform does not answer; apply the folder again", name));
+}
+
+result<void> folder_upload::remove_file(const std::string& name, std::uint64_t version)
+{
+    for (int i = 0; i < attempts_limit; ++i) {
+        const auto removed = platform_.remove(config_prefix + name, version);
+        if (removed) {
+            return success();
+        }
+        const auto current = platform_.get(config_prefix + name);
+        if (!current && current.error().kind == error_kind::not_found) {
+            return success();
+        }
+        if (removed.error().kind == error_kind::conflict) {
+            return conflict_on(name);
+        }
+    }
+    return make_error(error_kind::platform_unavailable,
+                      fmt::format("{}: the platform does not answer; apply the folder again", name));
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/ctl/platform_session.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "platform/http_platform_client.h"
+
+namespace anvillead {
+
+/// Blocking calls to the platform for a command-line program.
+class platform_session
+{
+public:
+    explicit platform_session(const std::string& address);
+
+    result<platform_object> get(const std::string& name);
+    result<std::uint64_t> put(const std::string& name, const nlohmann::json& value, std::uint64_t if_version);
+    result<void> remove(const std::string& name, std::uint64_t if_version);
+    result<platform_listing> list(const std::string& prefix);
+
+private:
+    template <typename T>
+    result<T> wait(const std::function<void(std::function<void(result<T>)>)>& call);
+
+    worker_pool pool_;
+    metrics counters_;
+    std::unique_ptr<ihttp_client> client_;
+    http_platform_client platform_;
+};
+
+} // namespace anvillead
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -54,10 +54,12 @@
 {
     role_ = role;
     wall_ms_ = wall_ms;
+    if (role_.watches) {
+        report_incomplete(now);
+    }
     if (step_ == step::waiting && now >= not_before_) {
         take_turn();
     } else if (step_ == step::idle && role_.watches && now >= not_before_) {
-        report_incomplete(now);
         step_ = step::calling;
         if (list_needed_) {
             actions_.emplace_back(list_collection{});
--- a/src/configuration/tests/acceptance_test.cpp
+++ b/src/configuration/tests/acceptance_test.cpp
@@ -233,6 +233,23 @@
     LONGS_EQUAL(writes, platform.writes);
 }
 
+// Guards against an upload that stopped halfway and that nobody is told about.
+TEST(acceptance_test, a_set_that_stays_incomplete_is_reported_and_not_accepted)
+{
+    write_sample();
+    start(1);
+    run(seconds(1));
+    config_manifest manifest{folder_digests(sample_files()), "mo", 5};
+    manifest.files["50-missing.json"] = "x";
+    (void)platform.put(manifest_object, to_json(manifest), 0);
+    run(seconds(2));
+    STRCMP_EQUAL("accepted", status()["state"].get<std::string>().c_str());
+    run(seconds(2));
+    STRCMP_EQUAL("incomplete", status()["state"].get<std::string>().c_str());
+    STRCMP_EQUAL("50-missing.json", status()["errors"][0]["file"].get<std::string>().c_str());
+    LONGS_EQUAL(1, agents[0]->applied);
+}
+
 // Guards against a paused agent that overwrites a newer configuration when it resumes between read and write.
 TEST(acceptance_test, a_paused_writer_cannot_replace_a_newer_configuration)
 {
