--- a/scripts/check_catalogues.py
+++ b/scripts/check_catalogues.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Compares docs/errors.md and docs/log-events.md with the code, in both directions. Exits 1 on a difference."""
+"""Compares docs/errors.md, docs/log-events.md and the settings tables of docs/operators.md with the code, in both
+directions. Exits 1 on a difference."""
 import re
 import sys
 from pathlib import Path
@@ -19,6 +20,33 @@
     return code == page
 
 
+def settings_in_code():
+    """Section of docs/operators.md -> fields that the read_*_settings functions read."""
+    common = re.search(r"^common_settings read_common_settings.*?^}", read("src/apps/common/daemon.cpp"), re.M | re.S)
+    sources = {"Common settings": common.group(0)}
+    for path in sorted((ROOT / "src/apps").glob("*/*_settings.cpp")):
+        sources[f"anvillead-{path.parent.name}"] = path.read_text()
+    reads = r'reader\.(?!problem|path_of|has)\w+\(\s*"(\w+)"'
+    return {section: set(re.findall(reads, text)) for section, text in sources.items()}
+
+
+def settings_in_page():
+    page = re.search(r"^## Settings$(.*?)^## ", read("docs/operators.md"), re.M | re.S).group(1)
+    sections = re.split(r"^### ", page, flags=re.M)[1:]
+    return {text.split("\n", 1)[0].strip(): set(re.findall(r"^\| `(\w+)` \|", text, re.M)) for text in sections}
+
+
+def compare_settings():
+    code, page = settings_in_code(), settings_in_page()
+    good = compare("settings sections", set(code), set(page))
+    for section in sorted(set(code) & set(page)):
+        good = compare(f"settings of {section}", code[section], page[section]) and good
+    if not all(code.values()):
+        print("a read_*_settings function without fields was found")
+        good = False
+    return good
+
+
 def main():
     errors_code = set(re.findall(r'\{k::\w+, "(\w+)", (\d+), o::(\w+), ', read("src/core/internal/error.cpp")))
     errors_page = set(re.findall(r"^\| `(\w+)` \| (\d+) \| `(\w+)` \|", read("docs/errors.md"), re.M))
@@ -27,6 +55,7 @@
                    re.findall(r"^\| (\d+) \| `(\w+)` \|", read("docs/log-events.md"), re.M)}
     good = compare("errors", errors_code, errors_page)
     good = compare("log events", events_code, events_page) and good
+    good = compare_settings() and good
     if not errors_code or not events_code:
         print("no entries found in the code")
         good = False
--- a/src/apps/agent/local_publisher.cpp
+++ b/src/apps/agent/local_publisher.cpp
@@ -10,8 +10,10 @@
 
 // A process that hears nothing for a second asks another agent.
 constexpr milliseconds heartbeat{300};
-// Processes report every 500 ms and reconnect within 1 s.
+// Processes report every 500 ms.
 constexpr milliseconds silence_limit{2000};
+// Time for a process to connect again before the fleet is told that it is gone.
+constexpr milliseconds reconnection_grace{700};
 
 } // namespace
 
@@ -71,12 +73,12 @@
         }
     }
     // A short reconnection must not make the process disappear for the fleet.
-    if (next.gateway_http.empty() && now - gateway_seen_ < silence_limit) {
+    if (next.gateway_http.empty() && now - gateway_seen_ < reconnection_grace) {
         next.gateway_http = roles_.gateway_http;
         next.gateway_link = roles_.gateway_link;
         next.gateway_leaving = roles_.gateway_leaving;
     }
-    if (next.scheduler_link.empty() && now - scheduler_seen_ < silence_limit) {
+    if (next.scheduler_link.empty() && now - scheduler_seen_ < reconnection_grace) {
         next.scheduler_link = roles_.scheduler_link;
         next.scheduler_leaving = roles_.scheduler_leaving;
     }
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -52,6 +52,9 @@
         counters_);
     agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_,
                                           [this](const view_ptr& view) { schedulers_->apply_view(view); });
+    schedulers_->set_generation_gate([this](config_generation generation, std::function<void()> task) {
+        agent_->when_current(generation, std::move(task));
+    });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -179,7 +179,16 @@
         link->close("invalid message");
         return;
     }
-    const auto& body = decoded.value().body;
+    if (!when_current_) {
+        handle(address, decoded.value().body);
+        return;
+    }
+    // The scheduler may already have a newer configuration; this process gets it before it acts on the answer.
+    when_current_(decoded.value().generation, [this, address, body = decoded.value().body] { handle(address, body); });
+}
+
+void scheduler_links::handle(const std::string& address, const message& body)
+{
     if (const auto* value = std::get_if<grant>(&body)) {
         grant_callbacks callbacks;
         {
--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -24,6 +24,11 @@
 
     /// Follows the view: opens links to new cell owners and moves waiting requests to them.
     void apply_view(const view_ptr& view);
+    /// `gate` runs a task once this process has a configuration of at least the given generation.
+    void set_generation_gate(std::function<void(config_generation, std::function<void()>)> gate)
+    {
+        when_current_ = std::move(gate);
+    }
     /// Asks the scheduler of a cell of the request's service. Callbacks run on a transport thread.
     void ask(const grant_request& request, grant_callbacks callbacks);
     void cancel(const request_id& request);
@@ -43,8 +48,10 @@
     std::string owner_of(const grant_request& request) const;
     void opened(const std::string& address, const link_ptr& link);
     void received(const std::string& address, const link_ptr& link, const std::string& payload);
+    void handle(const std::string& address, const message& body);
     void send(const std::string& address, message value);
 
+    std::function<void(config_generation, std::function<void()>)> when_current_;
     worker_pool& pool_;
     link_options options_;
     metrics& counters_;
