--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -153,7 +153,7 @@
     }
     platform_session platform(options.platform);
     folder_upload upload(platform);
-    const auto before = upload.read();
+    const auto before = upload.read_settled();
     if (!before) {
         return fail(options, before.error());
     }
--- a/src/apps/ctl/drain_file.cpp
+++ b/src/apps/ctl/drain_file.cpp
@@ -76,7 +76,7 @@
     if (kind == "upstream") {
         const auto known = check_upstream(folder, name);
         if (!known) {
-            return known;
+            return known.error();
         }
     }
     if (it == list.end()) {
--- a/src/apps/ctl/folder_upload.cpp
+++ b/src/apps/ctl/folder_upload.cpp
@@ -1,6 +1,7 @@
 #include "apps/ctl/folder_upload.h"
 
 #include <chrono>
+#include <thread>
 
 #include <fmt/format.h>
 
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr int attempts_limit = 3;
+constexpr milliseconds poll_period{200};
+// An upload writes a few files of a few milliseconds each.
+constexpr milliseconds interrupted_after{3000};
 
 error conflict_on(const std::string& name)
 {
@@ -47,6 +51,26 @@
     return out;
 }
 
+result<remote_folder> folder_upload::read_settled()
+{
+    auto out = read();
+    if (!out || out.value().state != collection_state::incomplete) {
+        return out;
+    }
+    const auto end = std::chrono::steady_clock::now() + interrupted_after;
+    while (std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(poll_period);
+        out = read();
+        if (!out) {
+            return out;
+        }
+        if (out.value().state != collection_state::incomplete) {
+            return conflict_on("manifest");
+        }
+    }
+    return out;
+}
+
 result<upload_result> folder_upload::write(const remote_folder& before, const config_files& files,
                                            const std::string& operator_name)
 {
--- a/src/apps/ctl/folder_upload.h
+++ b/src/apps/ctl/folder_upload.h
@@ -39,6 +39,9 @@
     explicit folder_upload(platform_session& platform) : platform_(platform) {}
 
     result<remote_folder> read();
+    /// As read(). While another operator's upload is under way it waits for its end and returns a `conflict`; a set
+    /// that stays incomplete was left by an interrupted upload and is returned, so that it can be repaired.
+    result<remote_folder> read_settled();
     /// Writes the manifest, then changed files, then removes files that the folder does not have. A `conflict` says
     /// that another operator changed the configuration since read().
     result<upload_result> write(const remote_folder& before, const config_files& files,
--- a/src/membership/tests/member_table_test.cpp
+++ b/src/membership/tests/member_table_test.cpp
@@ -47,6 +47,7 @@
     std::mt19937 random(seed);
     for (int round = 0; round < 500; ++round) {
         std::vector<member> records;
+        records.reserve(18);
         for (int i = 0; i < 12; ++i) {
             records.push_back(random_record(random));
         }
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -41,6 +41,34 @@
     CHECK(decode(payload).error().kind == error_kind::protocol_violation);
 }
 
+// Guards against a field of a membership record that is lost between agents, which gossip would never repair.
+TEST(codec_test, membership_records_round_trip)
+{
+    member record;
+    record.host = host_id("h1");
+    record.availability_zone = zone_name("leith");
+    record.number = 1796331297728;
+    record.version = 3;
+    record.state = member_state::suspect;
+    record.leaving = true;
+    record.scheduler_leaving = true;
+    record.addresses = {"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "", "127.0.0.1:5"};
+    record.generation = 9;
+    const upstream_mark mark{upstream_id("e1"), upstream_source::hosts, 4, true};
+    const probe sent{17, host_id("h1"), host_id("h2"), {{record}, {mark}, 0xfedcba9876543210ULL}};
+    const auto decoded = decode(encode({7, sent}));
+    CHECK(decoded.has_value());
+    const auto& out = std::get<probe>(decoded.value().body);
+    CHECK(out.target == sent.target);
+    CHECK(out.updates.digest == sent.updates.digest);
+    const auto& member_out = out.updates.members.at(0);
+    CHECK(member_out.version == 3 && member_out.state == member_state::suspect && member_out.generation == 9);
+    CHECK(member_out.leaving && !member_out.gateway_leaving && member_out.scheduler_leaving);
+    CHECK(member_out.addresses.gateway_link.empty() && member_out.addresses.scheduler_link == "127.0.0.1:5");
+    const auto& mark_out = out.updates.upstreams.at(0);
+    CHECK(mark_out.source == upstream_source::hosts && mark_out.version == 4 && mark_out.leaving);
+}
+
 // Guards against a damaged message that crashes a daemon or is taken for a valid one of another shape.
 TEST(codec_test, damaged_messages_never_crash)
 {
