--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -56,6 +56,9 @@
             [&](const upstream_id& id) { return view->configuration->merged.find_upstream(id) != nullptr; });
         keys_->apply_view(view);
     });
+    schedulers_->set_generation_gate([this](config_generation generation, std::function<void()> task) {
+        agent_->when_current(generation, std::move(task));
+    });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
