--- /dev/null
+++ b/src/admission/engine_group.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "admission/fair_share.h"
+#include "admission/request_queue.h"
+#include "admission/retry_advice.h"
+#include "admission/types/engine_state.h"
+#include "admission/urgent_reserve.h"
+
+namespace anvillead {
+
+/// Queue, shares and reserve of one engine service.
+struct engine_group
+{
+    explicit engine_group(std::uint64_t seed) : drain(seed) {}
+
+    std::vector<engine_state*> engines;
+    request_queue queue;
+    fair_share share;
+    urgent_reserve reserve;
+    retry_advice drain;
+    /// Running urgent grants per organisation.
+    std::map<organisation_id, int> urgent;
+    int urgent_total = 0;
+    double delivered = 0;
+
+    /// Largest number of concurrent urgent generations of one organisation: as configured, or by share of a quarter of
+    /// the group's slots. Urgent requests beyond it are served as drafts.
+    int urgent_limit(const organisation_id& id, const organisation* settings) const;
+    /// Seconds until the organisation's backlog in this class and more urgent ones is served at its share.
+    double predicted_wait_s(const organisation_id& id, work_class urgency, double added) const;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/engine_health.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/histogram.hpp>
+
+#include "core/types/units.h"
+
+namespace anvillead {
+
+/// Judges an engine by its own recent distribution of gaps between tokens. A silent or much slower engine gets no new
+/// grants; after a pause it gets single grants as probes.
+class engine_health
+{
+public:
+    engine_health();
+    /// Tokens that arrived from the engine since the last call, the grants running on it and the shortest time for
+    /// which one of them has been silent.
+    void observe(instant now, double token_count, int grants, milliseconds shortest_silence);
+    /// A generation was lost with the engine.
+    void lost(instant now) { lost_at_ = now; }
+    /// `reported` is when the newest load report was taken; one after a loss shows that the engine is back.
+    bool usable(instant now, instant reported, int running);
+    bool slow() const { return slow_; }
+    /// Recent mean gap between tokens of one generation in milliseconds; 0 when nothing is known.
+    double gap_ms() const { return recent_gap_ms_; }
+
+private:
+    using axis_type = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using histogram_type = decltype(boost::histogram::make_histogram(std::declval<axis_type>()));
+
+    double quantile(double part) const;
+    double total() const;
+    void judge();
+
+    histogram_type gaps_;
+    instant last_{};
+    instant lost_at_{};
+    instant next_probe_{};
+    double pending_tokens_ = 0;
+    double pending_ms_ = 0;
+    double recent_gap_ms_ = 0;
+    bool slow_ = false;
+    bool silent_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/internal/engine_group.cpp
@@ -0,0 +1,36 @@
+#include "admission/engine_group.h"
+
+#include <algorithm>
+
+namespace anvillead {
+
+namespace {
+
+constexpr double urgent_part = 0.25;
+constexpr int smallest_urgent_limit = 4;
+// Assumed tokens per second of an engine until the group's rate is known.
+constexpr double assumed_engine_rate = 1000;
+
+} // namespace
+
+int engine_group::urgent_limit(const organisation_id& id, const organisation* settings) const
+{
+    if (settings != nullptr && settings->limits.concurrent_urgent > 0) {
+        return settings->limits.concurrent_urgent;
+    }
+    double slots = 0;
+    for (const auto* it : engines) {
+        slots += it->usable ? it->settings.batch_limit : 0;
+    }
+    const double part = share.weight(id) / std::max(share.active_weight(), share.weight(id));
+    return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
+}
+
+double engine_group::predicted_wait_s(const organisation_id& id, work_class urgency, double added) const
+{
+    const double rate = drain.rate(assumed_engine_rate * static_cast<double>(engines.size()));
+    const double weights = std::max(share.active_weight(), share.weight(id));
+    return (queue.backlog(id, urgency) + added) / std::max(1.0, rate * share.weight(id) / weights);
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/internal/organisation_limiter.cpp
@@ -0,0 +1,77 @@
+#include "admission/organisation_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvillead {
+
+namespace {
+
+// A bucket holds this much of its rate, so that the arrivals of a second may come together.
+constexpr double burst_s = 2;
+
+} // namespace
+
+void organisation_limiter::bucket::fill(instant now)
+{
+    const double passed = std::chrono::duration<double>(now - filled).count();
+    level = std::min(rate * burst_s, level + rate * passed);
+    filled = now;
+}
+
+milliseconds organisation_limiter::bucket::until(double level_wanted) const
+{
+    return milliseconds(static_cast<std::int64_t>(std::ceil((level_wanted - level) / rate * 1000)));
+}
+
+void organisation_limiter::configure(instant now, bucket& value, double rate)
+{
+    if (value.rate == rate) {
+        return;
+    }
+    value = {rate, rate * burst_s, now};
+}
+
+void organisation_limiter::configure(instant now, const organisation_id& id, const organisation_limits& limits)
+{
+    auto& it = entries_[id];
+    configure(now, it.requests, limits.requests_per_second);
+    configure(now, it.tokens, limits.tokens_per_second);
+}
+
+std::optional<milliseconds> organisation_limiter::take_request(instant now, const organisation_id& id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return std::nullopt;
+    }
+    auto& [requests, volume] = found->second;
+    if (volume.rate > 0) {
+        volume.fill(now);
+        if (volume.level <= 0) {
+            return volume.until(1);
+        }
+    }
+    if (requests.rate > 0) {
+        requests.fill(now);
+        // A rate below one request per burst still lets single requests through.
+        const double need = std::min(1.0, requests.rate * burst_s);
+        if (requests.level < need) {
+            return requests.until(need);
+        }
+        requests.level -= need;
+    }
+    return std::nullopt;
+}
+
+void organisation_limiter::charge(instant now, const organisation_id& id, double tokens)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.tokens.rate <= 0) {
+        return;
+    }
+    found->second.tokens.fill(now);
+    found->second.tokens.level -= tokens;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/internal/placement.cpp
@@ -0,0 +1,109 @@
+#include "admission/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvillead {
+
+namespace {
+
+// Urgent work may use the margin that other classes leave.
+constexpr double urgent_z = 1;
+// Part of the capacity that a new scheduler fills before it knows the grants of its predecessor.
+constexpr double cautious_fill = 0.5;
+
+bool better(const engine_state& a, const engine_state& b, work_class served)
+{
+    if (served == work_class::draft) {
+        // Drafts are packed: the fullest engine that still has room, and short engines last.
+        if (a.short_batch != b.short_batch) {
+            return !a.short_batch;
+        }
+        return a.batch() > b.batch();
+    }
+    if (served == work_class::normal && a.short_batch != b.short_batch) {
+        return !a.short_batch;
+    }
+    return a.batch() < b.batch();
+}
+
+} // namespace
+
+void placement::assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const
+{
+    int usable = 0;
+    for (const auto* it : engines) {
+        usable += it->usable ? 1 : 0;
+    }
+    const int wanted = (urgent_slots + settings_.urgent_per_engine - 1) / settings_.urgent_per_engine;
+    int rest = std::min(wanted, static_cast<int>(std::floor(usable * settings_.largest_short_part)));
+    // The same engines stay short while the group does not change; moving the mark would wait for their drafts to end.
+    for (auto* it : engines) {
+        it->short_batch = it->usable && rest > 0;
+        rest -= it->short_batch ? 1 : 0;
+    }
+}
+
+bool placement::open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const
+{
+    if (!target.usable || target.batch() >= target.settings.batch_limit) {
+        return false;
+    }
+    const auto& excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), target.settings.id) != excluded.end()) {
+        return false;
+    }
+    if (served == work_class::urgent) {
+        return true;
+    }
+    if (now - target.last_bulk < settings_.bulk_spacing) {
+        return false;
+    }
+    return !target.short_batch || target.batch() - target.urgent < settings_.short_batch_bulk;
+}
+
+bool placement::fits(instant now, const engine_state& target, const grant_request& request, work_class served,
+                     const length_curve& curve) const
+{
+    const double capacity = target.capacity();
+    const memory_footprint added{static_cast<double>(request.input.count), 0,
+                                 static_cast<double>(request.output_limit.count)};
+    const double unknown = target.unknown.tokens_at(now, capacity);
+    memory_forecast sum = target.forecast;
+    sum.add(added, curve);
+    const bool urgent = served == work_class::urgent;
+    const double z = urgent ? urgent_z : settings_.z;
+    const double fill = target.cautious ? cautious_fill : (urgent ? 1 : settings_.fill);
+    return sum.peak(z) + unknown <= capacity * fill;
+}
+
+engine_state* placement::choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
+                                work_class served, const length_curve& curve) const
+{
+    std::vector<engine_state*> open;
+    for (auto* it : engines) {
+        if (open_to(now, *it, request, served)) {
+            open.push_back(it);
+        }
+    }
+    std::stable_sort(open.begin(), open.end(),
+                     [&](const engine_state* a, const engine_state* b) { return better(*a, *b, served); });
+    for (auto* it : open) {
+        if (fits(now, *it, request, served, curve)) {
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+int placement::priority(instant now, const engine_state& target, work_class served) const
+{
+    const int base = static_cast<int>(served);
+    if (served != work_class::draft) {
+        return base;
+    }
+    const double used = target.forecast.current() + target.unknown.tokens_at(now, target.capacity());
+    return used > target.capacity() * settings_.low_priority_fill ? base + 1 : base;
+}
+
+} // namespace anvillead
--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -2,37 +2,74 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 namespace anvillead {
 
-namespace {
-
-constexpr std::size_t queue_limit = 10'000;
-constexpr milliseconds full_queue_retry{2000};
+scheduler_core::scheduler_core(scheduler_options options) : options_(std::move(options)), placement_(options_.placement)
+{}
 
-} // namespace
+engine_group& scheduler_core::group_of(const service_name& name)
+{
+    return groups_.try_emplace(name, options_.seed).first->second;
+}
 
-scheduler_actions scheduler_core::on_configuration(instant now, const document& value,
-                                                   const std::vector<upstream_id>& owned)
+void scheduler_core::adopt_engines(instant now, const std::vector<upstream_id>& owned)
 {
-    std::map<upstream_id, engine> engines;
-    for (const auto& it : value.services) {
-        if (it.kind != service_kind::engine) {
-            continue;
-        }
+    std::map<upstream_id, engine_state> engines;
+    for (const auto& it : configuration_.services) {
         for (const auto& candidate : it.upstreams) {
-            if (std::find(owned.begin(), owned.end(), candidate.id) == owned.end()) {
+            if (it.kind != service_kind::engine || std::find(owned.begin(), owned.end(), candidate.id) == owned.end()) {
                 continue;
             }
-            engine entry = engines_[candidate.id];
+            const auto known = engines_.find(candidate.id);
+            auto& entry = engines[candidate.id];
+            if (known != engines_.end()) {
+                entry = std::move(known->second);
+            } else {
+                entry.cautious = true;
+                cautious_until_ = now + options_.takeover_wait;
+            }
             entry.settings = candidate;
             entry.service = it.name;
-            engines.emplace(candidate.id, std::move(entry));
         }
     }
     engines_ = std::move(engines);
-    return admit(now);
+    for (auto& [name, group] : groups_) {
+        group.engines.clear();
+    }
+    for (auto& [id, it] : engines_) {
+        group_of(it.service).engines.push_back(&it);
+    }
+}
+
+void scheduler_core::apply_organisations(instant now)
+{
+    for (const auto& it : configuration_.organisations) {
+        limiter_.configure(now, it.id, it.limits);
+        for (auto& [name, group] : groups_) {
+            group.share.set_weight(it.id, it.weight);
+        }
+    }
+}
+
+scheduler_actions scheduler_core::on_configuration(instant now, const document& value,
+                                                   const std::vector<upstream_id>& owned)
+{
+    configuration_ = value;
+    for (const auto& it : value.services) {
+        if (it.kind == service_kind::engine) {
+            group_of(it.name);
+        }
+    }
+    adopt_engines(now, owned);
+    apply_organisations(now);
+    // Grants on engines that moved to another scheduler are that scheduler's.
+    for (const auto& id : grants_.ids_if([&](const granted& it) { return engines_.count(it.engine) == 0; })) {
+        release(id);
+    }
+    if (!engines_.empty() && reported_.size() >= gateway_count_ && gateway_count_ > 0) {
+        end_caution();
+    }
+    return on_tick(now);
 }
 
 scheduler_actions scheduler_core::on_leaving(instant now, const std::vector<upstream_id>& leaving)
@@ -40,69 +77,93 @@
     for (auto& [id, it] : engines_) {
         it.leaving = std::find(leaving.begin(), leaving.end(), id) != leaving.end();
     }
-    return admit(now);
+    return on_tick(now);
+}
+
+void scheduler_core::on_gateway_count(std::size_t count)
+{
+    gateway_count_ = count;
+}
+
+void scheduler_core::end_caution()
+{
+    for (auto& [id, it] : engines_) {
+        it.cautious = false;
+    }
+    reported_.clear();
 }
 
 scheduler_actions scheduler_core::on_request(instant now, const gateway_identity& gateway, const grant_request& value)
 {
-    auto& queue = queues_[static_cast<std::size_t>(value.urgency)];
-    if (queue.size() >= queue_limit) {
-        return {send_refusal{gateway, {value.id, error_kind::overloaded, full_queue_retry}}};
+    scheduler_actions actions;
+    auto& group = group_of(value.service);
+    // A gateway repeats its waiting requests when its link opens again.
+    if (group.queue.contains(gateway, value.id)) {
+        return actions;
+    }
+    enqueue(now, gateway, value, actions);
+    if (value.urgency != work_class::draft) {
+        admit(now, group, value.urgency, actions);
     }
-    queue.push_back({gateway, value, now});
-    return admit(now);
+    return actions;
 }
 
 scheduler_actions scheduler_core::on_cancel(instant now, const gateway_identity& gateway, const request_id& request)
 {
-    const auto matches = [&](const auto& it) { return it.gateway == gateway && it.request.id == request; };
-    for (auto& queue : queues_) {
-        queue.erase(std::remove_if(queue.begin(), queue.end(), matches), queue.end());
-    }
-    for (const auto& [id, it] : grants_) {
-        if (it.gateway == gateway && it.request == request) {
-            release(grant_id(id));
-            break;
+    for (auto& [name, group] : groups_) {
+        const auto gone = group.queue.take_if(
+            [&](const queued_request& it) { return it.gateway == gateway && it.request.id == request; });
+        for (const auto& it : gone) {
+            group.share.leave(it.request.organisation);
         }
     }
-    return admit(now);
+    if (const auto* known = grants_.find(gateway, request)) {
+        release(grant_id(known->id));
+    }
+    return on_tick(now);
 }
 
 scheduler_actions scheduler_core::on_progress(instant now, const gateway_identity& gateway,
                                               const progress_report& value)
 {
     for (const auto& it : value.grants) {
-        const auto known = grants_.find(it.id);
-        if (it.state != grant_state::running) {
-            release(it.id);
-            continue;
-        }
-        const auto owner = engines_.find(it.engine);
-        if (known == grants_.end() && owner != engines_.end()) {
-            grants_.emplace(it.id, running{gateway, it.request, it.engine});
-            ++owner->second.running;
-        }
+        update(now, gateway, it);
     }
-    return admit(now);
+    if (!value.complete) {
+        return {};
+    }
+    std::set<grant_id> listed;
+    for (const auto& it : value.grants) {
+        listed.insert(it.id);
+    }
+    // The report lists all running grants of the gateway: others that it had acknowledged have ended.
+    for (const auto& id : grants_.ids_if(
+             [&](const granted& it) { return it.gateway == gateway && it.acknowledged && listed.count(it.id) == 0; })) {
+        release(id);
+    }
+    reported_.insert(gateway);
+    if (gateway_count_ > 0 && reported_.size() >= gateway_count_) {
+        end_caution();
+    }
+    return on_tick(now);
 }
 
 scheduler_actions scheduler_core::on_gateway_lost(instant now, const gateway_identity& gateway)
 {
-    for (auto& queue : queues_) {
-        queue.erase(
-            std::remove_if(queue.begin(), queue.end(), [&](const waiting& it) { return it.gateway == gateway; }),
-            queue.end());
-    }
-    std::vector<grant_id> lost;
-    for (const auto& [id, it] : grants_) {
-        if (it.gateway == gateway) {
-            lost.push_back(id);
+    for (auto& [name, group] : groups_) {
+        for (const auto& it : group.queue.take_if([&](const queued_request& at) { return at.gateway == gateway; })) {
+            group.share.leave(it.request.organisation);
         }
     }
-    for (const auto& it : lost) {
-        release(it);
+    for (auto& [id, it] : grants_.all()) {
+        const auto engine = engines_.find(it.engine);
+        if (it.gateway == gateway && !it.orphaned && engine != engines_.end()) {
+            it.orphaned = true;
+            ++engine->second.orphaned;
+        }
     }
-    return admit(now);
+    reported_.erase(gateway);
+    return on_tick(now);
 }
 
 scheduler_actions scheduler_core::on_load(instant now, const engine_load& value)
@@ -110,70 +171,44 @@
     const auto it = engines_.find(value.engine);
     if (it != engines_.end()) {
         it->second.load = value;
+        it->second.unknown.report(now, value);
+        drop_gone_orphans(it->second);
+        it->second.foreign = std::max(0, it->second.unknown.difference());
     }
-    return admit(now);
+    return {};
 }
 
 scheduler_actions scheduler_core::on_tick(instant now)
 {
-    return admit(now);
-}
-
-void scheduler_core::release(const grant_id& id)
-{
-    const auto it = grants_.find(id);
-    if (it == grants_.end()) {
-        return;
-    }
-    const auto owner = engines_.find(it->second.engine);
-    if (owner != engines_.end()) {
-        --owner->second.running;
-    }
-    grants_.erase(it);
-}
-
-scheduler_core::engine* scheduler_core::choose(const grant_request& request)
-{
-    engine* best = nullptr;
-    for (auto& [id, it] : engines_) {
-        if (it.service != request.service || it.leaving || it.load.leaving || it.running >= it.settings.batch_limit) {
-            continue;
-        }
-        if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
-            continue;
-        }
-        if (best == nullptr || it.running < best->running) {
-            best = &it;
+    scheduler_actions actions;
+    expire_queue(now, actions);
+    expire_grants(now);
+    observe(now);
+    for (auto& [name, group] : groups_) {
+        for (const auto served : {work_class::urgent, work_class::normal, work_class::draft}) {
+            admit(now, group, served, actions);
         }
     }
-    return best;
+    return actions;
 }
 
-scheduler_actions scheduler_core::admit(instant now)
+scheduler_figures scheduler_core::figures() const
 {
-    scheduler_actions actions;
-    for (auto& queue : queues_) {
-        for (auto it = queue.begin(); it != queue.end();) {
-            const auto& request = it->request;
-            if (request.remaining.count() > 0 && now - it->since > request.remaining) {
-                it = queue.erase(it);
-                continue;
-            }
-            engine* target = choose(request);
-            if (target == nullptr) {
-                ++it;
-                continue;
-            }
-            const grant_id id(fmt::format("{}-{}", process_, ++last_grant_));
-            ++target->running;
-            grants_.emplace(id, running{it->gateway, request.id, target->settings.id});
-            actions.push_back(send_grant{
-                it->gateway,
-                {request.id, id, target->settings.id, target->settings.address, static_cast<int>(request.urgency)}});
-            it = queue.erase(it);
+    scheduler_figures out;
+    for (const auto& [name, group] : groups_) {
+        for (std::size_t i = 0; i < out.waiting.size(); ++i) {
+            out.waiting[i] += group.queue.size(static_cast<work_class>(i));
         }
+        out.urgent_slots += static_cast<std::size_t>(group.reserve.slots());
     }
-    return actions;
+    out.grants = grants_.all().size();
+    out.engines = engines_.size();
+    for (const auto& [id, it] : engines_) {
+        out.orphaned += static_cast<std::size_t>(it.orphaned);
+        out.usable_engines += it.usable ? 1 : 0;
+        out.short_engines += it.short_batch ? 1 : 0;
+    }
+    return out;
 }
 
 } // namespace anvillead
--- /dev/null
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -0,0 +1,192 @@
+#include "admission/scheduler_core.h"
+
+#include <algorithm>
+
+namespace anvillead {
+
+namespace {
+
+constexpr milliseconds observe_period{100};
+// Silence of a grant that has not been reported yet is not counted.
+constexpr milliseconds no_silence{0};
+constexpr double assumed_limit = 32'000;
+
+} // namespace
+
+void scheduler_core::start(granted value)
+{
+    auto& engine = engines_.at(value.engine);
+    auto& group = group_of(engine.service);
+    ++engine.running;
+    if (value.served == work_class::urgent) {
+        ++engine.urgent;
+        ++group.urgent[value.length.organisation];
+        ++group.urgent_total;
+    }
+    group.share.expect(value.length.organisation, value.expected);
+    grants_.add(std::move(value));
+}
+
+void scheduler_core::release(const grant_id& id)
+{
+    const granted* known = grants_.find(id);
+    if (known == nullptr) {
+        return;
+    }
+    const auto engine = engines_.find(known->engine);
+    if (engine != engines_.end()) {
+        auto& group = group_of(engine->second.service);
+        const auto& organisation = known->length.organisation;
+        --engine->second.running;
+        engine->second.orphaned -= known->orphaned ? 1 : 0;
+        if (known->served == work_class::urgent) {
+            --engine->second.urgent;
+            --group.urgent_total;
+            if (--group.urgent[organisation] <= 0) {
+                group.urgent.erase(organisation);
+            }
+        }
+        group.share.expect(organisation, -known->expected);
+        group.share.leave(organisation);
+    }
+    grants_.remove(id);
+}
+
+void scheduler_core::adopt(instant now, const gateway_identity& gateway, const grant_progress& value)
+{
+    const auto engine = engines_.find(value.engine);
+    if (value.state != grant_state::running || engine == engines_.end()) {
+        return;
+    }
+    granted entry;
+    entry.id = value.id;
+    entry.gateway = gateway;
+    entry.request = value.request;
+    entry.engine = value.engine;
+    entry.length = {value.organisation, value.workload, value.model};
+    entry.served = value.urgency;
+    const auto* kind = configuration_.find_workload(value.workload);
+    const bool limited = kind != nullptr && kind->output_limit.count > 0;
+    entry.footprint = {static_cast<double>(value.input.count), static_cast<double>(value.output.count),
+                       limited ? static_cast<double>(kind->output_limit.count) : assumed_limit};
+    const auto& curve = lengths_.curve(entry.length);
+    entry.expected = curve.remaining(entry.footprint.produced, entry.footprint.limit).mean;
+    entry.made = now;
+    entry.acknowledged = true;
+    engine->second.forecast.add(entry.footprint, curve);
+    group_of(engine->second.service).share.enter(value.organisation);
+    start(std::move(entry));
+}
+
+void scheduler_core::update(instant now, const gateway_identity& gateway, const grant_progress& value)
+{
+    granted* known = grants_.find(value.id);
+    if (known == nullptr) {
+        adopt(now, gateway, value);
+        return;
+    }
+    known->acknowledged = true;
+    known->silent = value.silent;
+    const auto engine = engines_.find(known->engine);
+    if (engine == engines_.end()) {
+        return;
+    }
+    if (known->gateway != gateway) {
+        grants_.rebind(*known, gateway);
+        engine->second.orphaned -= known->orphaned ? 1 : 0;
+        known->orphaned = false;
+    }
+    auto& group = group_of(engine->second.service);
+    const double produced = static_cast<double>(value.output.count);
+    const double change = produced - known->footprint.produced;
+    // An output cut off at its limit does not show its length.
+    const bool ended = value.state == grant_state::finished && produced > 0 && produced < known->footprint.limit;
+    if (change > 0 || ended) {
+        const auto before = static_cast<std::int64_t>(known->footprint.produced);
+        lengths_.learn(known->length, {before}, {std::max(before, value.output.count)}, ended);
+    }
+    if (change > 0) {
+        known->footprint.produced = produced;
+        const double covered = std::min(change, known->expected);
+        known->expected -= covered;
+        group.share.expect(known->length.organisation, -covered);
+        group.share.charge(known->length.organisation, change);
+        limiter_.charge(now, known->length.organisation, change);
+        engine->second.delivered += change;
+        group.delivered += change;
+    }
+    if (value.state == grant_state::lost) {
+        engine->second.health.lost(now);
+    }
+    if (value.state != grant_state::running) {
+        release(value.id);
+    }
+}
+
+void scheduler_core::expire_grants(instant now)
+{
+    for (const auto& id : grants_.ids_if(
+             [&](const granted& it) { return !it.acknowledged && now - it.made > options_.acknowledge_within; })) {
+        release(id);
+    }
+}
+
+void scheduler_core::drop_gone_orphans(engine_state& engine)
+{
+    int gone = std::min(engine.orphaned, -engine.unknown.difference());
+    if (gone <= 0) {
+        return;
+    }
+    auto ids = grants_.ids_if([&](const granted& it) { return it.orphaned && it.engine == engine.settings.id; });
+    for (const auto& id : ids) {
+        if (gone-- <= 0) {
+            break;
+        }
+        release(id);
+    }
+}
+
+void scheduler_core::rebuild(instant now, engine_state& engine, const std::vector<granted*>& grants)
+{
+    engine.forecast.clear();
+    int acknowledged = 0;
+    auto silence = milliseconds::max();
+    for (const auto* it : grants) {
+        engine.forecast.add(it->footprint, lengths_.curve(it->length));
+        acknowledged += it->acknowledged ? 1 : 0;
+        silence = std::min(silence, it->acknowledged && !it->orphaned ? it->silent : no_silence);
+    }
+    engine.unknown.record(now, engine.forecast.current(), acknowledged);
+    engine.health.observe(now, engine.delivered, acknowledged, grants.empty() ? no_silence : silence);
+    engine.delivered = 0;
+    engine.usable = !engine.leaving && !engine.load.leaving && engine.unknown.reported() &&
+                    engine.health.usable(now, engine.unknown.taken(), engine.running);
+}
+
+void scheduler_core::observe(instant now)
+{
+    if (observed_ != instant{} && now - observed_ < observe_period) {
+        return;
+    }
+    observed_ = now;
+    if (now >= cautious_until_) {
+        end_caution();
+    }
+    lengths_.refresh();
+    std::map<upstream_id, std::vector<granted*>> by_engine;
+    for (auto& [id, it] : grants_.all()) {
+        by_engine[it.engine].push_back(&it);
+    }
+    for (auto& [id, it] : engines_) {
+        rebuild(now, it, by_engine[id]);
+    }
+    for (auto& [name, group] : groups_) {
+        const auto waiting = static_cast<int>(group.queue.size(work_class::urgent));
+        group.reserve.observe(now, group.urgent_total + std::min(waiting, group.urgent_total));
+        group.drain.delivered(now, group.delivered, group.queue.size() > 0);
+        group.delivered = 0;
+        placement_.assign_short(group.engines, group.reserve.slots());
+    }
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -0,0 +1,178 @@
+#include "admission/scheduler_core.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace anvillead {
+
+namespace {
+
+constexpr double milliseconds_per_second = 1000;
+
+} // namespace
+
+std::optional<refusal> scheduler_core::early_refusal(instant now, engine_group& group, const grant_request& value,
+                                                     double expected)
+{
+    if (const auto wait = limiter_.take_request(now, value.organisation)) {
+        const double delay = static_cast<double>(wait->count()) / milliseconds_per_second;
+        return refusal{value.id, error_kind::organisation_limit, group.drain.jittered(delay)};
+    }
+    auto longest = options_.longest_wait[static_cast<std::size_t>(value.urgency)];
+    if (value.remaining.count() > 0) {
+        longest = std::min(longest, value.remaining);
+    }
+    const double longest_s = static_cast<double>(longest.count()) / milliseconds_per_second;
+    const double wait_s = group.predicted_wait_s(value.organisation, value.urgency, expected);
+    // An organisation without a backlog is always queued: the prediction for its first request is not certain.
+    if (wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
+        return refusal{value.id, error_kind::overloaded, group.drain.jittered(wait_s - longest_s / 2)};
+    }
+    return std::nullopt;
+}
+
+void scheduler_core::enqueue(instant now, const gateway_identity& gateway, const grant_request& value,
+                             scheduler_actions& actions)
+{
+    auto& group = group_of(value.service);
+    const auto& curve = lengths_.curve({value.organisation, value.workload, value.model});
+    const double expected = curve.remaining(0, static_cast<double>(value.output_limit.count)).mean;
+    if (const auto reason = early_refusal(now, group, value, expected)) {
+        actions.push_back(send_refusal{gateway, *reason});
+        return;
+    }
+    queued_request entry{gateway, value, now, now, error_kind::overloaded, expected};
+    const auto longest = options_.longest_wait[static_cast<std::size_t>(value.urgency)];
+    const bool has_deadline = value.remaining.count() > 0 && value.remaining <= longest;
+    entry.expires = now + (has_deadline ? value.remaining : longest);
+    entry.expiry = has_deadline ? error_kind::deadline_exceeded : error_kind::overloaded;
+    group.share.enter(value.organisation);
+    group.queue.push(std::move(entry));
+    make_room(group, actions);
+}
+
+void scheduler_core::make_room(engine_group& group, scheduler_actions& actions)
+{
+    while (group.queue.size() > options_.queue_limit) {
+        // The newest request of the organisation that is most over its share gives way.
+        organisation_id worst;
+        double most = -1;
+        for (const auto urgency : {work_class::draft, work_class::normal, work_class::urgent}) {
+            for (const auto& [id, list] : group.queue.waiting(urgency)) {
+                const double part = static_cast<double>(group.queue.size(id)) / group.share.weight(id);
+                if (part > most) {
+                    most = part;
+                    worst = id;
+                }
+            }
+        }
+        const auto dropped = group.queue.take_newest(worst);
+        const double wait = group.predicted_wait_s(worst, dropped.request.urgency, 0);
+        group.share.leave(worst);
+        actions.push_back(
+            send_refusal{dropped.gateway, {dropped.request.id, error_kind::overloaded, group.drain.jittered(wait)}});
+    }
+}
+
+void scheduler_core::expire_queue(instant now, scheduler_actions& actions)
+{
+    for (auto& [name, group] : groups_) {
+        for (const auto& it : group.queue.take_expired(now)) {
+            const auto& request = it.request;
+            group.share.leave(request.organisation);
+            const double wait = group.predicted_wait_s(request.organisation, request.urgency, it.expected);
+            actions.push_back(send_refusal{it.gateway, {request.id, it.expiry, group.drain.jittered(wait)}});
+        }
+    }
+}
+
+bool scheduler_core::over_urgent_limit(const engine_group& group, const organisation_id& id) const
+{
+    const auto it = group.urgent.find(id);
+    return it != group.urgent.end() && it->second >= group.urgent_limit(id, configuration_.find_organisation(id));
+}
+
+std::vector<std::pair<double, organisation_id>> scheduler_core::candidates(const engine_group& group,
+                                                                           work_class served) const
+{
+    std::vector<std::pair<double, organisation_id>> out;
+    std::set<organisation_id> seen;
+    const auto add = [&](const organisation_id& id) {
+        if (seen.insert(id).second) {
+            out.emplace_back(group.share.counter(id), id);
+        }
+    };
+    for (const auto& [id, list] : group.queue.waiting(work_class::urgent)) {
+        const bool over = over_urgent_limit(group, id);
+        if ((served == work_class::urgent && !over) || (served == work_class::draft && over)) {
+            add(id);
+        }
+    }
+    if (served != work_class::urgent) {
+        for (const auto& [id, list] : group.queue.waiting(served)) {
+            add(id);
+        }
+    }
+    return out;
+}
+
+bool scheduler_core::grant_first(instant now, engine_group& group, work_class served, const organisation_id& id,
+                                 scheduler_actions& actions)
+{
+    auto lane = served;
+    const auto& urgent = group.queue.waiting(work_class::urgent);
+    if (served == work_class::draft && urgent.count(id) > 0 && over_urgent_limit(group, id)) {
+        lane = work_class::urgent;
+    }
+    const auto& first = group.queue.waiting(lane).at(id).front();
+    const length_key key{id, first.request.workload, first.request.model};
+    const auto& curve = lengths_.curve(key);
+    engine_state* target = placement_.choose(now, group.engines, first.request, served, curve);
+    if (target == nullptr) {
+        return false;
+    }
+    const auto taken = group.queue.pop(lane, id);
+    const auto& request = taken.request;
+    granted value;
+    value.id = grant_id(fmt::format("{}-{}", options_.process, ++last_grant_));
+    value.gateway = taken.gateway;
+    value.request = request.id;
+    value.engine = target->settings.id;
+    value.length = key;
+    value.served = served;
+    value.footprint = {static_cast<double>(request.input.count), 0, static_cast<double>(request.output_limit.count)};
+    value.expected = curve.remaining(0, value.footprint.limit).mean;
+    value.made = now;
+    const int priority = placement_.priority(now, *target, served);
+    actions.push_back(
+        send_grant{taken.gateway, {request.id, value.id, target->settings.id, target->settings.address, priority}});
+    if (served != work_class::urgent) {
+        target->last_bulk = now;
+    }
+    target->forecast.add(value.footprint, curve);
+    start(std::move(value));
+    return true;
+}
+
+void scheduler_core::admit(instant now, engine_group& group, work_class served, scheduler_actions& actions)
+{
+    auto open = candidates(group, served);
+    const auto later = [](const auto& a, const auto& b) { return a > b; };
+    std::make_heap(open.begin(), open.end(), later);
+    while (!open.empty()) {
+        std::pop_heap(open.begin(), open.end(), later);
+        const auto id = open.back().second;
+        open.pop_back();
+        if (!grant_first(now, group, served, id, actions)) {
+            continue;
+        }
+        const bool more = group.queue.waiting(served).count(id) > 0;
+        if (more && !(served == work_class::urgent && over_urgent_limit(group, id))) {
+            open.emplace_back(group.share.counter(id), id);
+            std::push_heap(open.begin(), open.end(), later);
+        }
+    }
+}
+
+} // namespace anvillead
--- a/src/admission/ischeduler_core.h
+++ b/src/admission/ischeduler_core.h
@@ -4,6 +4,7 @@
 
 #include "admission/types/engine_load.h"
 #include "admission/types/scheduler_action.h"
+#include "admission/types/scheduler_options.h"
 #include "configuration/types/document.h"
 
 namespace anvillead {
@@ -19,6 +20,8 @@
     virtual scheduler_actions on_configuration(instant now, const document& value,
                                                const std::vector<upstream_id>& owned) = 0;
     virtual scheduler_actions on_leaving(instant now, const std::vector<upstream_id>& leaving) = 0;
+    /// Number of gateways whose complete report is awaited after a takeover.
+    virtual void on_gateway_count(std::size_t count) = 0;
     virtual scheduler_actions on_request(instant now, const gateway_identity& gateway, const grant_request& value) = 0;
     virtual scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const request_id& request) = 0;
     virtual scheduler_actions on_progress(instant now, const gateway_identity& gateway,
@@ -27,6 +30,7 @@
     virtual scheduler_actions on_load(instant now, const engine_load& value) = 0;
     /// Called every few tens of milliseconds.
     virtual scheduler_actions on_tick(instant now) = 0;
+    virtual scheduler_figures figures() const = 0;
 };
 
 } // namespace anvillead
--- /dev/null
+++ b/src/admission/length_curve.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace anvillead {
+
+/// Remaining output tokens of one generation.
+struct remaining_length
+{
+    double mean = 0;
+    double variance = 0;
+};
+
+/// Probability that an output is longer than a given length, on logarithmic bins. Immutable.
+class length_curve
+{
+public:
+    /// Bins are thirds of an octave from 1 token to 131,072 tokens.
+    static constexpr std::size_t bins = 51;
+    static constexpr double bins_per_octave = 3;
+
+    /// `hazards[b]` is the probability that an output which reached bin b ends in it.
+    explicit length_curve(const std::vector<double>& hazards);
+
+    /// Bin of a length; lengths outside the range are in the first or last bin.
+    static std::size_t bin_of(double length);
+    static double lower_edge(std::size_t bin);
+
+    double survival(double length) const;
+    /// Probability that an output with `produced` tokens out produces at least `more` others.
+    double survival(double produced, double more) const;
+    /// Mean and variance of the tokens still to come, cut off at `limit` tokens in total.
+    remaining_length remaining(double produced, double limit) const;
+
+private:
+    /// Survival at the lower edge of each bin, and at the end of the last.
+    std::vector<double> edges_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/admission/placement.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <vector>
+
+#include "admission/types/engine_state.h"
+#include "messages/types/messages.h"
+
+namespace anvillead {
+
+/// Numbers that shape placement. The defaults are the result of the rounds in docs/decisions.
+struct placement_settings
+{
+    /// Standard deviations of memory growth that must fit.
+    double z = 2.5;
+    /// Part of the capacity that grants may fill; the rest covers tokens not yet reported.
+    double fill = 0.97;
+    /// Urgent generations per engine for which engines are kept short.
+    int urgent_per_engine = 8;
+    /// Generations of other classes that a short engine takes while the group's other engines are full.
+    int short_batch_bulk = 4;
+    /// Largest part of a group's engines that are kept short.
+    double largest_short_part = 0.5;
+    /// Least time between grants of normal and draft work on one engine, so that their prompts do not stall the batch
+    /// together.
+    milliseconds bulk_spacing{20};
+    /// A new draft gets a priority below all others from this fill on.
+    double low_priority_fill = 0.8;
+};
+
+/// Chooses the engine of one request among the engines of its group.
+class placement
+{
+public:
+    explicit placement(placement_settings settings) : settings_(settings) {}
+
+    /// Marks the engines that are kept short for `urgent_slots` concurrent urgent requests.
+    void assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const;
+    /// The engine for a request that is served in class `served`, or null when none may take it now.
+    engine_state* choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
+                         work_class served, const length_curve& curve) const;
+    /// Engine priority of a grant.
+    int priority(instant now, const engine_state& target, work_class served) const;
+
+private:
+    bool fits(instant now, const engine_state& target, const grant_request& request, work_class served,
+              const length_curve& curve) const;
+    bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const;
+
+    placement_settings settings_;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/bench/decisions/measurements.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/types/work_class.h"
+
+namespace anvillead::bench {
+
+/// Durations in fine logarithmic bins: a bin is 1 % wide.
+class duration_histogram
+{
+public:
+    void add(double ms);
+    void merge(const duration_histogram& other);
+    /// Upper edge of the bin that holds the quantile; 0 without samples.
+    double quantile(double part) const;
+    double worst() const { return worst_; }
+    double mean() const { return count_ > 0 ? sum_ / static_cast<double>(count_) : 0; }
+    std::uint64_t count() const { return count_; }
+
+private:
+    std::vector<std::uint64_t> bins_;
+    std::uint64_t count_ = 0;
+    double sum_ = 0;
+    double worst_ = 0;
+};
+
+struct class_figures
+{
+    /// Longest time per request with nothing arriving; requests that still wait at the end count with their wait so
+    /// far.
+    duration_histogram stall;
+    duration_histogram gap;
+    std::uint64_t requests = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t preemptions = 0;
+};
+
+struct organisation_figures
+{
+    double weight = 0;
+    double tokens = 0;
+    bool within_share = false;
+    /// From arrival to the first token of drafts.
+    duration_histogram wait;
+};
+
+/// Result of one policy on one scenario; runs with several seeds are merged.
+struct run_figures
+{
+    std::array<class_figures, work_class_names.size()> classes;
+    std::vector<organisation_figures> organisations;
+    duration_histogram gap;
+    std::uint64_t started = 0;
+    std::uint64_t preemptions = 0;
+    std::int64_t recomputed = 0;
+    double useful = 0;
+    double seconds = 0;
+
+    void merge(const run_figures& other);
+    double preemptions_per_thousand() const;
+    double useful_per_second() const { return seconds > 0 ? useful / seconds : 0; }
+    /// Largest relative deviation of an organisation's part of the tokens from its weight's part.
+    double share_deviation() const;
+};
+
+} // namespace anvillead::bench
--- /dev/null
+++ b/src/apps/bench/decisions/scenario.cpp
@@ -0,0 +1,229 @@
+#include "apps/bench/decisions/scenario.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "standins/engine_model/engine_model.h"
+
+namespace anvillead::bench {
+
+namespace {
+
+constexpr double warm_ms = 30'000;
+constexpr double end_ms = 75'000;
+constexpr double middle_ms = 45'000;
+constexpr double reclaim_notice_ms = 3'000;
+constexpr double urgent_per_engine_per_s = 6;
+constexpr std::size_t flooding_organisation = 4;
+
+/// Log-normal token counts, cut off at a limit.
+struct length_shape
+{
+    double median = 0;
+    double sigma = 0;
+    std::int64_t limit = 0;
+};
+
+constexpr length_shape urgent_input{150, 0.4, 1'000};
+constexpr length_shape urgent_output{25, 0.5, 200};
+constexpr length_shape draft_input{600, 0.6, 4'000};
+constexpr length_shape draft_output{900, 0.7, 20'000};
+constexpr length_shape short_draft_output{150, 0.5, 20'000};
+
+double mean_of(const length_shape& it)
+{
+    return it.median * std::exp(it.sigma * it.sigma / 2);
+}
+
+/// Draft tokens per second that one engine decodes when its memory is full.
+double decode_rate(const length_shape& input, const length_shape& output)
+{
+    const standin::engine_model_settings engine;
+    const double mean = mean_of(output);
+    const double second_moment = output.median * output.median * std::exp(2 * output.sigma * output.sigma);
+    const double footprint = mean_of(input) + second_moment / mean / 2;
+    const double batch = std::min<double>(engine.batch_limit, static_cast<double>(engine.capacity) / footprint);
+    // A generation of mean length is prefilled once per `mean` tokens.
+    const double prefill = batch / mean * mean_of(input) * engine.prefill_ms_per_token;
+    return 1000 * batch / (engine.step_base_ms + engine.step_per_sequence_ms * batch + prefill);
+}
+
+/// Draws arrivals; each stream has its own generator, so that leaving one out does not change the others.
+class arrival_source
+{
+public:
+    arrival_source(scenario& out, std::uint64_t stream) : out_(out), random_(out.seed * 1'000'003 + stream) {}
+
+    void poisson(const arrival& shape, const length_shape& input, const length_shape& output, double per_s,
+                 double from_ms, double to_ms)
+    {
+        if (per_s <= 0) {
+            return;
+        }
+        std::exponential_distribution<double> gap(per_s / 1000);
+        for (double at = from_ms + gap(random_); at < to_ms; at += gap(random_)) {
+            arrival it = shape;
+            it.at_ms = at;
+            it.input = draw(input);
+            it.output = draw(output);
+            it.output_limit = output.limit;
+            out_.arrivals.push_back(it);
+        }
+    }
+
+private:
+    std::int64_t draw(const length_shape& shape)
+    {
+        std::lognormal_distribution<double> distribution(std::log(shape.median), shape.sigma);
+        return std::clamp<std::int64_t>(std::llround(distribution(random_)), 1, shape.limit);
+    }
+
+    scenario& out_;
+    std::mt19937_64 random_;
+};
+
+double share_of(const deployment& site, std::size_t organisation)
+{
+    double sum = 0;
+    for (const double it : site.weights) {
+        sum += it;
+    }
+    return site.weights[organisation] / sum;
+}
+
+void add_urgent(scenario& out)
+{
+    for (std::size_t i = 0; i < out.site.weights.size(); ++i) {
+        arrival_source source(out, 100 + i);
+        const double rate = urgent_per_engine_per_s * out.site.engines * share_of(out.site, i);
+        source.poisson({0, i, "check", work_class::urgent, 0, 0, 0, milliseconds(5000)}, urgent_input, urgent_output,
+                       rate, 0, out.end_ms);
+    }
+}
+
+/// Drafts of one organisation at `load` times its share of what the engines can decode.
+void add_drafts(scenario& out, std::size_t organisation, double load)
+{
+    arrival_source source(out, 200 + organisation);
+    const double capacity = out.site.engines * decode_rate(draft_input, draft_output);
+    const double rate = load * share_of(out.site, organisation) * capacity / mean_of(draft_output);
+    source.poisson({0, organisation, "sheet", work_class::draft, 0, 0, 0, milliseconds(0)}, draft_input, draft_output,
+                   rate, 0, out.end_ms);
+}
+
+void add_all_drafts(scenario& out, double load)
+{
+    for (std::size_t i = 0; i < out.site.weights.size(); ++i) {
+        add_drafts(out, i, load);
+    }
+}
+
+void add_shift(scenario& out)
+{
+    // Outputs become ten times longer: the workload goes from a small part of the load to most of it.
+    const double capacity = out.site.engines * decode_rate(draft_input, draft_output);
+    length_shape after = short_draft_output;
+    after.median *= 10;
+    for (std::size_t i = 0; i < out.site.weights.size(); ++i) {
+        arrival_source source(out, 300 + i);
+        const arrival shape{0, i, "notes", work_class::draft, 0, 0, 0, milliseconds(0)};
+        const double rate = 0.08 * share_of(out.site, i) * capacity / mean_of(short_draft_output);
+        source.poisson(shape, draft_input, short_draft_output, rate, 0, middle_ms);
+        source.poisson(shape, draft_input, after, rate, middle_ms, out.end_ms);
+    }
+}
+
+void add_losses(scenario& out)
+{
+    for (const std::size_t engine : {1, 4, 7}) {
+        out.faults.push_back({middle_ms, engine, fault_kind::killed});
+    }
+    out.faults.push_back({middle_ms, 9, fault_kind::leaving});
+    out.faults.push_back({middle_ms + reclaim_notice_ms, 9, fault_kind::killed});
+    out.faults.push_back({middle_ms, 10, fault_kind::slow});
+}
+
+} // namespace
+
+const std::vector<deployment>& deployments()
+{
+    static const std::vector<deployment> all = {
+        {"ceylon", 12, {5, 3, 3, 1, 1, 1, 1, 1, 1, 1}, 1.5, 1},
+        {"caledonian", 14, {6, 4, 2, 1, 1, 1, 1, 1, 1, 1}, 1, 3},
+    };
+    return all;
+}
+
+const std::vector<std::string>& scenario_names()
+{
+    static const std::vector<std::string> names = {"drafts", "flood", "shift", "stale", "losses"};
+    return names;
+}
+
+bool has_reference(const std::string& name)
+{
+    return name == "drafts" || name == "flood";
+}
+
+scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, bool reference)
+{
+    scenario out;
+    out.name = name;
+    out.site = site;
+    out.seed = seed;
+    out.warm_ms = warm_ms;
+    out.end_ms = end_ms;
+    out.within_share.assign(site.weights.size(), name != "drafts");
+    add_urgent(out);
+    if (name == "drafts" && !reference) {
+        add_all_drafts(out, 1.3);
+    } else if (name == "flood") {
+        for (std::size_t i = 0; i < site.weights.size(); ++i) {
+            const bool floods = i == flooding_organisation && !reference;
+            add_drafts(out, i, floods ? 0.85 + 1 / share_of(site, i) : 0.85);
+        }
+        out.within_share[flooding_organisation] = reference;
+    } else if (name == "shift") {
+        add_all_drafts(out, 0.6);
+        add_shift(out);
+    } else if (name == "stale") {
+        add_all_drafts(out, 1.1);
+        out.load_lag_ms = 2000;
+        out.load_loss = 0.2;
+    } else if (name == "losses") {
+        add_all_drafts(out, 0.6);
+        add_losses(out);
+    }
+    std::stable_sort(out.arrivals.begin(), out.arrivals.end(),
+                     [](const arrival& a, const arrival& b) { return a.at_ms < b.at_ms; });
+    return out;
+}
+
+document make_document(const deployment& site)
+{
+    document out;
+    service engines;
+    engines.name = service_name("engines");
+    engines.models = {model_name("model")};
+    const standin::engine_model_settings shape;
+    for (int i = 0; i < site.engines; ++i) {
+        engines.upstreams.push_back({upstream_id(fmt::format("e{:02}", i)),
+                                     fmt::format("e{:02}", i),
+                                     zone_name("z"),
+                                     {shape.capacity},
+                                     shape.batch_limit});
+    }
+    out.services.push_back(engines);
+    for (std::size_t i = 0; i < site.weights.size(); ++i) {
+        organisation it;
+        it.id = organisation_id(fmt::format("o{}", i));
+        it.weight = site.weights[i];
+        out.organisations.push_back(it);
+    }
+    return out;
+}
+
+} // namespace anvillead::bench
--- /dev/null
+++ b/src/apps/bench/decisions/scenario.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "configuration/types/document.h"
+#include "messages/types/messages.h"
+
+namespace anvillead::bench {
+
+/// Size of one of the two deployments.
+struct deployment
+{
+    std::string name;
+    int engines = 0;
+    std::vector<double> weights;
+    /// One-way latency between zones and to clients in milliseconds.
+    double zone_ms = 0;
+    double client_ms = 0;
+};
+
+/// One caller's request; its time does not depend on earlier answers.
+struct arrival
+{
+    double at_ms = 0;
+    std::size_t organisation = 0;
+    std::string workload;
+    work_class urgency = work_class::normal;
+    std::int64_t input = 0;
+    std::int64_t output = 0;
+    std::int64_t output_limit = 0;
+    milliseconds deadline{0};
+};
+
+enum class fault_kind
+{
+    killed,
+    leaving,
+    slow
+};
+
+struct engine_fault
+{
+    double at_ms = 0;
+    std::size_t engine = 0;
+    fault_kind kind = fault_kind::killed;
+};
+
+/// Everything that a run needs except the policy; the same object serves every policy.
+struct scenario
+{
+    std::string name;
+    deployment site;
+    std::vector<arrival> arrivals;
+    std::vector<engine_fault> faults;
+    /// Delay of load reports and the part of them that is lost.
+    double load_lag_ms = 100;
+    double load_loss = 0;
+    /// Requests that arrive from here on and tokens delivered from here to the end are measured.
+    double warm_ms = 0;
+    double end_ms = 0;
+    /// Organisations whose demand is within their share.
+    std::vector<bool> within_share;
+    std::uint64_t seed = 1;
+};
+
+const std::vector<deployment>& deployments();
+const std::vector<std::string>& scenario_names();
+/// The scenario, or its reference when `reference` is set: without drafts for `drafts` and with the flooding
+/// organisation at its share for `flood`.
+scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, bool reference);
+/// Scenarios that have a reference run.
+bool has_reference(const std::string& name);
+document make_document(const deployment& site);
+
+} // namespace anvillead::bench
--- /dev/null
+++ b/src/apps/bench/decisions/simulation.cpp
@@ -0,0 +1,341 @@
+#include "apps/bench/decisions/simulation.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace anvillead::bench {
+
+namespace {
+
+constexpr std::size_t gateways = 7;
+constexpr double progress_ms = 100;
+constexpr double load_ms = 200;
+constexpr double tick_ms = 20;
+
+std::size_t index_of(const std::string& id)
+{
+    std::size_t out = 0;
+    std::from_chars(id.data(), id.data() + id.size(), out);
+    return out;
+}
+
+} // namespace
+
+simulation::simulation(const scenario& value, ischeduler_core& policy)
+    : scenario_(value), policy_(policy), random_(value.seed * 7919), requests_(value.arrivals.size()), open_(gateways)
+{
+    for (int i = 0; i < value.site.engines; ++i) {
+        engines_.emplace_back(standin::engine_model_settings{});
+    }
+    out_.organisations.resize(value.site.weights.size());
+    for (std::size_t i = 0; i < out_.organisations.size(); ++i) {
+        out_.organisations[i].weight = value.site.weights[i];
+        out_.organisations[i].within_share = value.within_share[i];
+    }
+    out_.seconds = (value.end_ms - value.warm_ms) / 1000;
+}
+
+void simulation::at(double ms, std::function<void()> action)
+{
+    events_.push({ms, ++order_, std::move(action)});
+}
+
+instant simulation::now() const
+{
+    // The origin is not the epoch, which stands for "never".
+    return instant(seconds(1000)) + microseconds(static_cast<std::int64_t>(clock_ * 1000));
+}
+
+gateway_identity simulation::gateway_of(std::size_t index) const
+{
+    return gateway_identity(fmt::format("g{}", index % gateways));
+}
+
+run_figures simulation::run()
+{
+    const auto configuration = make_document(scenario_.site);
+    std::vector<upstream_id> owned;
+    for (const auto& it : configuration.services.front().upstreams) {
+        owned.push_back(it.id);
+    }
+    policy_.on_configuration(now(), configuration, owned);
+    for (std::size_t i = 0; i < requests_.size(); ++i) {
+        at(scenario_.arrivals[i].at_ms, [this, i] { arrive(i); });
+    }
+    for (const auto& it : scenario_.faults) {
+        at(it.at_ms, [this, it] { apply(it); });
+    }
+    for (std::size_t i = 0; i < gateways; ++i) {
+        at(progress_ms * static_cast<double>(i) / gateways, [this, i] { report_progress(i); });
+    }
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        at(load_ms * static_cast<double>(i) / static_cast<double>(engines_.size()), [this, i] { report_load(i); });
+    }
+    at(0, [this] { tick(); });
+    while (!events_.empty() && events_.top().at <= scenario_.end_ms) {
+        const auto action = events_.top().action;
+        clock_ = events_.top().at;
+        events_.pop();
+        action();
+    }
+    clock_ = scenario_.end_ms;
+    collect();
+    return std::move(out_);
+}
+
+void simulation::arrive(std::size_t index)
+{
+    requests_[index].heard = clock_;
+    at(clock_ + scenario_.site.client_ms + scenario_.site.zone_ms, [this, index] { ask(index); });
+}
+
+void simulation::ask(std::size_t index)
+{
+    const auto& from = scenario_.arrivals[index];
+    grant_request value;
+    value.id = request_id(std::to_string(index));
+    value.organisation = organisation_id(fmt::format("o{}", from.organisation));
+    value.workload = workload_name(from.workload);
+    value.service = service_name("engines");
+    value.model = model_name("model");
+    value.urgency = from.urgency;
+    value.input = {from.input};
+    value.output_limit = {from.output_limit};
+    value.remaining = from.deadline;
+    value.excluded = requests_[index].excluded;
+    carry_out(policy_.on_request(now(), gateway_of(index), value));
+}
+
+void simulation::carry_out(const scheduler_actions& actions)
+{
+    for (const auto& it : actions) {
+        if (const auto* sent = std::get_if<send_grant>(&it)) {
+            const auto index = index_of(sent->value.request.str());
+            at(clock_ + 2 * scenario_.site.zone_ms, [this, index, value = sent->value] { dispatch(index, value); });
+        } else if (const auto* refused = std::get_if<send_refusal>(&it)) {
+            requests_[index_of(refused->value.request.str())].state = request_state::refused;
+        }
+    }
+}
+
+void simulation::dispatch(std::size_t index, const grant& value)
+{
+    auto& it = requests_[index];
+    const auto& from = scenario_.arrivals[index];
+    it.grant = value.id;
+    it.engine = index_of(value.engine.str().substr(1));
+    it.state = request_state::running;
+    it.dispatched = clock_;
+    open_[index % gateways].push_back(index);
+    if (engines_[it.engine].dead) {
+        lose(index);
+        return;
+    }
+    standin::engine_sequence sequence;
+    sequence.id = std::to_string(index);
+    sequence.priority = value.priority;
+    sequence.input = from.input;
+    sequence.output_target = from.output;
+    engines_[it.engine].model.add(std::move(sequence));
+    if (!engines_[it.engine].stepping) {
+        step(it.engine);
+    }
+}
+
+void simulation::step(std::size_t index)
+{
+    auto& it = engines_[index];
+    it.stepping = !it.dead && !it.model.idle();
+    if (!it.stepping) {
+        return;
+    }
+    auto done = std::make_shared<standin::engine_step>(it.model.step());
+    at(clock_ + done->duration_ms, [this, index, done] { finish_step(index, *done); });
+}
+
+void simulation::finish_step(std::size_t index, const standin::engine_step& done)
+{
+    if (engines_[index].dead) {
+        return;
+    }
+    const bool measured = clock_ >= scenario_.warm_ms;
+    out_.recomputed += measured ? done.recomputed : 0;
+    for (const auto& id : done.preempted) {
+        const auto moved = index_of(id);
+        out_.preemptions += measured ? 1 : 0;
+        const auto urgency = static_cast<std::size_t>(scenario_.arrivals[moved].urgency);
+        out_.classes[urgency].preemptions += measured ? 1 : 0;
+        ++requests_[moved].preemptions;
+    }
+    for (const auto& id : done.advanced) {
+        token(index_of(id));
+    }
+    for (const auto& id : done.finished) {
+        requests_[index_of(id)].state = request_state::finished;
+    }
+    step(index);
+}
+
+void simulation::hear(std::size_t index, double ms)
+{
+    auto& it = requests_[index];
+    it.longest = std::max(it.longest, ms - it.heard);
+    it.heard = ms;
+}
+
+void simulation::token(std::size_t index)
+{
+    auto& it = requests_[index];
+    const auto& from = scenario_.arrivals[index];
+    const double arrives = clock_ + scenario_.site.zone_ms + scenario_.site.client_ms;
+    const bool measured = clock_ >= scenario_.warm_ms;
+    if (it.produced > 0 && measured) {
+        out_.classes[static_cast<std::size_t>(from.urgency)].gap.add(arrives - it.heard);
+        out_.gap.add(arrives - it.heard);
+    } else if (it.produced == 0) {
+        out_.started += measured ? 1 : 0;
+        if (from.urgency == work_class::draft && from.at_ms >= scenario_.warm_ms) {
+            out_.organisations[from.organisation].wait.add(arrives - from.at_ms);
+        }
+    }
+    hear(index, arrives);
+    ++it.produced;
+    if (measured) {
+        out_.useful += 1;
+        out_.organisations[from.organisation].tokens += 1;
+    }
+}
+
+void simulation::lose(std::size_t index)
+{
+    auto& it = requests_[index];
+    it.state = request_state::lost;
+    if (it.produced > 0) {
+        return;
+    }
+    // The gateway reports the loss with its next report and asks again at once, without the failed engine.
+    it.excluded.push_back(upstream_id(fmt::format("e{:02}", it.engine)));
+    const auto old = it.grant;
+    progress_report report;
+    report.grants.push_back(
+        {old, request_id(std::to_string(index)), it.excluded.back(), {}, {}, {}, {}, {}, {}, grant_state::lost, {}, 0});
+    auto& list = open_[index % gateways];
+    list.erase(std::remove(list.begin(), list.end(), index), list.end());
+    at(clock_ + 2 * scenario_.site.zone_ms, [this, index, report] {
+        carry_out(policy_.on_progress(now(), gateway_of(index), report));
+        requests_[index].state = request_state::waiting;
+        ask(index);
+    });
+}
+
+void simulation::apply(const engine_fault& fault)
+{
+    auto& it = engines_[fault.engine];
+    if (fault.kind == fault_kind::leaving) {
+        it.leaving = true;
+        return;
+    }
+    if (fault.kind == fault_kind::slow) {
+        constexpr double factor = 10;
+        it.model.set_slowdown(factor);
+        return;
+    }
+    it.dead = true;
+    for (std::size_t i = 0; i < requests_.size(); ++i) {
+        if (requests_[i].state == request_state::running && requests_[i].engine == fault.engine) {
+            lose(i);
+        }
+    }
+}
+
+void simulation::report_progress(std::size_t gateway)
+{
+    progress_report report;
+    auto& list = open_[gateway];
+    std::vector<std::size_t> kept;
+    for (const auto index : list) {
+        const auto& it = requests_[index];
+        const auto& from = scenario_.arrivals[index];
+        grant_progress entry;
+        entry.id = it.grant;
+        entry.request = request_id(std::to_string(index));
+        entry.engine = upstream_id(fmt::format("e{:02}", it.engine));
+        entry.organisation = organisation_id(fmt::format("o{}", from.organisation));
+        entry.workload = workload_name(from.workload);
+        entry.model = model_name("model");
+        entry.urgency = from.urgency;
+        entry.input = {from.input};
+        entry.output = {it.produced};
+        entry.state = it.state == request_state::running    ? grant_state::running
+                      : it.state == request_state::finished ? grant_state::finished
+                                                            : grant_state::lost;
+        entry.silent = milliseconds(static_cast<std::int64_t>(clock_ - std::max(it.dispatched, it.heard)));
+        entry.preemptions = it.preemptions;
+        report.grants.push_back(std::move(entry));
+        if (it.state == request_state::running) {
+            kept.push_back(index);
+        }
+    }
+    list = std::move(kept);
+    if (!report.grants.empty()) {
+        at(clock_ + scenario_.site.zone_ms, [this, gateway, report = std::move(report)] {
+            carry_out(policy_.on_progress(now(), gateway_of(gateway), report));
+        });
+    }
+    at(clock_ + progress_ms, [this, gateway] { report_progress(gateway); });
+}
+
+void simulation::report_load(std::size_t index)
+{
+    const auto& it = engines_[index];
+    const double lost = std::generate_canonical<double, 53>(random_);
+    if (!it.dead && lost >= scenario_.load_loss) {
+        engine_load value;
+        value.engine = upstream_id(fmt::format("e{:02}", index));
+        value.used = {it.model.used()};
+        value.capacity = {it.model.settings().capacity};
+        value.running = it.model.running();
+        value.waiting = it.model.waiting();
+        value.preemptions = it.model.preemptions();
+        value.lag = milliseconds(static_cast<std::int64_t>(scenario_.load_lag_ms));
+        value.leaving = it.leaving;
+        at(clock_ + scenario_.load_lag_ms, [this, value] { carry_out(policy_.on_load(now(), value)); });
+    }
+    at(clock_ + load_ms, [this, index] { report_load(index); });
+}
+
+void simulation::tick()
+{
+    carry_out(policy_.on_tick(now()));
+    at(clock_ + tick_ms, [this] { tick(); });
+}
+
+void simulation::collect()
+{
+    for (std::size_t i = 0; i < requests_.size(); ++i) {
+        const auto& from = scenario_.arrivals[i];
+        auto& it = requests_[i];
+        if (from.at_ms < scenario_.warm_ms) {
+            continue;
+        }
+        auto& figures = out_.classes[static_cast<std::size_t>(from.urgency)];
+        ++figures.requests;
+        figures.finished += it.state == request_state::finished ? 1 : 0;
+        figures.refusals += it.state == request_state::refused ? 1 : 0;
+        figures.lost += it.state == request_state::lost ? 1 : 0;
+        if (it.state == request_state::refused || it.state == request_state::lost) {
+            continue;
+        }
+        if (it.state != request_state::finished) {
+            hear(i, std::max(clock_, it.heard));
+            if (it.produced == 0 && from.urgency == work_class::draft) {
+                out_.organisations[from.organisation].wait.add(clock_ - from.at_ms);
+            }
+        }
+        figures.stall.add(it.longest);
+    }
+}
+
+} // namespace anvillead::bench
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -32,11 +32,20 @@
     return out;
 }
 
+scheduler_options make_options()
+{
+    scheduler_options out;
+    out.process = random_hex(6);
+    // Schedulers must not spread their callers over the same retry times.
+    out.seed = std::stoull(random_hex(8), nullptr, 16);
+    return out;
+}
+
 } // namespace
 
 scheduler_daemon::scheduler_daemon(worker_pool& pool, scheduler_settings settings)
     : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()),
-      core_(std::make_unique<scheduler_core>(random_hex(6))), client_(make_http_client(pool))
+      core_(std::make_unique<scheduler_core>(make_options())), client_(make_http_client(pool))
 {
     const auto options = make_link_options(settings_.common, "scheduler", new_incarnation());
     link_handlers handlers;
