Keep short engines for urgent work and weigh prompts in placement

A draft's prompt and a full batch both lengthen the step that an urgent request waits for. Short engines take no drafts, their number has hysteresis, and the choice among them counts recent prompt tokens as running generations. The forecast is bounded by the growth if nothing ends, since the normal approximation exceeds it at short horizons; z falls from 2.5 to 1.75.

--- a/src/admission/internal/memory_forecast.cpp
+++ b/src/admission/internal/memory_forecast.cpp
@@ -8,9 +8,10 @@
 void memory_forecast::add(const memory_footprint& value, const length_curve& curve)
 {
     for (std::size_t i = 0; i < horizons.size(); ++i) {
-        const double length = value.produced + horizons[i];
+        const double length = std::min(value.produced + horizons[i], value.limit);
+        bound_[i] += value.input + length;
         if (i > 0 && length >= value.limit) {
-            break;
+            continue;
         }
         const double alive = curve.survival(value.produced, horizons[i]);
         const double size = value.input + length;
@@ -23,7 +24,8 @@
 {
     double out = 0;
     for (std::size_t i = 0; i < horizons.size(); ++i) {
-        out = std::max(out, mean_[i] + z * std::sqrt(variance_[i]));
+        // At short horizons few generations can end and the normal approximation exceeds the possible growth.
+        out = std::max(out, std::min(mean_[i] + z * std::sqrt(variance_[i]), bound_[i]));
     }
     return out;
 }
--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -12,31 +12,39 @@
 // Part of the capacity that a new scheduler fills before it knows the grants of its predecessor.
 constexpr double cautious_fill = 0.5;
 
-bool better(const engine_state& a, const engine_state& b, work_class served)
+} // namespace
+
+double placement::cost(instant now, const engine_state& target) const
 {
-    if (served == work_class::draft) {
-        // Drafts are packed: the fullest engine that still has room, and short engines last.
-        if (a.short_batch != b.short_batch) {
-            return !a.short_batch;
-        }
-        return a.batch() > b.batch();
-    }
-    if (served == work_class::normal && a.short_batch != b.short_batch) {
+    const bool recent = now - target.last_grant < settings_.prompt_window;
+    return target.batch() + (recent ? target.recent_prompt * settings_.generations_per_prompt_token : 0);
+}
+
+bool placement::better(instant now, const engine_state& a, const engine_state& b, work_class served) const
+{
+    if (served != work_class::urgent && a.short_batch != b.short_batch) {
         return !a.short_batch;
     }
-    return a.batch() < b.batch();
+    // Drafts are packed: the fullest engine that still has room is first.
+    return served == work_class::draft ? a.batch() > b.batch() : cost(now, a) < cost(now, b);
 }
 
-} // namespace
-
 void placement::assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const
 {
     int usable = 0;
     for (const auto* it : engines) {
         usable += it->usable ? 1 : 0;
     }
-    const int wanted = (urgent_slots + settings_.urgent_per_engine - 1) / settings_.urgent_per_engine;
-    int rest = std::min(wanted, static_cast<int>(std::floor(usable * settings_.largest_short_part)));
+    int now_short = 0;
+    for (const auto* it : engines) {
+        now_short += it->short_batch ? 1 : 0;
+    }
+    const auto needed = [&](double per_engine) { return static_cast<int>(std::ceil(urgent_slots / per_engine)); };
+    const int most = static_cast<int>(std::floor(usable * settings_.largest_short_part));
+    const int low = needed(settings_.urgent_per_engine);
+    // A mark that moves is costly: the engine's drafts must end before it is short.
+    const int high = needed(settings_.urgent_per_engine * settings_.short_hysteresis);
+    int rest = std::min(std::clamp(now_short, low, high), most);
     // The same engines stay short while the group does not change; moving the mark would wait for their drafts to end.
     for (auto* it : engines) {
         it->short_batch = it->usable && rest > 0;
@@ -87,7 +95,7 @@
         }
     }
     std::stable_sort(open.begin(), open.end(),
-                     [&](const engine_state* a, const engine_state* b) { return better(*a, *b, served); });
+                     [&](const engine_state* a, const engine_state* b) { return better(now, *a, *b, served); });
     for (auto* it : open) {
         if (fits(now, *it, request, served, curve)) {
             return it;
@@ -96,6 +104,18 @@
     return nullptr;
 }
 
+void placement::granted(instant now, engine_state& target, const grant_request& request, work_class served) const
+{
+    if (now - target.last_grant >= settings_.prompt_window) {
+        target.recent_prompt = 0;
+    }
+    target.recent_prompt += static_cast<double>(request.input.count);
+    target.last_grant = now;
+    if (served != work_class::urgent) {
+        target.last_bulk = now;
+    }
+}
+
 int placement::priority(instant now, const engine_state& target, work_class served) const
 {
     const int base = static_cast<int>(served);
--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -147,9 +147,7 @@
     const int priority = placement_.priority(now, *target, served);
     actions.push_back(
         send_grant{taken.gateway, {request.id, value.id, target->settings.id, target->settings.address, priority}});
-    if (served != work_class::urgent) {
-        target->last_bulk = now;
-    }
+    placement_.granted(now, *target, request, served);
     target->forecast.add(value.footprint, curve);
     start(std::move(value));
     return true;
--- a/src/admission/memory_forecast.h
+++ b/src/admission/memory_forecast.h
@@ -25,12 +25,13 @@
     void clear() { *this = {}; }
     void add(const memory_footprint& value, const length_curve& curve);
     double current() const { return mean_.front(); }
-    /// Largest mean + z * standard deviation over the horizons.
+    /// Largest mean + z * standard deviation over the horizons, or the use if nothing ended by then, if that is less.
     double peak(double z) const;
 
 private:
     std::array<double, horizons.size()> mean_{};
     std::array<double, horizons.size()> variance_{};
+    std::array<double, horizons.size()> bound_{};
 };
 
 } // namespace anvillead
--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -11,13 +11,19 @@
 struct placement_settings
 {
     /// Standard deviations of memory growth that must fit.
-    double z = 2.5;
+    double z = 1.75;
     /// Part of the capacity that grants may fill; the rest covers tokens not yet reported.
-    double fill = 0.97;
+    double fill = 0.98;
     /// Urgent generations per engine for which engines are kept short.
-    int urgent_per_engine = 8;
+    int urgent_per_engine = 16;
+    /// The number of short engines falls only when this part of the urgent work would still fit.
+    double short_hysteresis = 0.8;
     /// Generations of other classes that a short engine takes while the group's other engines are full.
-    int short_batch_bulk = 4;
+    int short_batch_bulk = 0;
+    /// Time for which a granted prompt is expected to delay the engine's next step, and its weight against running
+    /// generations: in the engine model, 25 prompt tokens lengthen a step as much as one more generation.
+    milliseconds prompt_window{15};
+    double generations_per_prompt_token = 0.04;
     /// Largest part of a group's engines that are kept short.
     double largest_short_part = 0.5;
     /// Least time between grants of normal and draft work on one engine, so that their prompts do not stall the batch
@@ -38,10 +44,15 @@
     /// The engine for a request that is served in class `served`, or null when none may take it now.
     engine_state* choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
                          work_class served, const length_curve& curve) const;
+    /// Notes that the engine got the request.
+    void granted(instant now, engine_state& target, const grant_request& request, work_class served) const;
     /// Engine priority of a grant.
     int priority(instant now, const engine_state& target, work_class served) const;
 
 private:
+    /// Expected length of the engine's next step, counted in generations.
+    double cost(instant now, const engine_state& target) const;
+    bool better(instant now, const engine_state& a, const engine_state& b, work_class served) const;
     bool fits(instant now, const engine_state& target, const grant_request& request, work_class served,
               const length_curve& curve) const;
     bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const;
--- a/src/admission/types/engine_state.h
+++ b/src/admission/types/engine_state.h
@@ -32,6 +32,9 @@
     bool cautious = false;
     bool usable = false;
     instant last_bulk{};
+    instant last_grant{};
+    /// Prompt tokens of the grants around `last_grant`.
+    double recent_prompt = 0;
 
     int batch() const { return running + foreign; }
     double capacity() const;
