Judge shares by virtual time, leave room for those within them, test

Raising a returning organisation to the lowest counter let an organisation that always asks for less than its share hold that minimum down, so all others looked ahead of their share. Counters are now raised to a virtual time that advances by delivered tokens over active weight. Organisations that lead it by more than 3 s fill engines only to 0.86, and drafts spread over the engines that are not kept short instead of filling one after the other.

The property test found urgent grants 20 tokens above capacity, because urgent work filled memory to the last reported token; it now keeps the margin of other classes.

--- a/src/admission/engine_group.h
+++ b/src/admission/engine_group.h
@@ -26,6 +26,8 @@
     /// Largest number of concurrent urgent generations of one organisation: as configured, or by share of a quarter of
     /// the group's slots. Urgent requests beyond it are served as drafts.
     int urgent_limit(const organisation_id& id, const organisation* settings) const;
+    /// The organisation has got clearly more than its share while others are active: it must leave room for them.
+    bool ahead(const organisation_id& id) const;
     /// Seconds until the organisation's backlog in this class and more urgent ones is served at its share.
     double predicted_wait_s(const organisation_id& id, work_class urgency, double added) const;
 };
--- a/src/admission/fair_share.h
+++ b/src/admission/fair_share.h
@@ -6,18 +6,19 @@
 
 namespace anvillead {
 
-/// Weighted virtual token counters. The organisation with the lowest counter is served next.
+/// Weighted virtual token counters. The organisation with the lowest counter is served next. Virtual time is the
+/// counter of an organisation that always gets exactly its share.
 class fair_share
 {
 public:
     void set_weight(const organisation_id& id, double weight);
     double weight(const organisation_id& id) const;
     /// Sum of the weights of organisations that wait or run.
-    double active_weight() const;
+    double active_weight() const { return active_weight_; }
 
-    /// A request arrived. An organisation that returns from idle is raised to the lowest active counter, so that idle
-    /// time saves up no credit.
-    void enter(const organisation_id& id);
+    /// A request arrived. Unless `backlogged`, the counter is raised to the virtual time: time in which an organisation
+    /// asked for less than its share saves up no credit.
+    void enter(const organisation_id& id, bool backlogged);
     /// A request was answered or its grant ended.
     void leave(const organisation_id& id);
     void charge(const organisation_id& id, double delivered);
@@ -25,6 +26,8 @@
     /// every grant of a tick.
     void expect(const organisation_id& id, double change);
     double counter(const organisation_id& id) const;
+    /// Tokens per unit of weight that the organisation got beyond its share.
+    double lead(const organisation_id& id) const;
     double delivered(const organisation_id& id) const;
 
 private:
@@ -40,6 +43,8 @@
     };
 
     std::map<organisation_id, account> accounts_;
+    double active_weight_ = 0;
+    double virtual_time_ = 0;
 };
 
 } // namespace anvillead
--- a/src/admission/internal/engine_group.cpp
+++ b/src/admission/internal/engine_group.cpp
@@ -10,6 +10,9 @@
 constexpr int smallest_urgent_limit = 4;
 // Assumed tokens per second of an engine until the group's rate is known.
 constexpr double assumed_engine_rate = 1000;
+// Lead over the virtual time, in seconds of the group's rate, from which an organisation is ahead. Organisations that
+// all have a backlog stay close to the virtual time.
+constexpr double lead_s = 3;
 
 } // namespace
 
@@ -26,6 +29,12 @@
     return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
 }
 
+bool engine_group::ahead(const organisation_id& id) const
+{
+    const double rate = drain.rate(assumed_engine_rate * static_cast<double>(engines.size()));
+    return share.lead(id) * share.active_weight() > lead_s * rate;
+}
+
 double engine_group::predicted_wait_s(const organisation_id& id, work_class urgency, double added) const
 {
     const double rate = drain.rate(assumed_engine_rate * static_cast<double>(engines.size()));
--- a/src/admission/internal/fair_share.cpp
+++ b/src/admission/internal/fair_share.cpp
@@ -1,7 +1,6 @@
 #include "admission/fair_share.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace anvillead {
 
@@ -13,7 +12,10 @@
 
 void fair_share::set_weight(const organisation_id& id, double weight)
 {
-    accounts_[id].weight = std::max(weight, smallest_weight);
+    auto& own = accounts_[id];
+    const double changed = std::max(weight, smallest_weight);
+    active_weight_ += own.open > 0 ? changed - own.weight : 0;
+    own.weight = changed;
 }
 
 double fair_share::weight(const organisation_id& id) const
@@ -22,36 +24,23 @@
     return it == accounts_.end() ? 1 : it->second.weight;
 }
 
-double fair_share::active_weight() const
-{
-    double sum = 0;
-    for (const auto& [id, it] : accounts_) {
-        sum += it.open > 0 ? it.weight : 0;
-    }
-    return sum;
-}
-
-void fair_share::enter(const organisation_id& id)
+void fair_share::enter(const organisation_id& id, bool backlogged)
 {
     auto& own = accounts_[id];
-    if (own.open++ > 0) {
-        return;
-    }
-    double lowest = std::numeric_limits<double>::max();
-    for (const auto& [other, it] : accounts_) {
-        if (it.open > 0 && other != id) {
-            lowest = std::min(lowest, it.key());
-        }
+    if (own.open++ == 0) {
+        active_weight_ += own.weight;
     }
-    if (lowest < std::numeric_limits<double>::max()) {
-        own.virtual_tokens = std::max(own.virtual_tokens, lowest);
+    if (!backlogged) {
+        own.virtual_tokens = std::max(own.virtual_tokens, virtual_time_ - own.expected / own.weight);
     }
 }
 
 void fair_share::leave(const organisation_id& id)
 {
     auto& own = accounts_[id];
-    own.open = std::max(0, own.open - 1);
+    if (own.open > 0 && --own.open == 0) {
+        active_weight_ -= own.weight;
+    }
 }
 
 void fair_share::charge(const organisation_id& id, double delivered)
@@ -59,6 +48,7 @@
     auto& own = accounts_[id];
     own.delivered += delivered;
     own.virtual_tokens += delivered / own.weight;
+    virtual_time_ += delivered / std::max(active_weight_, own.weight);
 }
 
 void fair_share::expect(const organisation_id& id, double change)
@@ -73,6 +63,12 @@
     return it == accounts_.end() ? 0 : it->second.key();
 }
 
+double fair_share::lead(const organisation_id& id) const
+{
+    const auto it = accounts_.find(id);
+    return it == accounts_.end() ? 0 : it->second.virtual_tokens - virtual_time_;
+}
+
 double fair_share::delivered(const organisation_id& id) const
 {
     const auto it = accounts_.find(id);
--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -26,7 +26,10 @@
         return !a.short_batch;
     }
     // Drafts are packed: the fullest engine that still has room is first.
-    return served == work_class::draft ? a.batch() > b.batch() : cost(now, a) < cost(now, b);
+    if (served == work_class::draft && settings_.pack) {
+        return a.batch() > b.batch();
+    }
+    return cost(now, a) < cost(now, b);
 }
 
 void placement::assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const
@@ -71,7 +74,7 @@
 }
 
 bool placement::fits(instant now, const engine_state& target, const grant_request& request, work_class served,
-                     const length_curve& curve) const
+                     const length_curve& curve, bool ahead) const
 {
     const double capacity = target.capacity();
     const memory_footprint added{static_cast<double>(request.input.count), 0,
@@ -81,12 +84,13 @@
     sum.add(added, curve);
     const bool urgent = served == work_class::urgent;
     const double z = urgent ? urgent_z : settings_.z;
-    const double fill = target.cautious ? cautious_fill : (urgent ? 1 : settings_.fill);
+    const double bulk_fill = ahead ? settings_.ahead_fill : settings_.fill;
+    const double fill = target.cautious ? cautious_fill : (urgent ? settings_.fill : bulk_fill);
     return sum.peak(z) + unknown <= capacity * fill;
 }
 
 engine_state* placement::choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
-                                work_class served, const length_curve& curve) const
+                                work_class served, const length_curve& curve, bool ahead) const
 {
     std::vector<engine_state*> open;
     for (auto* it : engines) {
@@ -97,7 +101,7 @@
     std::stable_sort(open.begin(), open.end(),
                      [&](const engine_state* a, const engine_state* b) { return better(now, *a, *b, served); });
     for (auto* it : open) {
-        if (fits(now, *it, request, served, curve)) {
+        if (fits(now, *it, request, served, curve, ahead)) {
             return it;
         }
     }
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -74,7 +74,7 @@
     entry.made = now;
     entry.acknowledged = true;
     engine->second.forecast.add(entry.footprint, curve);
-    group_of(engine->second.service).share.enter(value.organisation);
+    group_of(engine->second.service).share.enter(value.organisation, false);
     start(std::move(entry));
 }
 
--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -47,7 +47,7 @@
     const bool has_deadline = value.remaining.count() > 0 && value.remaining <= longest;
     entry.expires = now + (has_deadline ? value.remaining : longest);
     entry.expiry = has_deadline ? error_kind::deadline_exceeded : error_kind::overloaded;
-    group.share.enter(value.organisation);
+    group.share.enter(value.organisation, group.queue.size(value.organisation) > 0);
     group.queue.push(std::move(entry));
     make_room(group, actions);
 }
@@ -128,7 +128,7 @@
     const auto& first = group.queue.waiting(lane).at(id).front();
     const length_key key{id, first.request.workload, first.request.model};
     const auto& curve = lengths_.curve(key);
-    engine_state* target = placement_.choose(now, group.engines, first.request, served, curve);
+    engine_state* target = placement_.choose(now, group.engines, first.request, served, curve, group.ahead(id));
     if (target == nullptr) {
         return false;
     }
--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -14,6 +14,8 @@
     double z = 1.75;
     /// Part of the capacity that grants may fill; the rest covers tokens not yet reported.
     double fill = 0.98;
+    /// The same for organisations that are ahead of their share, so that the others find room at once.
+    double ahead_fill = 0.86;
     /// Urgent generations per engine for which engines are kept short.
     int urgent_per_engine = 16;
     /// The number of short engines falls only when this part of the urgent work would still fit.
@@ -31,6 +33,8 @@
     milliseconds bulk_spacing{20};
     /// A new draft gets a priority below all others from this fill on.
     double low_priority_fill = 0.8;
+    /// Drafts go to the fullest engine with room instead of the emptiest.
+    bool pack = false;
 };
 
 /// Chooses the engine of one request among the engines of its group.
@@ -43,7 +47,7 @@
     void assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const;
     /// The engine for a request that is served in class `served`, or null when none may take it now.
     engine_state* choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
-                         work_class served, const length_curve& curve) const;
+                         work_class served, const length_curve& curve, bool ahead) const;
     /// Notes that the engine got the request.
     void granted(instant now, engine_state& target, const grant_request& request, work_class served) const;
     /// Engine priority of a grant.
@@ -54,7 +58,7 @@
     double cost(instant now, const engine_state& target) const;
     bool better(instant now, const engine_state& a, const engine_state& b, work_class served) const;
     bool fits(instant now, const engine_state& target, const grant_request& request, work_class served,
-              const length_curve& curve) const;
+              const length_curve& curve, bool ahead) const;
     bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const;
 
     placement_settings settings_;
--- /dev/null
+++ b/src/admission/tests/engine_health_test.cpp
@@ -0,0 +1,59 @@
+#include "admission/engine_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(engine_health_test)
+{
+    engine_health health;
+    instant now = instant(seconds(100));
+
+    /// Ten grants with one token every `gap_ms`.
+    void run(int periods, double gap_ms)
+    {
+        for (int i = 0; i < periods; ++i) {
+            now += milliseconds(100);
+            health.observe(now, 10 * 100 / gap_ms, 10, milliseconds(static_cast<int>(gap_ms)));
+        }
+    }
+};
+
+// Guards against an engine that slows tenfold without saying so and keeps getting work.
+TEST(engine_health_test, a_much_slower_engine_is_not_usable)
+{
+    run(60, 15);
+    CHECK(health.usable(now, now, 10));
+    run(10, 150);
+    CHECK(!health.usable(now, now, 10));
+    run(10, 15);
+    CHECK(health.usable(now, now, 10));
+}
+
+// Guards against condemning an engine because its batch is full.
+TEST(engine_health_test, a_busy_engine_stays_usable)
+{
+    run(60, 9);
+    run(60, 24);
+    CHECK(health.usable(now, now, 10));
+}
+
+// Guards against granting on an engine that has stopped, and against never trying it again.
+TEST(engine_health_test, a_silent_engine_gets_single_probes)
+{
+    run(60, 15);
+    now += milliseconds(100);
+    health.observe(now, 0, 10, milliseconds(1500));
+    CHECK(!health.usable(now, now, 10));
+    CHECK(!health.usable(now + seconds(4), now, 0));
+    CHECK(health.usable(now + seconds(6), now, 0));
+    CHECK(!health.usable(now + seconds(7), now, 0));
+}
+
+// Guards against new grants on a dead engine whose old load report still looks good.
+TEST(engine_health_test, a_loss_needs_a_newer_load_report)
+{
+    health.lost(now);
+    CHECK(!health.usable(now, now - milliseconds(1), 0));
+    CHECK(health.usable(now, now + milliseconds(1), 0));
+}
--- /dev/null
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -0,0 +1,208 @@
+#include "admission/scheduler_core.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "admission/tests/scheduler_fixture.h"
+
+using namespace anvillead;
+
+TEST_GROUP(scheduler_core_test)
+{
+    scheduler_options options;
+    document configuration = make_test_document(4, 3);
+    instant now = instant(seconds(1000));
+    gateway_identity gateway{"g"};
+    scheduler_core core{options};
+    scheduler_actions actions;
+    int running_on_engines = 0;
+
+    void start(bool loads)
+    {
+        core.on_gateway_count(1);
+        core.on_configuration(now, configuration, all_engines(configuration));
+        if (loads) {
+            report_loads(0, 0);
+            core.on_progress(now, gateway, {{}, true});
+            run(milliseconds(200));
+        }
+    }
+
+    void report_loads(std::int64_t used, int count)
+    {
+        for (const auto& id : all_engines(configuration)) {
+            core.on_load(now, make_test_load(id, used, count));
+        }
+    }
+
+    void keep(const scheduler_actions& more)
+    {
+        actions.insert(actions.end(), more.begin(), more.end());
+    }
+
+    void ask(int number, int organisation, work_class urgency, milliseconds remaining = milliseconds(0))
+    {
+        auto request = make_test_request(number, organisation, urgency);
+        request.remaining = remaining;
+        keep(core.on_request(now, gateway, request));
+    }
+
+    void run(milliseconds time)
+    {
+        for (const auto end = now + time; now < end;) {
+            now += milliseconds(20);
+            keep(core.on_tick(now));
+        }
+    }
+
+    std::vector<grant> grants() const
+    {
+        std::vector<grant> out;
+        for (const auto& it : actions) {
+            if (const auto* sent = std::get_if<send_grant>(&it)) {
+                out.push_back(sent->value);
+            }
+        }
+        return out;
+    }
+
+    std::vector<refusal> refusals() const
+    {
+        std::vector<refusal> out;
+        for (const auto& it : actions) {
+            if (const auto* sent = std::get_if<send_refusal>(&it)) {
+                out.push_back(sent->value);
+            }
+        }
+        return out;
+    }
+
+    static grant_progress progress_of(const grant& value, std::int64_t output, work_class urgency)
+    {
+        grant_progress out;
+        out.id = value.id;
+        out.request = value.request;
+        out.engine = value.engine;
+        out.organisation = organisation_id("o0");
+        out.workload = workload_name(std::string(to_string(urgency)));
+        out.model = model_name("m");
+        out.urgency = urgency;
+        out.input = {100};
+        out.output = {output};
+        return out;
+    }
+};
+
+// Guards against grants on engines whose load is not known yet.
+TEST(scheduler_core_test, nothing_is_granted_before_the_first_load_report)
+{
+    start(false);
+    ask(1, 0, work_class::urgent);
+    run(milliseconds(200));
+    LONGS_EQUAL(0, grants().size());
+    report_loads(0, 0);
+    run(milliseconds(200));
+    LONGS_EQUAL(1, grants().size());
+}
+
+// Guards against requests that vanish from the queue when their deadline passes.
+TEST(scheduler_core_test, a_deadline_that_passes_in_the_queue_is_refused_at_once)
+{
+    start(false);
+    ask(1, 0, work_class::normal, milliseconds(300));
+    run(milliseconds(320));
+    LONGS_EQUAL(1, refusals().size());
+    CHECK(refusals().front().kind == error_kind::deadline_exceeded);
+    CHECK(refusals().front().retry_after.has_value());
+    run(seconds(1));
+    LONGS_EQUAL(1, refusals().size());
+}
+
+// Guards against two answers when a gateway repeats its waiting requests after its link opened again.
+TEST(scheduler_core_test, a_repeated_request_is_answered_once)
+{
+    start(false);
+    ask(1, 0, work_class::urgent);
+    ask(1, 0, work_class::urgent);
+    report_loads(0, 0);
+    run(milliseconds(200));
+    LONGS_EQUAL(1, grants().size());
+}
+
+// Guards against slots that stay taken by grants whose gateway never used them.
+TEST(scheduler_core_test, grants_without_progress_expire)
+{
+    start(true);
+    ask(1, 0, work_class::draft);
+    run(milliseconds(200));
+    LONGS_EQUAL(1, core.figures().grants);
+    run(seconds(4));
+    LONGS_EQUAL(0, core.figures().grants);
+}
+
+// Guards against memory counted as free while the engine still runs a lost gateway's generations.
+TEST(scheduler_core_test, grants_of_a_lost_gateway_count_until_the_engine_shows_them_gone)
+{
+    start(true);
+    ask(1, 0, work_class::draft);
+    run(milliseconds(200));
+    const auto given = grants().front();
+    core.on_progress(now, gateway, {{progress_of(given, 10, work_class::draft)}, false});
+    run(milliseconds(200));
+    core.on_gateway_lost(now, gateway);
+    run(seconds(1));
+    LONGS_EQUAL(1, core.figures().grants);
+    core.on_load(now, make_test_load(given.engine, 200, 1));
+    LONGS_EQUAL(1, core.figures().grants);
+    run(seconds(2));
+    core.on_load(now, make_test_load(given.engine, 0, 0));
+    LONGS_EQUAL(0, core.figures().grants);
+}
+
+// Guards against a flood marked as urgent taking the slots of real urgent work.
+TEST(scheduler_core_test, urgent_requests_over_the_limit_are_served_as_drafts)
+{
+    configuration.organisations.front().limits.concurrent_urgent = 2;
+    start(true);
+    for (int i = 0; i < 6; ++i) {
+        ask(i, 0, work_class::urgent);
+    }
+    LONGS_EQUAL(2, grants().size());
+    run(milliseconds(500));
+    LONGS_EQUAL(6, grants().size());
+    int urgent = 0;
+    for (const auto& it : grants()) {
+        urgent += it.priority == static_cast<int>(work_class::urgent) ? 1 : 0;
+    }
+    LONGS_EQUAL(2, urgent);
+}
+
+// Guards against a new scheduler filling engines that still run its predecessor's grants.
+TEST(scheduler_core_test, takeover_is_cautious_and_rebuilds_grants_from_reports)
+{
+    core.on_gateway_count(2);
+    core.on_configuration(now, configuration, all_engines(configuration));
+    report_loads(test_capacity * 6 / 10, 4);
+    run(milliseconds(200));
+    ask(1, 0, work_class::draft);
+    run(milliseconds(200));
+    LONGS_EQUAL(0, grants().size());
+    const grant old{request_id("old"), grant_id("x-1"), upstream_id("e1"), "", 2};
+    core.on_progress(now, gateway, {{progress_of(old, 500, work_class::draft)}, true});
+    LONGS_EQUAL(1, core.figures().grants);
+    report_loads(0, 0);
+    keep(core.on_progress(now, gateway_identity("h"), {{}, true}));
+    run(seconds(2));
+    CHECK(!grants().empty());
+}
+
+// Guards against a refusal without advice and against waiting for a certain deadline miss.
+TEST(scheduler_core_test, a_backlog_beyond_the_deadline_is_refused_early)
+{
+    start(false);
+    for (int i = 0; i < 2000; ++i) {
+        ask(i, 0, work_class::draft, milliseconds(2000));
+    }
+    CHECK(refusals().size() > 100);
+    CHECK(refusals().front().kind == error_kind::overloaded);
+    CHECK(refusals().front().retry_after->count() > 0);
+}
