--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t load_report_bytes = 64 * 1024;
 // Time for other processes to hear that this scheduler leaves and for its last messages to be delivered.
 constexpr milliseconds leave_time{1500};
+constexpr milliseconds figures_period{1000};
 
 engine_load read_load(const upstream_id& engine, const nlohmann::json& value)
 {
@@ -79,12 +80,39 @@
     pool_.timers().every(settings_.tick,
                          [this] { sequence_->post([this] { carry_out(core_->on_tick(pool_.timers().now())); }); });
     pool_.timers().every(settings_.load_period, [this] { sequence_->post([this] { poll_loads(); }); });
+    pool_.timers().every(figures_period, [this] { sequence_->post([this] { export_figures(); }); });
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
 }
 
+void scheduler_daemon::count_gateways(const std::vector<member>& members)
+{
+    std::size_t count = 0;
+    for (const auto& it : members) {
+        const bool serves = it.state == member_state::alive && !it.addresses.gateway_http.empty();
+        count += serves ? 1 : 0;
+    }
+    core_->on_gateway_count(count);
+}
+
+void scheduler_daemon::export_figures()
+{
+    const auto figures = core_->figures();
+    for (std::size_t i = 0; i < figures.waiting.size(); ++i) {
+        counters_.set("queued_requests{class=\"" + std::string(work_class_names[i]) + "\"}",
+                      static_cast<double>(figures.waiting[i]));
+    }
+    counters_.set("grants", static_cast<double>(figures.grants));
+    counters_.set("grants_of_lost_gateways", static_cast<double>(figures.orphaned));
+    counters_.set("engines", static_cast<double>(figures.engines));
+    counters_.set("engines_usable", static_cast<double>(figures.usable_engines));
+    counters_.set("engines_short", static_cast<double>(figures.short_engines));
+    counters_.set("urgent_slots", static_cast<double>(figures.urgent_slots));
+}
+
 void scheduler_daemon::apply_view(const view_ptr& view)
 {
+    count_gateways(view->members);
     std::map<upstream_id, std::string> owned;
     for (const auto& it : view->configuration->merged.services) {
         if (it.kind != service_kind::engine) {
@@ -111,6 +139,8 @@
         owned_ = std::move(owned);
         applied_ = view->configuration->generation;
         carry_out(core_->on_configuration(now, view->configuration->merged, ids));
+        // No engine gets a grant before its first load report.
+        poll_loads();
     }
     carry_out(core_->on_leaving(now, view->leaving_upstreams));
 }
@@ -144,6 +174,11 @@
 void scheduler_daemon::carry_out(scheduler_actions actions)
 {
     for (auto& it : actions) {
+        if (const auto* refused = std::get_if<send_refusal>(&it)) {
+            counters_.add("refusals_total{kind=\"" + std::string(to_string(refused->value.kind)) + "\"}");
+        } else {
+            counters_.add("grants_total");
+        }
         std::visit([this](auto& action) { send(action.gateway, std::move(action.value)); }, it);
     }
 }
--- a/src/apps/scheduler/scheduler_daemon.h
+++ b/src/apps/scheduler/scheduler_daemon.h
@@ -23,6 +23,8 @@
 
 private:
     void apply_view(const view_ptr& view);
+    void count_gateways(const std::vector<member>& members);
+    void export_figures();
     void received(const link_ptr& link, const std::string& payload);
     void handle(const link_ptr& link, const envelope& value);
     void carry_out(scheduler_actions actions);
