--- a/src/admission/internal/engine_group.cpp
+++ b/src/admission/internal/engine_group.cpp
@@ -12,7 +12,7 @@
 constexpr double assumed_engine_rate = 1000;
 // Lead over the virtual time, in seconds of the group's rate, from which an organisation is ahead. Organisations that
 // all have a backlog stay close to the virtual time.
-constexpr double lead_s = 3;
+constexpr double lead_s = 10;
 
 } // namespace
 
--- a/src/admission/internal/length_model.cpp
+++ b/src/admission/internal/length_model.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr double longest = 131'072;
-// Each sample of a bin forgets this part of the bin's earlier ones: about 150 samples are remembered.
-constexpr double bin_memory = 1 - 1.0 / 150;
+// Each sample of a bin forgets this part of the bin's earlier ones: about 50 samples are remembered.
+constexpr double bin_memory = 1 - 1.0 / 50;
 // Samples of a bin with which a cell outweighs its coarser cell.
 constexpr double shrinkage = 8;
 // A constant hazard per logarithmic bin is a Pareto tail: without samples, the remaining length is about the length so
--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -11,7 +11,7 @@
 struct placement_settings
 {
     /// Standard deviations of memory growth that must fit.
-    double z = 1.75;
+    double z = 2.5;
     /// Part of the capacity that grants may fill; the rest covers tokens not yet reported.
     double fill = 0.98;
     /// The same for organisations that are ahead of their share, so that the others find room at once.
