Compare urgent stall in the flood with a run without drafts

The target is defined against no drafts at all; the flood was compared with its own run without the flood.

--- a/src/apps/bench/decisions.cpp
+++ b/src/apps/bench/decisions.cpp
@@ -51,7 +51,7 @@
 {
     std::size_t result = 0;
     std::size_t policy = 0;
-    bool reference = false;
+    variant part = variant::complete;
     std::uint64_t seed = 1;
     run_figures figures;
 };
@@ -68,6 +68,9 @@
             for (const auto& [policy, kind] : baselines()) {
                 it.policies.emplace_back(policy, run_figures{});
             }
+            for (const auto part : references_of(name)) {
+                it.references.emplace_back(part, run_figures{});
+            }
             out.push_back(std::move(it));
         }
     }
@@ -80,10 +83,10 @@
     for (std::size_t i = 0; i < results.size(); ++i) {
         for (unsigned seed = first_seed; seed < first_seed + seeds_per_run; ++seed) {
             for (std::size_t policy = 0; policy < results[i].policies.size(); ++policy) {
-                out.push_back({i, policy, false, seed, {}});
+                out.push_back({i, policy, variant::complete, seed, {}});
             }
-            if (has_reference(results[i].scenario)) {
-                out.push_back({i, 0, true, seed, {}});
+            for (const auto& [part, figures] : results[i].references) {
+                out.push_back({i, 0, part, seed, {}});
             }
         }
     }
@@ -95,7 +98,7 @@
     const auto& target = results[value.result];
     const auto site = std::find_if(deployments().begin(), deployments().end(),
                                    [&](const deployment& it) { return it.name == target.deployment; });
-    const auto input = make_scenario(target.scenario, *site, value.seed, value.reference);
+    const auto input = make_scenario(target.scenario, *site, value.seed, value.part);
     const auto policy = make_policy(target.policies[value.policy].first, value.seed);
     value.figures = simulation(input, *policy).run();
 }
@@ -137,12 +140,15 @@
     run_jobs(results, jobs);
     for (const auto& it : jobs) {
         auto& target = results[it.result];
-        if (!it.reference) {
+        if (it.part == variant::complete) {
             target.policies[it.policy].second.merge(it.figures);
             continue;
         }
-        target.reference.resize(1);
-        target.reference.front().merge(it.figures);
+        for (auto& [part, figures] : target.references) {
+            if (part == it.part) {
+                figures.merge(it.figures);
+            }
+        }
     }
     fmt::print("{}", json.getValue() ? as_json(results) : as_text(results));
     return 0;
--- a/src/apps/bench/decisions/report.cpp
+++ b/src/apps/bench/decisions/report.cpp
@@ -67,14 +67,12 @@
     const auto& own = value.policies.front().second;
     const auto p99 = [](const duration_histogram& it) { return it.quantile(0.99); };
     std::vector<target> out;
-    if (!value.reference.empty()) {
-        const auto& reference = value.reference.front();
-        const char* name =
-            value.scenario == "drafts" ? "urgent stall p99 / without drafts" : "urgent stall p99 / without flood";
-        out.push_back({name, ratio_of(p99(own.classes[0].stall), p99(reference.classes[0].stall)), 1.2});
-        if (value.scenario == "flood") {
-            out.push_back({"mean wait within share / without flood", worst_wait_ratio(own, reference), 1.2});
-        }
+    if (const auto* it = value.reference(variant::without_drafts)) {
+        out.push_back(
+            {"urgent stall p99 / without drafts", ratio_of(p99(own.classes[0].stall), p99(it->classes[0].stall)), 1.2});
+    }
+    if (const auto* it = value.reference(variant::without_flood)) {
+        out.push_back({"mean wait within share / without flood", worst_wait_ratio(own, *it), 1.2});
     }
     out.push_back({"preemptions / best baseline",
                    ratio_of(own.preemptions_per_thousand(),
@@ -142,6 +140,16 @@
 
 } // namespace
 
+const run_figures* scenario_results::reference(variant part) const
+{
+    for (const auto& [known, figures] : references) {
+        if (known == part) {
+            return &figures;
+        }
+    }
+    return nullptr;
+}
+
 std::string as_text(const std::vector<scenario_results>& results)
 {
     std::string out;
@@ -150,8 +158,8 @@
         for (const auto& [name, figures] : it.policies) {
             out += policy_text(name, figures);
         }
-        for (const auto& reference : it.reference) {
-            out += policy_text("anvillead reference", reference);
+        for (const auto& [part, figures] : it.references) {
+            out += policy_text(to_string(part), figures);
         }
         for (const auto& at : targets_of(it)) {
             out += fmt::format("  target: {} = {:.3f}, {} {} -> {}\n", at.name, at.ratio,
@@ -169,8 +177,8 @@
         for (const auto& [name, figures] : it.policies) {
             entry["policies"][name] = policy_json(figures);
         }
-        for (const auto& reference : it.reference) {
-            entry["reference"] = policy_json(reference);
+        for (const auto& [part, figures] : it.references) {
+            entry["references"][to_string(part)] = policy_json(figures);
         }
         for (const auto& at : targets_of(it)) {
             entry["targets"].push_back({{"name", at.name},
--- a/src/apps/bench/decisions/report.h
+++ b/src/apps/bench/decisions/report.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "apps/bench/decisions/measurements.h"
+#include "apps/bench/decisions/scenario.h"
 
 namespace anvillead::bench {
 
@@ -14,8 +15,10 @@
     std::string scenario;
     std::string deployment;
     std::vector<std::pair<std::string, run_figures>> policies;
-    /// The scheduler's own run of the reference, if the scenario has one.
-    std::vector<run_figures> reference;
+    /// The scheduler's own runs of parts of the scenario.
+    std::vector<std::pair<variant, run_figures>> references;
+
+    const run_figures* reference(variant part) const;
 };
 
 std::string as_text(const std::vector<scenario_results>& results);
--- a/src/apps/bench/decisions/scenario.cpp
+++ b/src/apps/bench/decisions/scenario.cpp
@@ -165,12 +165,31 @@
     return names;
 }
 
-bool has_reference(const std::string& name)
+std::vector<variant> references_of(const std::string& name)
 {
-    return name == "drafts" || name == "flood";
+    if (name == "drafts") {
+        return {variant::without_drafts};
+    }
+    if (name == "flood") {
+        return {variant::without_drafts, variant::without_flood};
+    }
+    return {};
+}
+
+std::string to_string(variant value)
+{
+    switch (value) {
+    case variant::complete:
+        return "complete";
+    case variant::without_drafts:
+        return "without drafts";
+    case variant::without_flood:
+        return "without flood";
+    }
+    return "";
 }
 
-scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, bool reference)
+scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, variant part)
 {
     scenario out;
     out.name = name;
@@ -180,14 +199,15 @@
     out.end_ms = end_ms;
     out.within_share.assign(site.weights.size(), name != "drafts");
     add_urgent(out);
-    if (name == "drafts" && !reference) {
+    const bool drafts = part != variant::without_drafts;
+    if (drafts && name == "drafts") {
         add_all_drafts(out, 1.3);
-    } else if (name == "flood") {
+    } else if (drafts && name == "flood") {
         for (std::size_t i = 0; i < site.weights.size(); ++i) {
-            const bool floods = i == flooding_organisation && !reference;
+            const bool floods = i == flooding_organisation && part == variant::complete;
             add_drafts(out, i, floods ? flood_load + 1 / share_of(site, i) : flood_load);
         }
-        out.within_share[flooding_organisation] = reference;
+        out.within_share[flooding_organisation] = part == variant::without_flood;
     } else if (name == "shift") {
         add_all_drafts(out, 0.6);
         add_shift(out);
--- a/src/apps/bench/decisions/scenario.h
+++ b/src/apps/bench/decisions/scenario.h
@@ -67,11 +67,20 @@
 
 const std::vector<deployment>& deployments();
 const std::vector<std::string>& scenario_names();
-/// The scenario, or its reference when `reference` is set: without drafts for `drafts` and with the flooding
-/// organisation at its share for `flood`.
-scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, bool reference);
-/// Scenarios that have a reference run.
-bool has_reference(const std::string& name);
+/// What a run leaves out, for comparison.
+enum class variant
+{
+    complete,
+    /// Urgent work only.
+    without_drafts,
+    /// The flooding organisation stays at its normal rate.
+    without_flood
+};
+
+scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, variant part);
+/// Variants that the scenario is compared with.
+std::vector<variant> references_of(const std::string& name);
+std::string to_string(variant value);
 document make_document(const deployment& site);
 
 } // namespace anvillead::bench
