Measure slopes: first version

Cause: docs/CAPACITY.md needs measured slopes. Change: anvillead-bench slopes with direct and in-process measurements.

--- a/src/apps/bench/commands.h
+++ b/src/apps/bench/commands.h
@@ -6,5 +6,6 @@
 using bench_function = int (*)(int argc, char** argv);
 
 int run_decisions(int argc, char** argv);
+int run_slopes(int argc, char** argv);
 
 } // namespace anvillead
--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -21,6 +21,7 @@
 /// One row per subcommand; each is defined in its own file.
 constexpr subcommand subcommands[] = {
     {"decisions", "admission decisions against baselines in virtual time", run_decisions},
+    {"slopes", "growth of costs with size, for docs/CAPACITY.md", run_slopes},
 };
 
 int usage()
--- /dev/null
+++ b/src/apps/bench/slopes.cpp
@@ -0,0 +1,49 @@
+#include <cstdio>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include "apps/bench/commands.h"
+#include "apps/bench/slopes/slope.h"
+
+namespace anvillead {
+
+namespace {
+
+void print_table(const std::vector<slope>& slopes)
+{
+    for (const auto& it : slopes) {
+        fmt::print("{} [{} by {}]\n", it.name, it.y_unit, it.x_unit);
+        for (const auto& point : it.points) {
+            fmt::print("  {:>12.0f} {:>16.1f}\n", point.x, point.y);
+        }
+    }
+}
+
+} // namespace
+
+int run_slopes(int argc, char** argv)
+{
+    TCLAP::CmdLine line("Measures how costs grow with size, for docs/CAPACITY.md.", ' ', ANVILLEAD_VERSION);
+    TCLAP::SwitchArg as_json("j", "json", "print the raw points as JSON", line);
+    line.parse(argc, argv);
+    std::vector<slope> slopes;
+    for (const auto measure :
+         {measure_scheduler_slopes, measure_configuration_slopes, measure_platform_slopes, measure_gateway_slopes}) {
+        for (auto& it : measure()) {
+            slopes.push_back(std::move(it));
+        }
+    }
+    if (!as_json.getValue()) {
+        print_table(slopes);
+        return 0;
+    }
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto& it : slopes) {
+        out.push_back(to_json(it));
+    }
+    fmt::print("{}\n", nlohmann::json({{"slopes", out}}).dump(1));
+    return 0;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/bench/slopes/scheduler_slopes.cpp
@@ -0,0 +1,217 @@
+#include <fmt/format.h>
+
+#include "admission/scheduler_core.h"
+#include "apps/bench/slopes/slope.h"
+#include "messages/codec.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr int engines_of_a_cell = 32;
+constexpr int engine_batch = 64;
+constexpr tokens engine_capacity{400'000};
+constexpr int load_rounds = 200;
+
+document engine_document(int engines)
+{
+    document out;
+    service pool;
+    pool.name = service_name("pool");
+    pool.models = {model_name("m")};
+    for (int i = 0; i < engines; ++i) {
+        pool.upstreams.push_back({upstream_id(fmt::format("engine-{}", i)), "127.0.0.1:1", zone_name("leith"),
+                                  engine_capacity, engine_batch});
+    }
+    out.services.push_back(pool);
+    out.models.push_back({model_name("m"), tokens{32'000}});
+    out.organisations.push_back({organisation_id("galle"), 1, {}, {}});
+    out.workloads.push_back(
+        {workload_name("check"), work_class::urgent, true, pool.name, tokens{200}, milliseconds(0)});
+    return out;
+}
+
+std::vector<upstream_id> engine_ids(const document& value)
+{
+    std::vector<upstream_id> out;
+    for (const auto& it : value.services.front().upstreams) {
+        out.push_back(it.id);
+    }
+    return out;
+}
+
+grant_request example_request(int number)
+{
+    grant_request out;
+    out.id = request_id(fmt::format("{:024x}", number));
+    out.organisation = organisation_id("galle");
+    out.workload = workload_name("check");
+    out.service = service_name("pool");
+    out.model = model_name("m");
+    out.urgency = work_class::urgent;
+    out.input = {100};
+    out.output_limit = {200};
+    return out;
+}
+
+grant_progress example_progress(const grant& value, std::int64_t output, grant_state state)
+{
+    grant_progress out;
+    out.id = value.id;
+    out.request = value.request;
+    out.engine = value.engine;
+    out.organisation = organisation_id("galle");
+    out.workload = workload_name("check");
+    out.model = model_name("m");
+    out.urgency = work_class::urgent;
+    out.input = {100};
+    out.output = {output};
+    out.state = state;
+    return out;
+}
+
+/// A scheduler core with engines that have reported an empty load.
+class loaded_scheduler
+{
+public:
+    explicit loaded_scheduler(int engines) : document_(engine_document(engines)), core_("bench")
+    {
+        core_.on_configuration(now_, document_, engine_ids(document_));
+        report_loads();
+    }
+
+    void report_loads()
+    {
+        for (const auto& it : engine_ids(document_)) {
+            engine_load load;
+            load.engine = it;
+            load.capacity = engine_capacity;
+            core_.on_load(now_, load);
+        }
+    }
+
+    /// One request from arrival to its last progress report.
+    void serve(int number)
+    {
+        now_ += milliseconds(1);
+        for (const auto& it : core_.on_request(now_, gateway_, example_request(number))) {
+            const auto* sent = std::get_if<send_grant>(&it);
+            if (sent == nullptr) {
+                continue;
+            }
+            core_.on_progress(now_, gateway_, {{example_progress(sent->value, 50, grant_state::running)}, false});
+            core_.on_progress(now_, gateway_, {{example_progress(sent->value, 100, grant_state::finished)}, false});
+        }
+    }
+
+    /// Opens requests and leaves them running.
+    void open(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            for (const auto& it : core_.on_request(now_, gateway_, example_request(i))) {
+                if (const auto* sent = std::get_if<send_grant>(&it)) {
+                    running_.push_back(sent->value);
+                }
+            }
+        }
+    }
+
+    std::size_t running() const { return running_.size(); }
+
+    /// One progress report that lists every running grant.
+    progress_report report_all()
+    {
+        progress_report out;
+        for (const auto& it : running_) {
+            out.grants.push_back(example_progress(it, ++output_, grant_state::running));
+        }
+        core_.on_progress(now_, gateway_, out);
+        return out;
+    }
+
+private:
+    document document_;
+    scheduler_core core_;
+    gateway_identity gateway_{"gateway/entry-1/1"};
+    instant now_{};
+    std::vector<grant> running_;
+    std::int64_t output_ = 0;
+};
+
+slope requests_slope()
+{
+    slope out{"scheduler.processor per request", "scheduler", "requests", "us", {}};
+    for (const int count : {500, 1000, 2000, 4000, 8000}) {
+        loaded_scheduler scheduler(engines_of_a_cell);
+        const auto begin = thread_processor_us();
+        for (int i = 0; i < count; ++i) {
+            scheduler.serve(i);
+        }
+        out.points.push_back({static_cast<double>(count), thread_processor_us() - begin});
+    }
+    return out;
+}
+
+slope engines_slope()
+{
+    slope out{"scheduler.processor per engine load report", "scheduler", "engines", "us", {}};
+    for (const int engines : {4, 8, 16, 32, 64}) {
+        loaded_scheduler scheduler(engines);
+        const auto begin = thread_processor_us();
+        for (int i = 0; i < load_rounds; ++i) {
+            scheduler.report_loads();
+        }
+        out.points.push_back({static_cast<double>(engines), (thread_processor_us() - begin) / load_rounds});
+    }
+    return out;
+}
+
+std::vector<slope> grants_slopes()
+{
+    slope memory{"scheduler.memory per running grant", "scheduler", "grants", "bytes", {}};
+    slope processor{"scheduler.processor per progress entry", "scheduler", "grants", "us", {}};
+    slope bytes{"messages.bytes per progress entry", "gateway", "grants", "bytes", {}};
+    for (const int count : {100, 200, 400, 800, 1600}) {
+        const auto heap = heap_bytes();
+        loaded_scheduler scheduler(engines_of_a_cell);
+        scheduler.open(count);
+        const auto running = static_cast<double>(scheduler.running());
+        memory.points.push_back({running, heap_bytes() - heap});
+        const auto begin = thread_processor_us();
+        const auto report = scheduler.report_all();
+        const auto payload = encode({1, report});
+        const auto decoded = decode(payload);
+        processor.points.push_back({running, thread_processor_us() - begin});
+        bytes.points.push_back({running, static_cast<double>(decoded ? payload.size() : 0)});
+    }
+    return {memory, processor, bytes};
+}
+
+slope request_bytes_slope()
+{
+    slope out{"messages.bytes per request", "gateway", "requests", "bytes", {}};
+    for (const int count : {10, 20, 40, 80}) {
+        double total = 0;
+        for (int i = 0; i < count; ++i) {
+            const auto request = example_request(i);
+            const grant answer{request.id, grant_id(fmt::format("bench-{}", i)), upstream_id("engine-1"),
+                               "10.0.0.1:9000", 0};
+            total += static_cast<double>(encode({1, request}).size() + encode({1, answer}).size());
+        }
+        out.points.push_back({static_cast<double>(count), total});
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<slope> measure_scheduler_slopes()
+{
+    std::vector<slope> out = {requests_slope(), engines_slope(), request_bytes_slope()};
+    for (auto& it : grants_slopes()) {
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
+} // namespace anvillead
