--- a/src/apps/bench/commands.h
+++ b/src/apps/bench/commands.h
@@ -7,5 +7,6 @@
 
 int run_decisions(int argc, char** argv);
 int run_overhead(int argc, char** argv);
+int run_slopes(int argc, char** argv);
 
 } // namespace anvillead
--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -22,6 +22,7 @@
 constexpr subcommand subcommands[] = {
     {"decisions", "admission decisions against baselines in virtual time", run_decisions},
     {"overhead", "what the path through a gateway adds to the gaps between tokens", run_overhead},
+    {"slopes", "growth of costs with size, for docs/CAPACITY.md", run_slopes},
 };
 
 int usage()
