Free the counts of grants on engines that moved; keep reconnected grants

Releasing a grant looked up its group through its engine, so a configuration that took the engine away left the organisation's urgent slots and expected tokens counted for ever. A grant now names its service. A gateway that reconnects under the same identity kept its grants marked as orphaned, and the next load report could drop them; progress clears the mark. Both have a test.

--- a/src/admission/grant_table.h
+++ b/src/admission/grant_table.h
@@ -16,6 +16,7 @@
     gateway_identity gateway;
     request_id request;
     upstream_id engine;
+    service_name service;
     length_key length;
     /// Class in which it was served; urgent requests over their limit are served as drafts.
     work_class served = work_class::normal;
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -1,6 +1,7 @@
 #include "admission/scheduler_core.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvillead {
 
@@ -17,6 +18,7 @@
 {
     auto& engine = engines_.at(value.engine);
     auto& group = group_of(engine.service);
+    value.service = engine.service;
     ++engine.running;
     if (value.served == work_class::urgent) {
         ++engine.urgent;
@@ -33,22 +35,23 @@
     if (known == nullptr) {
         return;
     }
+    const auto& organisation = known->length.organisation;
+    const bool urgent = known->served == work_class::urgent;
     const auto engine = engines_.find(known->engine);
     if (engine != engines_.end()) {
-        auto& group = group_of(engine->second.service);
-        const auto& organisation = known->length.organisation;
         --engine->second.running;
         engine->second.orphaned -= known->orphaned ? 1 : 0;
-        if (known->served == work_class::urgent) {
-            --engine->second.urgent;
-            --group.urgent_total;
-            if (--group.urgent[organisation] <= 0) {
-                group.urgent.erase(organisation);
-            }
+        engine->second.urgent -= urgent ? 1 : 0;
+    }
+    auto& group = group_of(known->service);
+    if (urgent) {
+        --group.urgent_total;
+        if (--group.urgent[organisation] <= 0) {
+            group.urgent.erase(organisation);
         }
-        group.share.expect(organisation, -known->expected);
-        group.share.leave(organisation);
     }
+    group.share.expect(organisation, -known->expected);
+    group.share.leave(organisation);
     grants_.remove(id);
 }
 
@@ -93,9 +96,9 @@
     }
     if (known->gateway != gateway) {
         grants_.rebind(*known, gateway);
-        engine->second.orphaned -= known->orphaned ? 1 : 0;
-        known->orphaned = false;
     }
+    // The gateway's link is open again, or its caller resumed through another gateway.
+    engine->second.orphaned -= std::exchange(known->orphaned, false) ? 1 : 0;
     auto& group = group_of(engine->second.service);
     const double produced = static_cast<double>(value.output.count);
     const double change = produced - known->footprint.produced;
--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -1,5 +1,7 @@
 #include "admission/scheduler_core.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 #include "admission/tests/scheduler_fixture.h"
@@ -158,6 +160,36 @@
     LONGS_EQUAL(0, core.figures().grants);
 }
 
+// Guards against dropping the grants of a gateway whose link was open again before the engine reported.
+TEST(scheduler_core_test, a_gateway_that_reports_again_keeps_its_grants)
+{
+    start(true);
+    ask(1, 0, work_class::draft);
+    run(milliseconds(200));
+    const auto given = grants().front();
+    core.on_progress(now, gateway, {{progress_of(given, 10, work_class::draft)}, false});
+    core.on_gateway_lost(now, gateway);
+    LONGS_EQUAL(1, core.figures().orphaned);
+    core.on_progress(now, gateway, {{progress_of(given, 20, work_class::draft)}, true});
+    LONGS_EQUAL(0, core.figures().orphaned);
+    LONGS_EQUAL(1, core.figures().grants);
+}
+
+// Guards against urgent slots that stay taken after their engine moved to another scheduler.
+TEST(scheduler_core_test, grants_on_engines_that_moved_free_their_urgent_slots)
+{
+    configuration.organisations.front().limits.concurrent_urgent = 1;
+    start(true);
+    ask(1, 0, work_class::urgent);
+    const auto lost = grants().front().engine;
+    auto kept = all_engines(configuration);
+    kept.erase(std::find(kept.begin(), kept.end(), lost));
+    core.on_configuration(now, configuration, kept);
+    ask(2, 0, work_class::urgent);
+    LONGS_EQUAL(2, grants().size());
+    LONGS_EQUAL(static_cast<int>(work_class::urgent), grants().back().priority);
+}
+
 // Guards against a flood marked as urgent taking the slots of real urgent work.
 TEST(scheduler_core_test, urgent_requests_over_the_limit_are_served_as_drafts)
 {
