--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -15,7 +15,7 @@
     /// Part of the capacity that grants may fill; the rest covers tokens not yet reported.
     double fill = 0.98;
     /// The same for organisations that are ahead of their share, so that the others find room at once.
-    double ahead_fill = 0.86;
+    double ahead_fill = 0.75;
     /// Urgent generations per engine for which engines are kept short.
     int urgent_per_engine = 16;
     /// The number of short engines falls only when this part of the urgent work would still fit.
