Look for a repeated request only among its organisation's

Every request scanned the whole queue of its group, up to 10,000 entries, to find a repetition. A repetition has the same organisation and class.

--- a/src/admission/internal/request_queue.cpp
+++ b/src/admission/internal/request_queue.cpp
@@ -31,17 +31,12 @@
     return out;
 }
 
-bool request_queue::contains(const gateway_identity& gateway, const request_id& id) const
+bool request_queue::contains(const gateway_identity& gateway, const grant_request& value) const
 {
-    for (const auto& entries : lanes_) {
-        for (const auto& [organisation, list] : entries) {
-            const auto same = [&](const queued_request& it) { return it.request.id == id && it.gateway == gateway; };
-            if (std::any_of(list.begin(), list.end(), same)) {
-                return true;
-            }
-        }
-    }
-    return false;
+    const auto& entries = waiting(value.urgency);
+    const auto it = entries.find(value.organisation);
+    const auto same = [&](const queued_request& at) { return at.request.id == value.id && at.gateway == gateway; };
+    return it != entries.end() && std::any_of(it->second.begin(), it->second.end(), same);
 }
 
 std::size_t request_queue::size(const organisation_id& id) const
--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -98,7 +98,7 @@
     scheduler_actions actions;
     auto& group = group_of(value.service);
     // A gateway repeats its waiting requests when its link opens again.
-    if (group.queue.contains(gateway, value.id)) {
+    if (group.queue.contains(gateway, value)) {
         return actions;
     }
     enqueue(now, gateway, value, actions);
--- a/src/admission/request_queue.h
+++ b/src/admission/request_queue.h
@@ -18,7 +18,8 @@
     void push(queued_request value);
     queued_request pop(work_class urgency, const organisation_id& id);
     const lane& waiting(work_class urgency) const { return lanes_[static_cast<std::size_t>(urgency)]; }
-    bool contains(const gateway_identity& gateway, const request_id& id) const;
+    /// The same request of the same gateway waits already. Looks only at the organisation's requests of its class.
+    bool contains(const gateway_identity& gateway, const grant_request& value) const;
     std::size_t size() const { return size_; }
     std::size_t size(const organisation_id& id) const;
     std::size_t size(work_class urgency) const;
