Keep late host lists and closed links from harming restarted processes

A host list that lags would have marked a restarted host as leaving for its whole life; list entries are now versioned marks that end with the entry. A link client could be destroyed while websocketpp still referred to it; it is now kept for 15 s after its last use. Seeds are taken again when the configuration tells which host list entries are upstreams.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -72,7 +72,10 @@
     platform_follower::hooks platform;
     platform.members = [this] { return membership_->core().members_since(0); };
     platform.on_applied = [this](const accepted_configuration& value) { applied(value); };
-    platform.on_hosts = [this](const std::vector<platform_host>& hosts) { hosts_read(hosts); };
+    platform.on_hosts = [this](const std::vector<platform_host>& hosts) {
+        hosts_ = hosts;
+        use_hosts();
+    };
     follower_ = std::make_unique<platform_follower>(pool_, sequence_, settings_, counters_, std::move(platform));
     local_publisher::hooks local;
     local.accepted = [this]() -> const accepted_configuration& { return follower_->accepted(); };
@@ -195,6 +198,8 @@
         {{"generation", std::to_string(value.generation)}, {"digest", value.digest}});
     ready_ = true;
     membership_->apply([&](membership& it, instant now) { return it.set_generation(now, value.generation); });
+    // Which entries of the host list are upstreams depends on the configuration.
+    use_hosts();
     publisher_->publish(pool_.timers().now());
 }
 
@@ -212,24 +217,18 @@
     });
 }
 
-void agent_daemon::hosts_read(const std::vector<platform_host>& hosts)
+void agent_daemon::use_hosts()
 {
     auto seeds = settings_.seeds;
     const auto& configuration = follower_->accepted().merged;
     membership_->apply([&](membership& core, instant now) {
         membership_actions out;
-        const auto add = [&out](membership_actions more) {
+        for (const auto& it : hosts_) {
+            const bool is_upstream = configuration.find_upstream(upstream_id(it.id)) != nullptr;
+            const auto source = is_upstream ? upstream_source::hosts : upstream_source::entry_host;
+            auto more = core.report_upstream(now, {upstream_id(it.id), source}, it.leaving);
             std::move(more.begin(), more.end(), std::back_inserter(out));
-        };
-        for (const auto& it : hosts) {
-            const upstream_id upstream(it.id);
-            if (configuration.find_upstream(upstream) != nullptr) {
-                add(core.report_upstream(now, {upstream, upstream_source::hosts}, it.leaving));
-                continue;
-            }
-            if (it.leaving) {
-                add(core.report_host_leaving(now, host_id(it.id)));
-            } else if (it.id != settings_.common.host.str() && !it.address.empty()) {
+            if (!is_upstream && !it.leaving && it.id != settings_.common.host.str() && !it.address.empty()) {
                 seeds.push_back(it.address);
             }
         }
--- a/src/apps/agent/agent_daemon.h
+++ b/src/apps/agent/agent_daemon.h
@@ -32,7 +32,8 @@
     void pushed(const state_push& value);
     void applied(const accepted_configuration& value);
     void roles_changed();
-    void hosts_read(const std::vector<platform_host>& hosts);
+    /// Takes seeds and leaving hosts from the platform's host list.
+    void use_hosts();
     bool may_publish() const;
     void stop_requested();
     void exit_when_drained();
@@ -50,6 +51,7 @@
     std::unique_ptr<local_publisher> publisher_;
     std::unique_ptr<ilink_server> server_;
     std::unique_ptr<status_server> status_;
+    std::vector<platform_host> hosts_;
     std::atomic<bool> ready_{false};
     bool stopping_ = false;
 };
--- a/src/apps/agent/local_publisher.cpp
+++ b/src/apps/agent/local_publisher.cpp
@@ -125,8 +125,9 @@
     if (state.generation < accepted.generation) {
         out.configuration = accepted;
     }
-    // Drains are part of the configuration and change the state of members, so a new one brings all of them.
-    const bool full = !state.has_members || out.configuration;
+    // Drains are part of the configuration and marks may be about hosts; both change members without a new record.
+    const bool full =
+        !state.has_members || out.configuration || state.upstreams_revision != core.upstreams().revision();
     out.members = members_for(state, full);
     out.partial = !full;
     out.leaving_upstreams = leaving_upstreams();
@@ -148,7 +149,8 @@
     }
     const auto& drained = hooks_.accepted().merged.drains.hosts;
     for (auto& it : out) {
-        const bool is_drained = std::find(drained.begin(), drained.end(), it.host) != drained.end();
+        const bool is_drained = std::find(drained.begin(), drained.end(), it.host) != drained.end() ||
+                                hooks_.members().upstreams().is_leaving(it.host);
         if (is_drained && it.state != member_state::dead) {
             it.state = member_state::leaving;
         }
--- a/src/apps/agent/peer_puller.cpp
+++ b/src/apps/agent/peer_puller.cpp
@@ -1,6 +1,7 @@
 #include "apps/agent/peer_puller.h"
 
 #include "apps/agent/control_traffic.h"
+#include "apps/common/agent_link.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -78,7 +79,7 @@
         return;
     }
     pool_.timers().cancel(it->second.timeout);
-    it->second.client->stop();
+    retire_link_client(pool_, std::move(it->second.client));
     open_.erase(it);
 }
 
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -17,6 +17,8 @@
 // within its 3 s bound although the local agent is paused.
 constexpr milliseconds silence_limit{1000};
 constexpr milliseconds generation_wait{2000};
+// websocketpp's connect and close handlers refer to the client for up to 5 s.
+constexpr milliseconds client_lifetime{15000};
 constexpr std::size_t waiting_limit = 4096;
 
 bool is_newer(const member& a, const member& b)
@@ -55,6 +57,12 @@
 
 } // namespace
 
+void retire_link_client(worker_pool& pool, std::shared_ptr<ilink_client> client)
+{
+    client->stop();
+    pool.timers().after(client_lifetime, [client] { (void)client; });
+}
+
 agent_link::agent_link(worker_pool& pool, const std::string& address, link_options options, metrics& counters,
                        std::function<void(view_ptr)> on_view)
     : pool_(pool), address_(address), options_(std::move(options)), counters_(counters), heard_(pool.timers().now()),
@@ -265,7 +273,7 @@
         }
     }
     if (unused) {
-        unused->stop();
+        retire_link_client(pool_, std::move(unused));
     }
     if (address.empty()) {
         return;
--- a/src/apps/common/agent_link.h
+++ b/src/apps/common/agent_link.h
@@ -20,6 +20,9 @@
 
 using view_ptr = std::shared_ptr<const view_snapshot>;
 
+/// Stops a link client and destroys it only after its pending I/O has ended.
+void retire_link_client(worker_pool& pool, std::shared_ptr<ilink_client> client);
+
 /// Link of a gateway or scheduler to the agent on its host. Keeps the last view when the agent is gone and never
 /// replaces a configuration by one of a lower generation. While the local agent is silent, for example paused, the
 /// view comes from the agent of another member.
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -368,19 +368,6 @@
     return take_actions();
 }
 
-membership_actions membership::report_host_leaving(instant now, const host_id& host)
-{
-    const auto* found = table_.find(host);
-    if (found == nullptr || found->leaving || found->state == member_state::dead) {
-        return {};
-    }
-    auto record = *found;
-    record.leaving = true;
-    apply_member(now, record);
-    spread_urgent(now);
-    return take_actions();
-}
-
 void membership::spread_urgent(instant now)
 {
     urgent_ = false;
--- a/src/membership/internal/upstream_marks.cpp
+++ b/src/membership/internal/upstream_marks.cpp
@@ -75,13 +75,19 @@
     std::vector<upstream_id> out;
     for (const auto& [id, mark] : marks_) {
         // Marks are in id order, so the marks of one upstream are neighbours.
-        if (mark.leaving && (out.empty() || out.back() != id.first)) {
+        if (mark.leaving && id.second != upstream_source::entry_host && (out.empty() || out.back() != id.first)) {
             out.push_back(id.first);
         }
     }
     return out;
 }
 
+bool upstream_marks::is_leaving(const host_id& host) const
+{
+    const auto* mark = find({upstream_id(host.str()), upstream_source::entry_host});
+    return mark != nullptr && mark->leaving;
+}
+
 std::uint64_t upstream_marks::digest() const
 {
     std::uint64_t out = 0;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -37,8 +37,6 @@
     membership_actions update_self(instant now, const std::function<void(member&)>& change);
     membership_actions set_generation(instant now, config_generation generation);
     membership_actions report_upstream(instant now, const upstream_marks::key& id, bool leaving);
-    /// The platform's host list says that a host is leaving.
-    membership_actions report_host_leaving(instant now, const host_id& host);
     /// Announces that this host leaves; cannot be taken back in this incarnation.
     membership_actions leave(instant now);
 
--- a/src/membership/tests/membership_network_test.cpp
+++ b/src/membership/tests/membership_network_test.cpp
@@ -64,7 +64,8 @@
             if (const auto* out = std::get_if<send_datagram>(&action)) {
                 nodes[from].bytes += out->payload.size();
                 nodes[from].longest = std::max(nodes[from].longest, out->payload.size());
-                if (random_() % 1000 >= loss_per_mille) {
+                const bool cut = (std::stoi(out->address.substr(4)) < partition) != (from < partition);
+                if (!cut && random_() % 1000 >= loss_per_mille) {
                     queue_.push({now + milliseconds(random_() % 20), from, out->address.substr(3), out->payload});
                 }
             } else if (const auto* pull = std::get_if<pull_state>(&action)) {
@@ -101,6 +102,8 @@
     std::map<int, node> nodes;
     instant now = instant() + std::chrono::hours(1);
     unsigned loss_per_mille = 0;
+    /// Members below this number cannot reach the others.
+    int partition = 0;
 
 private:
     struct datagram
@@ -139,6 +142,9 @@
     void serve_pull(int from, int to, bool members)
     {
         const auto& peer = nodes[to];
+        if ((from < partition) != (to < partition)) {
+            return;
+        }
         if (!members || peer.stopped || now < peer.paused_until || !peer.core->can_serve_state(now)) {
             return;
         }
@@ -250,6 +256,20 @@
     CHECK(net.agree(11));
 }
 
+// Guards against regions that take each other for dead for ever after they lost contact for minutes.
+TEST(membership_network_test, both_sides_of_a_partition_find_each_other_again)
+{
+    network net(44);
+    fill(net, 12);
+    net.run(seconds(5));
+    net.partition = 6;
+    net.run(seconds(60));
+    CHECK(net.live_counts_are(6));
+    net.partition = 0;
+    net.run(seconds(30));
+    CHECK(net.agree(12));
+}
+
 // Guards against agents with another fleet key that take part in membership.
 TEST(membership_network_test, unauthenticated_datagrams_are_ignored)
 {
--- a/src/membership/types/upstream_mark.h
+++ b/src/membership/types/upstream_mark.h
@@ -12,7 +12,9 @@
     /// The upstream's own load report.
     load = 0,
     /// The platform's host list.
-    hosts = 1
+    hosts = 1,
+    /// The platform's host list, about an entry host; the mark's id is the host's.
+    entry_host = 2
 };
 
 /// Whether an upstream is leaving. The higher version wins; at equal versions leaving wins.
--- a/src/membership/upstream_marks.h
+++ b/src/membership/upstream_marks.h
@@ -25,6 +25,8 @@
     std::vector<upstream_mark> all() const;
     /// Upstreams that at least one source calls leaving.
     std::vector<upstream_id> leaving() const;
+    /// The host list says that this entry host is leaving.
+    bool is_leaving(const host_id& host) const;
     std::uint64_t revision() const { return revision_; }
     std::uint64_t digest() const;
 
--- a/src/messages/internal/membership_codec.cpp
+++ b/src/messages/internal/membership_codec.cpp
@@ -73,7 +73,7 @@
 {
     upstream_mark out;
     out.id = upstream_id(reader.text("i"));
-    out.source = static_cast<upstream_source>(reader.number("s", {0, 1}));
+    out.source = static_cast<upstream_source>(reader.number("s", {0, 2}));
     out.version = static_cast<std::uint64_t>(reader.number("v", any_number));
     out.leaving = reader.flag_or("l", false);
     return out;
