--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -11,6 +11,7 @@
 #include "apps/ctl/config_folder.h"
 #include "apps/ctl/drain_file.h"
 #include "apps/ctl/folder_upload.h"
+#include "apps/ctl/platform_session.h"
 #include "configuration/diff.h"
 
 namespace anvillead {
--- a/src/apps/ctl/folder_upload.h
+++ b/src/apps/ctl/folder_upload.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "apps/ctl/platform_session.h"
+#include "apps/ctl/iplatform_session.h"
 #include "configuration/manifest.h"
 
 namespace anvillead {
@@ -36,7 +36,7 @@
 class folder_upload
 {
 public:
-    explicit folder_upload(platform_session& platform) : platform_(platform) {}
+    explicit folder_upload(iplatform_session& platform) : platform_(platform) {}
 
     result<remote_folder> read();
     /// As read(). While another operator's upload is under way it waits for its end and returns a `conflict`; a set
@@ -52,7 +52,7 @@
     result<void> write_file(const std::string& name, const nlohmann::json& value, std::uint64_t version);
     result<void> remove_file(const std::string& name, std::uint64_t version);
 
-    platform_session& platform_;
+    iplatform_session& platform_;
 };
 
 } // namespace anvillead
--- a/src/apps/ctl/platform_session.h
+++ b/src/apps/ctl/platform_session.h
@@ -5,20 +5,21 @@
 #include <memory>
 #include <string>
 
+#include "apps/ctl/iplatform_session.h"
 #include "platform/http_platform_client.h"
 
 namespace anvillead {
 
-/// Blocking calls to the platform for a command-line program.
-class platform_session
+/// The platform's object API over HTTP.
+class platform_session : public iplatform_session
 {
 public:
     explicit platform_session(const std::string& address);
 
-    result<platform_object> get(const std::string& name);
-    result<std::uint64_t> put(const std::string& name, const nlohmann::json& value, std::uint64_t if_version);
-    result<void> remove(const std::string& name, std::uint64_t if_version);
-    result<platform_listing> list(const std::string& prefix);
+    result<platform_object> get(const std::string& name) override;
+    result<std::uint64_t> put(const std::string& name, const nlohmann::json& value, std::uint64_t if_version) override;
+    result<void> remove(const std::string& name, std::uint64_t if_version) override;
+    result<platform_listing> list(const std::string& prefix) override;
 
 private:
     template <typename T>
