Spread the loss of a gateway or scheduler at once

After a scheduler was killed its cells moved after 2 s: 0.7 s for a possible reconnection and the rest for gossip on regular probes. A changed or withdrawn role address now goes to four members at once and is passed on.

--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -18,6 +18,14 @@
 // Array headers and keys around the records of one datagram.
 constexpr std::size_t array_overhead = 12;
 
+/// A gateway or scheduler started, restarted or ended on a host that stays; its cells and callers have to move.
+bool roles_differ(const member& a, const member& b)
+{
+    return a.addresses.gateway_http != b.addresses.gateway_http ||
+           a.addresses.scheduler_link != b.addresses.scheduler_link || a.gateway_leaving != b.gateway_leaving ||
+           a.scheduler_leaving != b.scheduler_leaving;
+}
+
 /// Others must stop giving this member new work.
 bool is_urgent(const member& value)
 {
@@ -286,8 +294,7 @@
     if (is_new || effective_state(before) != effective_state(after)) {
         actions_.emplace_back(member_changed{after, effective_state(before), is_new});
     }
-    urgent_ = urgent_ || (after.leaving && !before.leaving) || (after.gateway_leaving && !before.gateway_leaving) ||
-              (after.scheduler_leaving && !before.scheduler_leaving);
+    urgent_ = urgent_ || (after.leaving && !before.leaving) || (!is_new && roles_differ(before, after));
 }
 
 void membership::apply_self(instant now, const member& value)
@@ -338,11 +345,10 @@
 {
     auto next = self_;
     change(next);
-    const bool leaves = (next.gateway_leaving && !self_.gateway_leaving) ||
-                        (next.scheduler_leaving && !self_.scheduler_leaving) || (next.leaving && !self_.leaving);
+    const bool is_news = roles_differ(next, self_) || (next.leaving && !self_.leaving);
     next.leaving = next.leaving || self_.leaving;
     self_ = next;
-    self_changed(now, leaves);
+    self_changed(now, is_news);
     if (urgent_) {
         spread_urgent(now);
     }
