--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -18,6 +18,20 @@
 // Array headers and keys around the records of one datagram.
 constexpr std::size_t array_overhead = 12;
 
+/// A gateway or scheduler started, restarted or ended on a host that stays; its cells and callers have to move.
+bool roles_differ(const member& a, const member& b)
+{
+    return a.addresses.gateway_http != b.addresses.gateway_http ||
+           a.addresses.scheduler_link != b.addresses.scheduler_link || a.gateway_leaving != b.gateway_leaving ||
+           a.scheduler_leaving != b.scheduler_leaving;
+}
+
+/// Others must stop giving this member new work.
+bool is_urgent(const member& value)
+{
+    return value.leaving || value.gateway_leaving || value.scheduler_leaving;
+}
+
 } // namespace
 
 membership::membership(membership_options options, const member& self, std::uint64_t random_seed)
@@ -27,7 +41,7 @@
 {
     self_.version = std::max<std::uint64_t>(self_.version, 1);
     table_.replace(self_, {});
-    queue_.push(self_.host);
+    queue_.push(self_.host, false);
 }
 
 membership_actions membership::take_actions()
@@ -147,8 +161,9 @@
 membership_actions membership::on_state(instant now, const std::vector<member>& members,
                                         const std::vector<upstream_mark>& upstreams)
 {
+    const bool known = pulls_.has_joined();
     for (const auto& it : members) {
-        apply_member(now, it);
+        apply_member(now, it, known);
     }
     for (const auto& it : upstreams) {
         apply_mark(it);
@@ -260,7 +275,7 @@
     }
 }
 
-void membership::apply_member(instant now, const member& value)
+void membership::apply_member(instant now, const member& value, bool spread)
 {
     if (value.host == self_.host) {
         apply_self(now, value);
@@ -272,13 +287,14 @@
         return;
     }
     const auto& after = *table_.find(value.host);
-    queue_.push(value.host);
+    if (spread) {
+        queue_.push(value.host, is_urgent(after));
+    }
     const bool is_new = before.number != after.number;
     if (is_new || effective_state(before) != effective_state(after)) {
         actions_.emplace_back(member_changed{after, effective_state(before), is_new});
     }
-    urgent_ = urgent_ || (after.leaving && !before.leaving) || (after.gateway_leaving && !before.gateway_leaving) ||
-              (after.scheduler_leaving && !before.scheduler_leaving);
+    urgent_ = urgent_ || (after.leaving && !before.leaving) || (!is_new && roles_differ(before, after));
 }
 
 void membership::apply_self(instant now, const member& value)
@@ -310,7 +326,7 @@
     if (!upstreams_.merge(value)) {
         return;
     }
-    queue_.push(upstream_marks::key{value.id, value.source});
+    queue_.push(upstream_marks::key{value.id, value.source}, true);
     urgent_ = urgent_ || value.leaving != was_leaving;
     if (value.leaving != was_leaving) {
         actions_.emplace_back(upstream_changed{value});
@@ -321,7 +337,7 @@
 {
     ++self_.version;
     table_.replace(self_, now);
-    queue_.push(self_.host);
+    queue_.push(self_.host, is_urgent(self_));
     urgent_ = urgent_ || urgent;
 }
 
@@ -329,11 +345,10 @@
 {
     auto next = self_;
     change(next);
-    const bool leaves = (next.gateway_leaving && !self_.gateway_leaving) ||
-                        (next.scheduler_leaving && !self_.scheduler_leaving) || (next.leaving && !self_.leaving);
+    const bool is_news = roles_differ(next, self_) || (next.leaving && !self_.leaving);
     next.leaving = next.leaving || self_.leaving;
     self_ = next;
-    self_changed(now, leaves);
+    self_changed(now, is_news);
     if (urgent_) {
         spread_urgent(now);
     }
@@ -362,25 +377,12 @@
     if (!upstreams_.report(now, id, leaving)) {
         return {};
     }
-    queue_.push(id);
+    queue_.push(id, true);
     actions_.emplace_back(upstream_changed{*upstreams_.find(id)});
     spread_urgent(now);
     return take_actions();
 }
 
-membership_actions membership::report_host_leaving(instant now, const host_id& host)
-{
-    const auto* found = table_.find(host);
-    if (found == nullptr || found->leaving || found->state == member_state::dead) {
-        return {};
-    }
-    auto record = *found;
-    record.leaving = true;
-    apply_member(now, record);
-    spread_urgent(now);
-    return take_actions();
-}
-
 void membership::spread_urgent(instant now)
 {
     urgent_ = false;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -37,8 +37,6 @@
     membership_actions update_self(instant now, const std::function<void(member&)>& change);
     membership_actions set_generation(instant now, config_generation generation);
     membership_actions report_upstream(instant now, const upstream_marks::key& id, bool leaving);
-    /// The platform's host list says that a host is leaving.
-    membership_actions report_host_leaving(instant now, const host_id& host);
     /// Announces that this host leaves; cannot be taken back in this incarnation.
     membership_actions leave(instant now);
 
@@ -65,7 +63,8 @@
     void probe_next(instant now);
     void suspect(instant now, const host_id& host);
     void apply_updates(instant now, const gossip& updates);
-    void apply_member(instant now, const member& value);
+    /// `spread` is false for the table that a joining agent gets: its sender has it already.
+    void apply_member(instant now, const member& value, bool spread = true);
     void apply_self(instant now, const member& value);
     void apply_mark(const upstream_mark& value);
     void self_changed(instant now, bool urgent);
