Raise the outcome after a sent attempt and drop links to former schedulers

A call to a plain service whose first attempt was sent and whose last one was not said not_run; fetches of whole responses had no bound on a silent body; and links to schedulers of earlier views were reconnected to for ever.

--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -16,6 +16,7 @@
 // Time for the last progress reports to leave before the process ends.
 constexpr milliseconds last_report_time{100};
 constexpr std::size_t spread_bytes = 8;
+constexpr milliseconds answer_idle_timeout{10'000};
 constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
 constexpr std::string_view responses_path = "/v1/responses/";
 constexpr std::string_view services_path = "/services/";
@@ -193,6 +194,7 @@
     call.method = cancel ? "POST" : "GET";
     call.target = std::string(responses_path) + location.generation.str() + std::string(cancel ? cancel_suffix : "");
     call.reuse_connection = true;
+    call.idle_timeout = answer_idle_timeout;
     client_->fetch(std::move(call), answer_bytes, exchange->sequence(),
                    [this, location, exchange](const http_call_end& end, const http_answer& answer) {
                        auto body = parse_bounded_json(answer.body);
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -271,6 +271,7 @@
     call.method = "POST";
     call.target = fmt::format("/v1/responses/{}/cancel", action.generation.str());
     call.reuse_connection = true;
+    call.idle_timeout = engine_head_timeout;
     context_.client.fetch(std::move(call), cancel_answer_bytes, sequence_,
                           [](const http_call_end&, const http_answer&) {});
 }
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/scheduler_links.h"
 
+#include <algorithm>
+
 #include "core/crypto.h"
 #include "core/log.h"
 #include "messages/codec.h"
@@ -7,6 +9,12 @@
 
 namespace anvillead {
 
+namespace {
+
+constexpr milliseconds link_close_time{10'000};
+
+} // namespace
+
 scheduler_links::scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress)
     : pool_(pool), options_(std::move(options)), counters_(counters), progress_(progress)
 {}
@@ -52,6 +60,7 @@
             }
         }
     }
+    drop_unused_links();
     for (const auto& it : takeovers) {
         const auto link = client_for(it)->current();
         if (link) {
@@ -71,6 +80,29 @@
     }
 }
 
+void scheduler_links::drop_unused_links()
+{
+    std::vector<std::shared_ptr<ilink_client>> unused;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto it = clients_.begin(); it != clients_.end();) {
+            const auto& address = it->first;
+            const bool used = owned_.count(address) != 0 ||
+                              std::any_of(waiting_.begin(), waiting_.end(),
+                                          [&](const auto& entry) { return entry.second.scheduler == address; });
+            if (!used) {
+                unused.push_back(it->second);
+            }
+            it = used ? std::next(it) : clients_.erase(it);
+        }
+    }
+    for (const auto& it : unused) {
+        it->stop();
+        // Destroyed once the link's last operations have ended.
+        pool_.timers().after(link_close_time, [it] {});
+    }
+}
+
 std::string scheduler_links::owner_of(const grant_request& request) const
 {
     const auto it = owners_.find(request.service);
--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -40,6 +40,8 @@
     };
 
     std::shared_ptr<ilink_client> client_for(const std::string& address);
+    /// Schedulers of earlier views that no request waits for are no longer reconnected to.
+    void drop_unused_links();
     std::string owner_of(const grant_request& request) const;
     void opened(const std::string& address, const link_ptr& link);
     void received(const std::string& address, const link_ptr& link, const std::string& payload);
--- a/src/apps/gateway/service_call.cpp
+++ b/src/apps/gateway/service_call.cpp
@@ -214,6 +214,7 @@
 {
     using outcome = service_balancer::outcome;
     call_.reset();
+    may_have_run_ = may_have_run_ || end.may_have_been_sent;
     const bool complete = end.end == http_end::complete && !retry_elsewhere_;
     auto value = complete && !is_failure(stored_.status) ? outcome::answered : outcome::failed;
     if (end.end == http_end::cancelled && !retry_elsewhere_) {
@@ -289,6 +290,9 @@
 
 void service_call::fail(error reason)
 {
+    if (may_have_run_ && reason.outcome == run_outcome::not_run) {
+        reason.outcome = run_outcome::may_have_run;
+    }
     if (ticket_) {
         // Nothing was sent. not_run may be said only once the claim is certainly undone.
         context_.claims->withdraw(*std::exchange(ticket_, std::nullopt),
--- a/src/apps/gateway/service_call.h
+++ b/src/apps/gateway/service_call.h
@@ -68,6 +68,8 @@
     instant started_{};
     int attempts_ = 0;
     bool head_sent_ = false;
+    /// An earlier attempt was sent, whatever ends the call.
+    bool may_have_run_ = false;
     bool retry_elsewhere_ = false;
     bool caller_present_ = true;
     /// The answer is too long to be kept with its claim.
--- a/src/apps/gateway/tests/service_test.cpp
+++ b/src/apps/gateway/tests/service_test.cpp
@@ -207,6 +207,17 @@
     }
 }
 
+// Guards against not_run after an attempt that may have run, whatever the last attempt says.
+TEST(service_test, a_sent_attempt_raises_the_outcome)
+{
+    service_fixture f;
+    f.behaviour = [](const http_request&, const std::shared_ptr<ihttp_exchange>& exchange) { exchange->abort(); };
+    f.upstreams[1]->stop_accepting();
+    const auto answer = f.ask("GET");
+    CHECK(contains(answer, "\"may_have_run\""));
+    LONGS_EQUAL(1, f.total());
+}
+
 // Guards against new calls to an upstream that says it is leaving, which the other processes must learn too.
 TEST(service_test, a_leaving_upstream_gets_nothing_and_is_reported)
 {
