Use message links on their own strand

ThreadSanitizer reported a data race between a progress report and a grant request: websocketpp reads the count of unsent bytes without the lock under which senders change it. Sends and closes now run on the connection's strand.

ThreadSanitizer, gateway_test: 1 report before, none after (17 tests, 132 checks pass); transport_test: no report. All 10 CTest tests pass.

--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -6,6 +6,8 @@
 streams=${1:-300}
 tokens=${2:-200}
 bin=$PWD/build/bin
+# A gateway of another build, for example one with a sanitizer.
+gateway_program=${OVERHEAD_GATEWAY:-$bin/anvillead-gateway}
 work=$(mktemp -d)
 pids=()
 cleanup() {
@@ -62,7 +64,7 @@
 echo "{$common, \"listen\": \"127.0.0.1:0\", \"agent\": \"$agent\"}" >"$work/scheduler.json"
 start scheduler "$bin/anvillead-scheduler" --settings "$work/scheduler.json"
 echo "{$common, \"listen\": \"127.0.0.1:0\", \"link_listen\": \"127.0.0.1:0\", \"agent\": \"$agent\"}" >"$work/gateway.json"
-start gateway "$bin/anvillead-gateway" --settings "$work/gateway.json"
+start gateway "$gateway_program" --settings "$work/gateway.json"
 gateway=$(await gateway 'process_started listen=([0-9.:]+)')
 "$bin/anvilleadctl" config apply "$work/config" "$platform" >/dev/null
 for _ in $(seq 200); do
--- a/src/transport/internal/websocket_link.h
+++ b/src/transport/internal/websocket_link.h
@@ -20,7 +20,7 @@
 
 /// One WebSocket connection as a message link.
 template <typename Connection>
-class websocket_link : public ilink
+class websocket_link : public ilink, public std::enable_shared_from_this<websocket_link<Connection>>
 {
 public:
     websocket_link(std::shared_ptr<Connection> connection, std::string peer, std::size_t unsent_limit,
@@ -30,25 +30,41 @@
 
     void send(std::string payload) override
     {
-        if (connection_->get_buffered_amount() > unsent_limit_) {
-            close("unsent bytes exceed the limit");
-            return;
-        }
-        counters_.add("link_sent_bytes_total", static_cast<double>(payload.size()));
-        counters_.add("link_sent_messages_total");
-        connection_->send(payload.data(), payload.size(), websocketpp::frame::opcode::binary);
+        on_strand([payload = std::move(payload)](websocket_link& self) {
+            auto& connection = *self.connection_;
+            if (connection.get_buffered_amount() > self.unsent_limit_) {
+                self.close_now("unsent bytes exceed the limit");
+                return;
+            }
+            self.counters_.add("link_sent_bytes_total", static_cast<double>(payload.size()));
+            self.counters_.add("link_sent_messages_total");
+            connection.send(payload.data(), payload.size(), websocketpp::frame::opcode::binary);
+        });
     }
 
     void close(const std::string& reason) override
     {
-        log(log_level::warning, log_event::link_closed, {{"peer", peer_}, {"reason", reason}});
-        websocketpp::lib::error_code ec;
-        connection_->close(websocketpp::close::status::policy_violation, reason, ec);
+        on_strand([reason](websocket_link& self) { self.close_now(reason); });
     }
 
     const std::string& peer() const override { return peer_; }
 
 private:
+    /// The library counts unsent bytes without a lock for readers, so the connection is used on its own strand only.
+    template <typename Task>
+    void on_strand(Task task)
+    {
+        boost::asio::post(*connection_->get_strand(),
+                          [self = this->shared_from_this(), task = std::move(task)] { task(*self); });
+    }
+
+    void close_now(const std::string& reason)
+    {
+        log(log_level::warning, log_event::link_closed, {{"peer", peer_}, {"reason", reason}});
+        websocketpp::lib::error_code ec;
+        connection_->close(websocketpp::close::status::policy_violation, reason, ec);
+    }
+
     std::shared_ptr<Connection> connection_;
     std::string peer_;
     std::size_t unsent_limit_;
