Let the last leaving hosts own work

A host that is leaving owned no cells, so a new request that arrived during the shutdown of a fleet's only host found no scheduler and got deadline_exceeded. Leaving members are ranked when no other member is left.

--- a/src/routing/rendezvous.h
+++ b/src/routing/rendezvous.h
@@ -19,7 +19,8 @@
     std::vector<upstream_id> engines;
 };
 
-/// Members that may own work (alive or suspect), highest rendezvous score for `key` first.
+/// Members that may own work (alive or suspect), highest rendezvous score for `key` first. When none is left, the
+/// leaving ones: the last host of a fleet serves the requests that still arrive during its shutdown.
 std::vector<member> rank_members(const std::vector<member>& members, const std::string& key);
 /// Cells of an engine service, from its upstreams in id order.
 std::vector<cell> cells_of(const service& value);
--- a/src/routing/tests/endpoint_selection_test.cpp
+++ b/src/routing/tests/endpoint_selection_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "routing/rendezvous.h"
+
 using namespace anvillead;
 
 namespace {
@@ -51,3 +53,11 @@
     }
     LONGS_EQUAL(2, select_endpoints(members, {"1", zone_name(), 2}).size());
 }
+
+// Guards against requests without a scheduler while the last host of a fleet shuts down.
+TEST(endpoint_selection_test, leaving_hosts_own_work_only_when_no_other_is_left)
+{
+    const auto leaving = host("a", "x", member_state::leaving);
+    LONGS_EQUAL(1, rank_members({leaving, host("b", "x")}, "key").size());
+    LONGS_EQUAL(1, rank_members({leaving, host("c", "x", member_state::dead)}, "key").size());
+}
