Break the cycle between a link and its connection

LeakSanitizer reported the connections of message links: a connection's handlers hold the link, the link held the connection, and websocketpp never clears handlers, so each closed or failed connection stayed in memory (about 20 KB for each attempt to reach an absent scheduler). The link now holds its connection weakly.

--- a/src/transport/internal/websocket_link.h
+++ b/src/transport/internal/websocket_link.h
@@ -23,17 +23,16 @@
 class websocket_link : public ilink, public std::enable_shared_from_this<websocket_link<Connection>>
 {
 public:
-    websocket_link(std::shared_ptr<Connection> connection, std::string peer, std::size_t unsent_limit,
+    websocket_link(const std::shared_ptr<Connection>& connection, std::string peer, std::size_t unsent_limit,
                    metrics& counters)
-        : connection_(std::move(connection)), peer_(std::move(peer)), unsent_limit_(unsent_limit), counters_(counters)
+        : connection_(connection), peer_(std::move(peer)), unsent_limit_(unsent_limit), counters_(counters)
     {}
 
     void send(std::string payload) override
     {
-        on_strand([payload = std::move(payload)](websocket_link& self) {
-            auto& connection = *self.connection_;
+        on_strand([payload = std::move(payload)](websocket_link& self, Connection& connection) {
             if (connection.get_buffered_amount() > self.unsent_limit_) {
-                self.close_now("unsent bytes exceed the limit");
+                self.close_now(connection, "unsent bytes exceed the limit");
                 return;
             }
             self.counters_.add("link_sent_bytes_total", static_cast<double>(payload.size()));
@@ -44,7 +43,7 @@
 
     void close(const std::string& reason) override
     {
-        on_strand([reason](websocket_link& self) { self.close_now(reason); });
+        on_strand([reason](websocket_link& self, Connection& connection) { self.close_now(connection, reason); });
     }
 
     const std::string& peer() const override { return peer_; }
@@ -54,18 +53,23 @@
     template <typename Task>
     void on_strand(Task task)
     {
-        boost::asio::post(*connection_->get_strand(),
-                          [self = this->shared_from_this(), task = std::move(task)] { task(*self); });
+        const auto connection = connection_.lock();
+        if (!connection) {
+            return;
+        }
+        boost::asio::post(*connection->get_strand(), [self = this->shared_from_this(), connection,
+                                                      task = std::move(task)] { task(*self, *connection); });
     }
 
-    void close_now(const std::string& reason)
+    void close_now(Connection& connection, const std::string& reason)
     {
         log(log_level::warning, log_event::link_closed, {{"peer", peer_}, {"reason", reason}});
         websocketpp::lib::error_code ec;
-        connection_->close(websocketpp::close::status::policy_violation, reason, ec);
+        connection.close(websocketpp::close::status::policy_violation, reason, ec);
     }
 
-    std::shared_ptr<Connection> connection_;
+    /// Weak, because the connection's handlers hold the link and are never cleared by the library.
+    std::weak_ptr<Connection> connection_;
     std::string peer_;
     std::size_t unsent_limit_;
     metrics& counters_;
