--- /dev/null
+++ b/tests/invariants/idempotency_hosts_test.cpp
@@ -0,0 +1,112 @@
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/support/cluster.h"
+
+using namespace testing;
+
+namespace {
+
+/// An input with a tag of its own, by which count_ran() finds it.
+std::string unique_input()
+{
+    static int last = 1000;
+    return "Appoint " + std::to_string(++last) + " for the fixture";
+}
+
+question appointment(const std::string& key, int tokens = 20)
+{
+    question out;
+    out.input = unique_input();
+    out.workload = "appointment";
+    out.output_tokens = tokens;
+    out.idempotency_key = key;
+    return out;
+}
+
+/// The answer's error kind and outcome, "kind/outcome".
+std::string refusal_of(cluster& it, int host, const question& value)
+{
+    const auto answer = it.client().ask(it.gateway(host), value);
+    answer->wait_end();
+    return answer->head().error_kind() + "/" + answer->head().outcome();
+}
+
+nlohmann::json endpoints_of(cluster& it, int host)
+{
+    return it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key")).json();
+}
+
+std::string bound_prefix(cluster& it, int host)
+{
+    return endpoints_of(it, host).value("bound_key_prefix", "");
+}
+
+/// Waits until every gateway lists `hosts` endpoints.
+bool knows_members(cluster& it, int hosts)
+{
+    for (int i = 0; i < 100; ++i) {
+        bool all = true;
+        for (int host = 1; host <= hosts; ++host) {
+            const auto listed = endpoints_of(it, host).value("endpoints", nlohmann::json::array()).size();
+            all = all && static_cast<int>(listed) == hosts;
+        }
+        if (all) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(idempotency_hosts){};
+
+// Guards against a bound key that runs at two gateways, or at none while its own gateway is reachable.
+TEST(idempotency_hosts, a_bound_key_is_forwarded_to_its_gateway)
+{
+    cluster it(sized(2));
+    const auto value = appointment(bound_prefix(it, 1) + "." + new_key(), 60);
+    if (!knows_members(it, 2)) {
+        FAIL("the agents do not know each other");
+    }
+    it.client().control(it.address("platform"), {{"outage", true}});
+    const auto first = it.client().ask(it.gateway(2), value);
+    CHECK(first->wait_events(5));
+    const auto again = it.client().ask(it.gateway(1), value);
+    for (const auto& answer : {first, again}) {
+        CHECK(answer->wait_end());
+        STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+    }
+    LONGS_EQUAL(1, it.count_ran(value.input));
+    it.kill("gateway-1");
+    // The death is not known at once; until then the gateway is only unreachable.
+    const auto refused = refusal_of(it, 2, value);
+    CHECK(refused == "run_elsewhere/may_have_run" || refused == "no_upstream/may_have_run");
+    LONGS_EQUAL(1, it.count_ran(value.input));
+}
+
+// Guards against a draft that runs twice because its caller resubmits it to another gateway.
+TEST(idempotency_hosts, a_draft_resubmitted_to_another_gateway_attaches)
+{
+    cluster it(sized(3));
+    if (!knows_members(it, 3)) {
+        FAIL("the agents do not know each other");
+    }
+    for (int i = 0; i < 6; ++i) {
+        question value;
+        value.input = unique_input();
+        value.output_tokens = 60;
+        value.idempotency_key = "draft-" + std::to_string(i);
+        const auto first = it.client().ask(it.gateway(1 + i % 3), value);
+        CHECK(first->wait_events(2));
+        const auto again = it.client().ask(it.gateway(1 + (i + 1) % 3), value);
+        for (const auto& answer : {first, again}) {
+            CHECK(answer->wait_end());
+            STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+        }
+        LONGS_EQUAL(1, it.count_ran(value.input));
+    }
+}
--- a/tests/invariants/idempotency_test.cpp
+++ b/tests/invariants/idempotency_test.cpp
@@ -25,23 +25,27 @@
     return out;
 }
 
-} // namespace
-
-TEST_GROUP(idempotency){/// The answer's error kind and outcome, "kind/outcome".
-                        static std::string refusal_of(cluster & it, int host, const question& value){
-                            const auto answer = it.client().ask(it.gateway(host), value);
-answer->wait_end();
-return answer->head().error_kind() + "/" + answer->head().outcome();
+/// The answer's error kind and outcome, "kind/outcome".
+std::string refusal_of(cluster& it, int host, const question& value)
+{
+    const auto answer = it.client().ask(it.gateway(host), value);
+    answer->wait_end();
+    return answer->head().error_kind() + "/" + answer->head().outcome();
 }
 
-static std::string bound_prefix(cluster& it, int host)
+nlohmann::json endpoints_of(cluster& it, int host)
 {
-    const auto answer =
-        it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"));
-    return answer.json().value("bound_key_prefix", "");
+    return it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key")).json();
 }
+
+std::string bound_prefix(cluster& it, int host)
+{
+    return endpoints_of(it, host).value("bound_key_prefix", "");
 }
-;
+
+} // namespace
+
+TEST_GROUP(idempotency){};
 
 // Guards against a second run of a non-idempotent request that arrives several times at two gateways at once.
 TEST(idempotency, simultaneous_arrivals_run_once_and_all_get_the_answer)
