Add anvillead-bench claims: platform calls per claim in virtual time

The write rate, the shards and the group window trade calls against waiting time, which needs figures.

--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -20,6 +20,7 @@
 
 /// One row per subcommand; each is defined in its own file.
 constexpr subcommand subcommands[] = {
+    {"claims", "platform calls per claim in virtual time", run_claims},
     {"decisions", "admission decisions against baselines in virtual time", run_decisions},
 };
 
