--- a/src/apps/bench/claims.cpp
+++ b/src/apps/bench/claims.cpp
@@ -64,7 +64,7 @@
     for (int i = 0; i < total; ++i) {
         platform.after(platform.between(0, static_cast<int>(run_time.count())), [&, i] {
             auto& gateway = *gateways[platform.random() % gateways.size()];
-            const auto ticket = static_cast<claim_ticket>(i + 1);
+            const auto ticket = static_cast<claim_ticket>(i) + 1;
             started[ticket] = platform.now;
             gateway.deliver([&, ticket](claim_time time) {
                 return gateway.journal.claim(
