--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -22,6 +22,7 @@
 constexpr subcommand subcommands[] = {
     {"claims", "platform calls per claim in virtual time", run_claims},
     {"decisions", "admission decisions against baselines in virtual time", run_decisions},
+    {"overhead", "what the path through a gateway adds to the gaps between tokens", run_overhead},
 };
 
 int usage()
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -6,16 +6,16 @@
 #include "core/bounded_json.h"
 #include "core/crypto.h"
 #include "core/log.h"
-#include "routing/rendezvous.h"
+#include "routing/endpoint_selection.h"
 
 namespace anvillead {
 
 namespace {
 
-// Share of completed requests that refills the retry budget, and the most that it can hold.
-constexpr double retry_share = 0.1;
-constexpr double retry_budget_limit = 20;
 constexpr milliseconds drain_check_period{50};
+// Time for the last progress reports to leave before the process ends.
+constexpr milliseconds last_report_time{100};
+constexpr std::size_t spread_bytes = 8;
 constexpr std::size_t answer_bytes = 16 * 1024 * 1024;
 constexpr std::string_view responses_path = "/v1/responses/";
 constexpr std::string_view services_path = "/services/";
@@ -31,20 +31,17 @@
 } // namespace
 
 gateway_daemon::gateway_daemon(worker_pool& pool, gateway_settings settings)
-    : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), client_(make_http_client(pool)),
-      retry_budget_(retry_budget_limit)
+    : pool_(pool), settings_(std::move(settings)), ids_(settings_.common.fleet_keys), retries_(settings_.retries),
+      gaps_(settings_.stall), client_(make_http_client(pool))
 {
     const auto number = new_incarnation();
     const auto options = make_link_options(settings_.common, "gateway", number);
     schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
-                                       [this] { return agent_->current(); }, [this] { return allow_retry(); },
-                                       [this] {
-                                           const std::lock_guard lock(budget_mutex_);
-                                           retry_budget_ = std::min(retry_budget_ + retry_share, retry_budget_limit);
-                                       }});
+                                       [this] { return agent_->current(); }, retries_, gaps_});
     keys_ = std::make_unique<gateway_keys>(*context_, options, number);
-    services_ = std::make_unique<service_proxy>(*context_);
+    services_ = std::make_unique<service_proxy>(*context_,
+                                                [this](const upstream_id& id) { agent_->send(upstream_report{id}); });
     links_ = make_link_server(pool, settings_.link_listen, options, keys_->server_handlers(), counters_);
     server_ = make_http_server(
         pool, {settings_.listen, settings_.http},
@@ -54,19 +51,31 @@
         counters_);
     agent_ = std::make_unique<agent_link>(pool, settings_.agent, options, counters_, [this](const view_ptr& view) {
         schedulers_->apply_view(view);
+        services_->apply_view(view);
+        gaps_.keep_only(
+            [&](const upstream_id& id) { return view->configuration->merged.find_upstream(id) != nullptr; });
         keys_->apply_view(view);
     });
+    schedulers_->set_generation_gate([this](config_generation generation, std::function<void()> task) {
+        agent_->when_current(generation, std::move(task));
+    });
     agent_->report({"gateway", false, 0, server_->address(), links_->address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
 
 gateway_daemon::~gateway_daemon() = default;
 
-void gateway_daemon::run()
+void gateway_daemon::start()
 {
-    pool_.on_stop_signal([this] { stop_requested(); });
     pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    pool_.timers().every(settings_.load_period, [this] { services_->poll_loads(); });
     keys_->start_pruning();
+}
+
+void gateway_daemon::run()
+{
+    pool_.on_stop_signal([this] { stop_requested(); });
+    start();
     pool_.run();
     log(log_level::info, log_event::process_stopped, {});
 }
@@ -76,17 +85,6 @@
     return agent_->current()->configuration->generation > 0 && !leaving_;
 }
 
-bool gateway_daemon::allow_retry()
-{
-    const std::lock_guard lock(budget_mutex_);
-    if (retry_budget_ < 1) {
-        return false;
-    }
-    retry_budget_ -= 1;
-    counters_.add("retries_total");
-    return true;
-}
-
 void gateway_daemon::handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto path = request.path();
@@ -96,7 +94,7 @@
     } else if (path == "/readyz") {
         exchange->reply(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
     } else if (path == "/metrics") {
-        counters_.set("open_requests", static_cast<double>(context_->open_requests));
+        counters_.set("open_requests", static_cast<double>(*context_->open_requests));
         exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
     } else if (agent_->current()->configuration->generation == 0) {
         auto reason = make_error(error_kind::not_ready, "no configuration has been accepted yet");
@@ -111,12 +109,26 @@
     } else if (starts_with(path, responses_path)) {
         existing_response(request, exchange);
     } else if (starts_with(path, services_path)) {
-        services_->handle(std::move(request), exchange);
+        if (has_room(*exchange)) {
+            services_->handle(std::move(request), exchange);
+        }
     } else {
         reply_error(*exchange, make_error(error_kind::not_found, "no such path"));
     }
 }
 
+bool gateway_daemon::has_room(ihttp_exchange& exchange)
+{
+    if (*context_->open_requests < settings_.open_requests) {
+        return true;
+    }
+    counters_.add("open_requests_refused_total");
+    auto reason = make_error(error_kind::overloaded, "the gateway has too many open requests");
+    reason.retry_after = milliseconds(1000);
+    reply_error(exchange, reason);
+    return false;
+}
+
 void gateway_daemon::create_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
 {
     const auto view = agent_->current();
@@ -125,10 +137,7 @@
         reply_error(*exchange, parsed.error());
         return;
     }
-    if (context_->open_requests >= settings_.open_requests) {
-        auto reason = make_error(error_kind::overloaded, "the gateway has too many open requests");
-        reason.retry_after = milliseconds(1000);
-        reply_error(*exchange, reason);
+    if (!has_room(*exchange)) {
         return;
     }
     context_->keyed->start(std::move(parsed.value()), view, exchange);
@@ -173,7 +182,10 @@
         reply_error(*exchange, after.error());
         return;
     }
-    std::make_shared<response_stream>(*context_, exchange)->resume(location.value(), engine->address, after.value());
+    if (has_room(*exchange)) {
+        std::make_shared<response_stream>(*context_, exchange)
+            ->resume(location.value(), engine->address, after.value());
+    }
 }
 
 void gateway_daemon::fetch_response(const response_location& location, const std::string& address, bool cancel,
@@ -206,34 +218,36 @@
         reply_error(*exchange, owner.error());
         return;
     }
-    auto members = rank_members(view->members, request.peer_address + owner.value()->id.str());
-    const std::string zone(request.query("availability_zone"));
-    std::stable_partition(members.begin(), members.end(),
-                          [&](const member& it) { return it.availability_zone.str() == zone; });
+    endpoint_query query;
+    // Random, because callers behind one address would otherwise all get the same order.
+    query.spread_key = random_hex(spread_bytes);
+    query.availability_zone = zone_name(std::string(request.query("availability_zone")));
     nlohmann::json list = nlohmann::json::array();
-    for (const auto& it : members) {
-        if (it.addresses.gateway_http.empty() || it.state != member_state::alive) {
+    for (const auto& it : select_endpoints(view->members, query)) {
+        // This host may be leaving before its own agent says so.
+        if (leaving_ && it.address == server_->address()) {
             continue;
         }
-        list.push_back({{"address", it.addresses.gateway_http}, {"availability_zone", it.availability_zone.str()}});
+        list.push_back({{"address", it.address}, {"availability_zone", it.availability_zone.str()}});
     }
     exchange->reply(200, json_headers,
                     nlohmann::json({{"endpoints", list},
                                     {"ttl_ms", settings_.endpoints_ttl.count()},
                                     {"bound_key_prefix", leaving_ ? std::string() : keys_->bound_prefix()}})
-                        .dump());
+                        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void gateway_daemon::stop_requested()
 {
     if (leaving_.exchange(true)) {
         log(log_level::warning, log_event::shutdown_forced,
-            {{"open_requests", std::to_string(context_->open_requests)}});
+            {{"open_requests", std::to_string(*context_->open_requests)}});
         pool_.stop();
         return;
     }
-    log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(context_->open_requests)}});
+    log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(*context_->open_requests)}});
     agent_->report({"gateway", true, 0, server_->address(), links_->address()});
+    server_->drain();
     // Callers keep the address for the time to live of their last answer.
     pool_.timers().after(settings_.endpoints_ttl + settings_.shutdown_skew, [this] {
         server_->stop_accepting();
@@ -243,8 +257,9 @@
 
 void gateway_daemon::exit_when_drained()
 {
-    if (context_->open_requests == 0 && server_->open_exchanges() == 0) {
-        pool_.stop();
+    if (*context_->open_requests == 0 && server_->open_exchanges() == 0) {
+        schedulers_->report_progress();
+        pool_.timers().after(last_report_time, [this] { pool_.stop(); });
         return;
     }
     pool_.timers().after(drain_check_period, [this] { exit_when_drained(); });
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -17,8 +17,13 @@
     gateway_daemon(worker_pool& pool, gateway_settings settings);
     ~gateway_daemon();
 
+    /// Starts the periodic tasks. The pool may run before.
+    void start();
     /// Runs until a stop signal has been handled.
     void run();
+    /// First call: announces the end and stops the pool once nothing is open. Second call: stops it at once.
+    void stop_requested();
+    std::string address() const { return server_->address(); }
 
 private:
     void handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange);
@@ -28,8 +33,8 @@
                         const std::shared_ptr<ihttp_exchange>& exchange);
     void endpoints(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
     bool ready() const;
-    bool allow_retry();
-    void stop_requested();
+    /// Answers `overloaded` when the bound on open requests is reached.
+    bool has_room(ihttp_exchange& exchange);
     void exit_when_drained();
 
     worker_pool& pool_;
@@ -37,6 +42,8 @@
     metrics counters_;
     response_id_codec ids_;
     progress_table progress_;
+    retry_budget retries_;
+    gap_table gaps_;
     std::unique_ptr<ihttp_client> client_;
     std::unique_ptr<scheduler_links> schedulers_;
     std::unique_ptr<agent_link> agent_;
@@ -45,8 +52,6 @@
     std::unique_ptr<service_proxy> services_;
     std::unique_ptr<ilink_server> links_;
     std::unique_ptr<ihttp_server> server_;
-    ranked_mutex budget_mutex_{lock_rank::streams};
-    double retry_budget_;
     std::atomic<bool> leaving_{false};
 };
 
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "apps/gateway/gateway_settings.h"
 
+#include <algorithm>
+
 namespace anvillead {
 
 namespace {
@@ -14,6 +16,7 @@
     out.header_bytes = static_cast<std::size_t>(reader.number_or("header_bytes", byte_range, 16 * 1024));
     out.body_bytes = static_cast<std::size_t>(reader.number_or("body_bytes", byte_range, 4 * 1024 * 1024));
     out.connections = static_cast<std::size_t>(reader.number_or("connections", count_range, 4096));
+    out.send_buffer_bytes = static_cast<std::size_t>(reader.number_or("send_buffer_bytes", byte_range, 256 * 1024));
     out.request_timeout = milliseconds(reader.number_or("request_timeout_ms", period_range, 10'000));
     out.write_timeout = milliseconds(reader.number_or("write_timeout_ms", period_range, 30'000));
     out.keep_alive = milliseconds(reader.number_or("keep_alive_ms", period_range, 60'000));
@@ -25,11 +28,43 @@
     flow_limits out;
     out.stall = milliseconds(reader.number_or("stall_ms", period_range, 2000));
     out.loss = milliseconds(reader.number_or("loss_ms", period_range, 8000));
+    out.refused_loss = milliseconds(reader.number_or("refused_loss_ms", period_range, 1000));
+    out.detach = milliseconds(reader.number_or("detach_ms", period_range, 2000));
     out.attach_backoff = milliseconds(reader.number_or("attach_backoff_ms", period_range, 100));
     out.attempts = static_cast<int>(reader.number_or("attempts", {1, 10}, 3));
     return out;
 }
 
+stall_limits read_stall_limits(field_reader& reader, const flow_limits& flow)
+{
+    stall_limits out;
+    out.quantile = reader.real_or("stall_quantile", 0.5, 1, out.quantile);
+    out.margin = reader.real_or("stall_margin", 1, 100, out.margin);
+    out.ceiling = flow.stall;
+    out.floor = milliseconds(
+        reader.number_or("stall_floor_ms", {1, flow.stall.count()}, std::min(out.floor, flow.stall).count()));
+    return out;
+}
+
+retry_budget_limits read_retry_limits(field_reader& reader)
+{
+    retry_budget_limits out;
+    out.share = reader.real_or("retry_share", 0, 1, out.share);
+    out.most = reader.real_or("retry_budget", 0, 10'000, out.most);
+    return out;
+}
+
+balancer_limits read_balancer_limits(field_reader& reader)
+{
+    balancer_limits out;
+    out.failures = static_cast<int>(reader.number_or("ejection_failures", {1, 1000}, out.failures));
+    out.ejected_share = reader.real_or("ejected_share", 0, 1, out.ejected_share);
+    out.ejection = milliseconds(reader.number_or("ejection_ms", period_range, out.ejection.count()));
+    out.slow_start = milliseconds(reader.number_or("slow_start_ms", period_range, out.slow_start.count()));
+    out.load_age = milliseconds(reader.number_or("load_age_ms", period_range, out.load_age.count()));
+    return out;
+}
+
 } // namespace
 
 gateway_settings read_gateway_settings(field_reader& reader)
@@ -41,6 +76,10 @@
     out.agent = reader.text("agent");
     out.http = read_http_limits(reader);
     out.flow = read_flow_limits(reader);
+    out.stall = read_stall_limits(reader, out.flow);
+    out.balancer = read_balancer_limits(reader);
+    out.load_period = milliseconds(reader.number_or("load_period_ms", period_range, 500));
+    out.retries = read_retry_limits(reader);
     out.claims = read_claim_settings(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
--- a/src/apps/gateway/response_stream.h
+++ b/src/apps/gateway/response_stream.h
@@ -53,6 +53,7 @@
     void act(const withdraw_claim& action);
     void act(const dispatch_generation& action);
     void act(const attach_generation& action);
+    void act(const detach_generation& action);
     void act(const cancel_generation& action);
     void act(const deliver_event& action);
     void act(const fail_request& action);
@@ -66,6 +67,8 @@
     bool handed_over(error& reason);
     void release_claim();
     void on_sequence(std::function<void()> task);
+    void record_token(std::int64_t before, instant now);
+    void caller_drained();
     void begin_stream();
     void keep_alive();
     void caller_gone();
@@ -92,10 +95,14 @@
     std::optional<timer_token> comment_timer_;
     instant started_{};
     instant last_token_{};
+    std::shared_ptr<std::atomic<std::size_t>> open_requests_;
     bool wants_stream_ = true;
     bool head_sent_ = false;
     bool caller_present_ = true;
+    /// The engine link is not read, or closed, until the caller has read what it was sent.
     bool engine_paused_ = false;
+    /// The time since the last token includes a pause or a replay, so it says nothing about the engine.
+    bool gap_disturbed_ = true;
 };
 
 } // namespace anvillead
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -124,6 +124,7 @@
                                        return;
                                    }
                                    if (ec) {
+                                       self->refused_ = ec == net::error::connection_refused;
                                        self->finish(http_end::connect_failed, ec.message());
                                        return;
                                    }
@@ -164,6 +165,8 @@
         }
         parser_.emplace();
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        // An answer to HEAD announces a body that does not follow.
+        parser_->skip(request_.method == "HEAD");
         http::async_read_header(*socket_, buffer_, *parser_,
                                 bound([self = shared_from_this()](const boost::system::error_code& read_ec,
                                                                   std::size_t) { self->head_read(read_ec); }));
@@ -264,7 +267,7 @@
         auto handlers = std::move(handlers_);
         handlers_ = {};
         if (handlers.on_end) {
-            handlers.on_end({end, sent_, detail});
+            handlers.on_end({end, sent_, refused_, detail});
         }
     }
 
@@ -284,6 +287,7 @@
     std::uint64_t timer_round_ = 0;
     bool reused_ = false;
     bool sent_ = false;
+    bool refused_ = false;
     bool done_ = false;
     bool paused_ = false;
     bool read_held_ = false;
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -80,6 +80,11 @@
 worker_pool::~worker_pool()
 {
     stop();
+    join();
+}
+
+void worker_pool::join()
+{
     implementation_->join();
 }
 
--- a/src/transport/worker_pool.h
+++ b/src/transport/worker_pool.h
@@ -36,7 +36,10 @@
     void run();
     /// Starts the workers and returns; used by clients that wait on something else.
     void start();
+    /// Stops the workers without waiting for them.
     void stop();
+    /// Waits until the workers have ended; not to be called from one of them.
+    void join();
     /// Processor time that the running workers have used.
     microseconds processor_time() const;
 
