--- a/scripts/check_catalogues.py
+++ b/scripts/check_catalogues.py
@@ -25,8 +25,9 @@
     common = re.search(r"^common_settings read_common_settings.*?^}", read("src/apps/common/daemon.cpp"), re.M | re.S)
     sources = {"Common settings": common.group(0)}
     for path in sorted((ROOT / "src/apps").glob("*/*_settings.cpp")):
-        sources[f"anvillead-{path.parent.name}"] = path.read_text()
-    reads = r'reader\.(?!problem|path_of|has)\w+\(\s*"(\w+)"'
+        section = f"anvillead-{path.parent.name}"
+        sources[section] = sources.get(section, "") + path.read_text()
+    reads = r'(?:reader\.(?!problem|path_of|has)\w+\(|read_\w+\(reader,)\s*"(\w+)"'
     return {section: set(re.findall(reads, text)) for section, text in sources.items()}
 
 
