--- a/src/core/internal/crypto.cpp
+++ b/src/core/internal/crypto.cpp
@@ -80,6 +80,11 @@
             out += static_cast<char>((buf >> static_cast<unsigned>(bits)) & 255U);
         }
     }
+    // Only one text may stand for some bytes: unused bits are zero and no digit is left over.
+    const auto unused = buf & ((1U << static_cast<unsigned>(bits)) - 1U);
+    if (bits >= 6 || unused != 0) {
+        return std::nullopt;
+    }
     return out;
 }
 
--- a/standins/common/standin_options.cpp
+++ b/standins/common/standin_options.cpp
@@ -35,6 +35,12 @@
     std::fflush(stdout);
 }
 
+void announce_ran(const nlohmann::json& record)
+{
+    fmt::print("ran {}\n", record.dump());
+    std::fflush(stdout);
+}
+
 void reply_json(anvillead::ihttp_exchange& exchange, int status, const nlohmann::json& body)
 {
     exchange.reply(status, {{"Content-Type", "application/json"}}, body.dump());
--- a/standins/common/standin_options.h
+++ b/standins/common/standin_options.h
@@ -19,6 +19,8 @@
 standin_options parse_options(int argc, char** argv, const std::string& summary);
 /// Prints "listening ADDRESS" on standard output, so that a test can find the port.
 void announce(const std::string& address);
+/// Prints "ran RECORD" on standard output. Unlike the answer to `GET /ran`, it outlives the process.
+void announce_ran(const nlohmann::json& record);
 void reply_json(anvillead::ihttp_exchange& exchange, int status, const nlohmann::json& body);
 
 } // namespace standin
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -127,6 +127,9 @@
     entry.tag = tag_of(*body);
     entry.output_target = sequence.output_target;
     ran_.push_back({{"generation", id}, {"tag", entry.tag}});
+    if (log_ran_) {
+        announce_ran(ran_.back());
+    }
     if (cache_events_.size() < cache_event_limit) {
         cache_events_.push_back({{"prefix", sequence.prefix}, {"tokens", sequence.input}});
     }
@@ -200,6 +203,8 @@
 {
     load_lag_ = milliseconds(value.value("load_lag_ms", load_lag_.count()));
     default_output_ = value.value("default_output_tokens", default_output_);
+    padding_ = value.value("padding_bytes", padding_);
+    log_ran_ = value.value("log_ran", log_ran_);
     check_fencing_ = value.value("check_fencing", check_fencing_);
     leaving_ = value.value("leaving", leaving_);
     refuse_ = value.value("refuse", refuse_);
@@ -247,7 +252,11 @@
                 }
                 auto& entry = it->second;
                 const auto delta = fmt::format("{}/{}/{} ", entry.tag, id.substr(0, 6), entry.produced++);
-                emit(id, entry, event_delta, {{"delta", delta}});
+                json event = {{"delta", delta}};
+                if (padding_ > 0) {
+                    event["padding"] = std::string(padding_, ' ');
+                }
+                emit(id, entry, event_delta, event);
             }
             for (const auto& id : result.finished) {
                 const auto it = generations_.find(id);
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -69,6 +69,8 @@
     anvillead::milliseconds load_lag_{100};
     std::int64_t default_output_ = 32;
     std::int64_t fencing_ = 0;
+    std::size_t padding_ = 0;
+    bool log_ran_ = false;
     bool check_fencing_ = true;
     bool leaving_ = false;
     bool stalled_ = false;
--- /dev/null
+++ b/standins/fault_proxy/route.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+namespace standin {
+
+/// Faults of one route. Several can be set at once.
+struct route_faults
+{
+    /// Resets open connections and each new one.
+    bool cut = false;
+    /// Keeps connections and accepts new ones, but passes nothing, not even their end.
+    bool freeze = false;
+    /// Discards everything that callers send, or everything that the target sends.
+    bool drop_requests = false;
+    bool drop_answers = false;
+    /// Opens a second connection to the target for each new connection, sends it the same bytes and discards what it
+    /// answers.
+    bool duplicate = false;
+    /// Added before each chunk is passed.
+    std::int64_t delay_ms = 0;
+    /// Number of connections that are reset when the target starts to answer, before any byte of the answer is passed.
+    std::int64_t lose_answers = 0;
+};
+
+class connection;
+
+/// One listening address that forwards to a target. Runs on a single-threaded io_context.
+class route
+{
+public:
+    /// Listens on a port that the kernel chooses.
+    route(boost::asio::io_context& io, const std::string& target);
+    ~route();
+
+    std::string address() const;
+    const route_faults& faults() const { return faults_; }
+    /// Changes the faults named in `value` and leaves the others.
+    void control(const nlohmann::json& value);
+    nlohmann::json counts() const;
+
+    /// Runs `action` at once, or when the route is no longer frozen.
+    void when_passing(std::function<void()> action);
+    /// Takes one lost answer from the count; false when none is left.
+    bool take_lost_answer();
+    void forget(const connection* value);
+
+private:
+    void accept();
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint target_;
+    route_faults faults_;
+    std::list<std::shared_ptr<connection>> connections_;
+    std::vector<std::function<void()>> waiting_;
+    std::int64_t accepted_ = 0;
+    std::int64_t lost_answers_ = 0;
+};
+
+/// Parses "address:port".
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& text);
+
+} // namespace standin
--- a/standins/service/service_server.cpp
+++ b/standins/service/service_server.cpp
@@ -43,17 +43,20 @@
         return;
     }
     ran_.push_back({{"method", request.method}, {"target", request.target}, {"body", request.body}});
+    if (log_ran_) {
+        announce_ran(ran_.back());
+    }
     const auto number = ran_.size();
     const bool lose = lose_answers_ > 0 && lose_answers_-- > 0;
     ++outstanding_;
-    pool_.timers().after(delay_, [this, exchange, answer, number, lose] {
-        sequence_->post([this, exchange, answer, number, lose] {
+    pool_.timers().after(delay_, [this, exchange, answer, number, lose, body = request.body] {
+        sequence_->post([this, exchange, answer, number, lose, body] {
             --outstanding_;
             if (lose) {
                 exchange->sequence()->post([exchange] { exchange->abort(); });
                 return;
             }
-            answer({{"number", number}});
+            answer({{"number", number}, {"body", body}});
         });
     });
 }
@@ -63,6 +66,7 @@
     delay_ = milliseconds(value.value("delay_ms", delay_.count()));
     lose_answers_ = value.value("lose_answers", lose_answers_);
     leaving_ = value.value("leaving", leaving_);
+    log_ran_ = value.value("log_ran", log_ran_);
 }
 
 } // namespace standin
--- a/standins/service/service_server.h
+++ b/standins/service/service_server.h
@@ -29,6 +29,7 @@
     std::int64_t lose_answers_ = 0;
     int outstanding_ = 0;
     bool leaving_ = false;
+    bool log_ran_ = false;
     std::unique_ptr<anvillead::ihttp_server> server_;
 };
 
--- /dev/null
+++ b/tests/invariants/not_run_test.cpp
@@ -0,0 +1,149 @@
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include "tests/support/cluster.h"
+
+using namespace testing;
+
+namespace {
+
+constexpr int requests_per_fault = 24;
+
+cluster_options options()
+{
+    auto out = sized(2, 2, 2);
+    out.proxied = true;
+    out.gateway_settings = {{"stall_ms", 150}, {"loss_ms", 500}, {"attach_backoff_ms", 20}};
+    return out;
+}
+
+std::string error_of(const stream& answer, const char* field)
+{
+    const auto events = answer.events();
+    if (!events.empty() && events.back().type == "error") {
+        return events.back().data.value("error", nlohmann::json::object()).value(field, "");
+    }
+    return answer.head().json().value("error", nlohmann::json::object()).value(field, "");
+}
+
+/// Sends requests of all kinds around faults and collects what is wrong with their answers.
+class outcome_check
+{
+public:
+    explicit outcome_check(cluster& it) : cluster_(it) {}
+
+    /// Sends half of the requests before and half after `fault`; `repair` ends it when all have been answered or after
+    /// a few seconds.
+    void run(const std::string& name, const std::function<void()>& fault, const std::function<void()>& repair)
+    {
+        open_.clear();
+        for (int i = 0; i < requests_per_fault; ++i) {
+            ask(i);
+            if (i == requests_per_fault / 2) {
+                fault();
+            }
+        }
+        const auto all_ended = [&] {
+            return std::all_of(open_.begin(), open_.end(), [](const auto& entry) { return entry.second->ended(); });
+        };
+        eventually(all_ended, milliseconds(2000));
+        repair();
+        eventually(all_ended, default_bound);
+        std::map<std::string, int> seen;
+        for (const auto& [input, answer] : open_) {
+            ++seen[judge(name, input, *answer)];
+        }
+        for (const auto& [outcome, count] : seen) {
+            fmt::print("  {}: {} {}\n", name, outcome, count);
+        }
+    }
+
+    const std::string& problems() const { return problems_; }
+
+private:
+    void ask(int number)
+    {
+        static constexpr const char* workloads[] = {"clearance-check", "appointment-sheet", "appointment"};
+        auto& client = cluster_.client();
+        const auto& gateway = cluster_.gateway(1 + number % 2);
+        question value{new_input(), workloads[number % 3], 10};
+        value.idempotency_key = number % 3 == 2 ? new_key() : "";
+        open_.emplace_back(value.input, client.ask(gateway, value));
+        auto headers = bearer_headers(value.bearer);
+        if (number % 2 == 0) {
+            headers.emplace_back("Idempotency-Key", new_key());
+        }
+        const auto body = new_input();
+        open_.emplace_back(body, client.open(gateway, "POST", "/services/roster-app/call", body, headers));
+    }
+
+    std::string judge(const std::string& name, const std::string& input, const stream& answer)
+    {
+        if (!answer.ended()) {
+            problems_ += fmt::format("{}: {} got no final answer\n", name, input);
+            return "no answer";
+        }
+        const auto head = answer.head();
+        if (head.status == 0) {
+            problems_ += fmt::format("{}: {} lost its connection: {}\n", name, input, head.end.detail);
+            return "connection lost";
+        }
+        const auto outcome = error_of(answer, "outcome");
+        if (outcome == "not_run" && cluster_.count_ran(input) != 0) {
+            problems_ += fmt::format("{}: {} said not_run ({}) and ran\n", name, input, error_of(answer, "kind"));
+        }
+        return outcome.empty() ? std::to_string(head.status) : outcome;
+    }
+
+    cluster& cluster_;
+    std::vector<std::pair<std::string, stream::ptr>> open_;
+    std::string problems_;
+};
+
+} // namespace
+
+/// When a refusal says that a request was not run, it was not run.
+TEST_GROUP(refusal_that_says_not_run){};
+
+// Guards against a wrong outcome after each fault of a link: cut before, during and after the request was sent.
+TEST(refusal_that_says_not_run, links_fail)
+{
+    cluster it(options());
+    outcome_check check(it);
+    const nlohmann::json none = {
+        {"cut", false}, {"freeze", false}, {"drop_answers", false}, {"drop_requests", false}, {"lose_answers", 0}};
+    for (const auto* route : {"engine-1", "service-1", "platform", "*"}) {
+        for (const auto* fault : {"cut", "freeze", "drop_answers", "drop_requests", "lose_answers"}) {
+            auto value = none;
+            value[fault] = none[fault].is_boolean() ? nlohmann::json(true) : nlohmann::json(1000);
+            check.run(
+                fmt::format("{} on {}", fault, route), [&] { it.fault(route, value); }, [&] { it.fault("*", none); });
+        }
+    }
+    STRCMP_EQUAL("", check.problems().c_str());
+}
+
+// Guards against a wrong outcome when an upstream dies, refuses or stalls, or a daemon dies or is paused.
+TEST(refusal_that_says_not_run, processes_fail)
+{
+    cluster it(options());
+    outcome_check check(it);
+    for (const auto* name : {"engine-1", "service-1", "scheduler-1", "scheduler-2", "agent-1"}) {
+        check.run(
+            std::string(name) + " killed", [&] { it.kill(name); }, [&] { it.restart(name); });
+        check.run(
+            std::string(name) + " paused", [&] { it.pause(name); }, [&] { it.resume(name); });
+    }
+    for (const auto* name : {"engine-1", "engine-2"}) {
+        check.run(
+            std::string(name) + " refuses",
+            [&] {
+                it.client().control(it.address(name), {{"refuse", true}});
+            },
+            [&] {
+                it.client().control(it.address(name), {{"refuse", false}});
+            });
+    }
+    STRCMP_EQUAL("", check.problems().c_str());
+}
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/caller.h"
 
+#include <atomic>
+
 #include <fmt/format.h>
 
 #include "core/crypto.h"
@@ -11,8 +13,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t tag_length = 24;
-
 json parse(const std::string& text)
 {
     auto value = json::parse(text, nullptr, false);
@@ -23,7 +23,7 @@
 std::string check_tokens(const std::vector<received_event>& events, const question& value, std::string& text,
                          std::int64_t& count)
 {
-    const auto tag = value.input.substr(0, tag_length);
+    const auto tag = value.input.substr(0, question::tag_length);
     std::string generation;
     for (std::size_t i = 0; i < events.size(); ++i) {
         const auto& it = events[i];
@@ -216,6 +216,12 @@
                 bearer_headers(bearer));
 }
 
+std::string new_input()
+{
+    static std::atomic<int> last{0};
+    return fmt::format("question {:06}", ++last);
+}
+
 http_headers bearer_headers(const std::string& bearer)
 {
     return {{"Authorization", "Bearer " + bearer}};
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -81,7 +81,9 @@
 /// What a caller asks for.
 struct question
 {
-    /// Only the first 24 characters are repeated in the tokens of the answer.
+    /// Length of the beginning of the input that the engine stand-in repeats in each token.
+    static constexpr std::size_t tag_length = 24;
+
     std::string input;
     std::string workload = "appointment-sheet";
     int output_tokens = 20;
@@ -117,6 +119,8 @@
     std::unique_ptr<anvillead::ihttp_client> client_;
 };
 
+/// A fresh input whose tag no other question of this test program has.
+std::string new_input();
 http_headers bearer_headers(const std::string& bearer);
 /// A UUIDv7 whose time stamp is now plus `offset`.
 std::string new_key(milliseconds offset = milliseconds(0));
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 #include <fmt/format.h>
@@ -15,6 +16,7 @@
 using nlohmann::json;
 
 constexpr const char* zones[] = {"colombo-a", "colombo-b", "negombo"};
+constexpr std::string_view ran_prefix = "ran ";
 constexpr const char* fleet_key = "test-fleet-key";
 
 std::string zone_of(int number)
@@ -32,6 +34,9 @@
 
 cluster::cluster(cluster_options options) : options_(std::move(options))
 {
+    if (options_.proxied) {
+        start_standin("proxy", "fault-proxy", json::object());
+    }
     start_standin("platform", "standin-platform", json::object());
     for (int i = 1; i <= options_.engines; ++i) {
         start_standin(fmt::format("engine-{}", i), "standin-engine", options_.engine_control);
@@ -61,14 +66,20 @@
 
 std::string cluster::route(const std::string& name)
 {
-    return options_.route ? options_.route(name, address(name)) : address(name);
+    if (!options_.proxied) {
+        return address(name);
+    }
+    const json wanted = {{"name", name}, {"target", address(name)}};
+    return caller_.call(address("proxy"), "POST", "/routes", wanted.dump()).json().value("address", "");
 }
 
 void cluster::start_standin(const std::string& name, const std::string& program_name, const json& control)
 {
     auto& it = nodes_[name];
     it.name = name;
-    it.arguments = {program(program_name), "--control", control.dump(), "--listen", "127.0.0.1:0"};
+    auto settings = control;
+    settings["log_ran"] = true;
+    it.arguments = {program(program_name), "--control", settings.dump(), "--listen", "127.0.0.1:0"};
     it.running = std::make_unique<process>(directory_.file(name + ".log"), it.arguments);
 }
 
@@ -149,6 +160,17 @@
     std::ofstream(path) << services.dump(2);
 }
 
+void cluster::fault(const std::string& route, json faults)
+{
+    faults["route"] = route;
+    caller_.control(address("proxy"), faults);
+}
+
+json cluster::route_counts(const std::string& name)
+{
+    return caller_.get(address("proxy"), "/routes").value(name, json::object());
+}
+
 void cluster::pause(const std::string& name)
 {
     running(name).send_signal(SIGSTOP);
@@ -217,27 +239,29 @@
         bound);
 }
 
-std::map<std::string, json> cluster::ran()
+std::vector<run_record> cluster::ran() const
 {
-    std::map<std::string, json> out;
-    for (auto& [name, it] : nodes_) {
-        if ((name.rfind("engine-", 0) == 0 || name.rfind("service-", 0) == 0) && it.running->running()) {
-            out[name] = caller_.get(it.address, "/ran").value("ran", json::array());
+    std::vector<run_record> out;
+    for (const auto& [name, it] : nodes_) {
+        std::istringstream lines(it.running->output());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind(ran_prefix, 0) != 0) {
+                continue;
+            }
+            const auto record = json::parse(line.substr(ran_prefix.size()));
+            const auto text = record.contains("tag") ? record["tag"] : record["body"];
+            out.push_back({name, text.get<std::string>()});
         }
     }
     return out;
 }
 
-int cluster::count_ran(const std::string& input)
+int cluster::count_ran(const std::string& input) const
 {
-    int count = 0;
-    for (const auto& [name, records] : ran()) {
-        for (const auto& it : records) {
-            const auto tag = it.value("tag", "");
-            count += !tag.empty() && input.rfind(tag, 0) == 0 ? 1 : 0;
-        }
-    }
-    return count;
+    const auto runs = ran();
+    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const run_record& it) {
+        return it.input == input.substr(0, question::tag_length);
+    }));
 }
 
 void cluster::publish_hosts(const std::vector<std::string>& leaving)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -20,9 +20,8 @@
     nlohmann::json gateway_settings = nlohmann::json::object();
     /// The configuration folder is applied and the host list published before the constructor returns.
     bool apply_configuration = true;
-    /// Address that others use to reach an upstream ("engine-1", "service-1") or the platform ("platform"); used to put
-    /// a fault proxy in front. The address itself when empty.
-    std::function<std::string(const std::string& name, const std::string& address)> route;
+    /// A fault proxy stands in front of the platform, the engines and the services; see cluster::fault().
+    bool proxied = false;
 };
 
 inline cluster_options sized(int hosts, int engines = 1, int services = 1)
@@ -34,6 +33,14 @@
     return out;
 }
 
+/// One thing that an engine or service has started.
+struct run_record
+{
+    std::string upstream;
+    /// The body of a service call, the tag of a generation.
+    std::string input;
+};
+
 /// One process of the cluster that can be started again at the address it had.
 struct node
 {
@@ -61,6 +68,10 @@
     const cluster_options& options() const { return options_; }
     const work_directory& directory() const { return directory_; }
 
+    /// Sets faults of the route to a process ("engine-1", "platform", "*" for all); the fields of route_faults.
+    void fault(const std::string& route, nlohmann::json faults);
+    /// Counts of a route: connections accepted and open, lost answers.
+    nlohmann::json route_counts(const std::string& name);
     /// Kills the process.
     void kill(const std::string& name) { running(name).kill(); }
     void pause(const std::string& name);
@@ -76,10 +87,10 @@
     std::string folder() const { return directory_.file("config"); }
     /// Waits until all gateways answer /readyz with 200.
     bool wait_ready(milliseconds bound = default_bound);
-    /// Everything that ran on the engines and services: name of the upstream to its records.
-    std::map<std::string, nlohmann::json> ran();
-    /// Runs on any engine whose tag is the beginning of `input`.
-    int count_ran(const std::string& input);
+    /// Everything that ever ran on the engines and services, killed ones included.
+    std::vector<run_record> ran() const;
+    /// Runs whose input was `input` or, on an engine, began with the same tag.
+    int count_ran(const std::string& input) const;
     /// Publishes the host list; hosts in `leaving` are listed as leaving.
     void publish_hosts(const std::vector<std::string>& leaving = {});
 
@@ -89,6 +100,7 @@
     void start_daemon(const std::string& name, const std::string& program_name, nlohmann::json settings);
     void read_addresses(node& value);
     void write_folder();
+    /// Address at which others reach the process.
     std::string route(const std::string& name);
 
     cluster_options options_;
