Hold response.created back until a request cannot move any more

stream_test showed a caller two response.created events, the first with the id of a generation that had been given up, when an engine was killed before the first token. The flow now keeps events before the first token while the request can still move.

--- a/src/routing/internal/request_flow.cpp
+++ b/src/routing/internal/request_flow.cpp
@@ -127,10 +127,19 @@
     if (event.type == event_delta) {
         ++output_tokens_;
     }
+    if (movable() && event.type != event_delta && !is_final(event)) {
+        // The request can still move to another engine, whose stream begins with the same numbers and another id.
+        held_.push_back(event);
+        return {};
+    }
     flow_actions actions;
     if (caller_present_) {
+        for (auto& it : held_) {
+            actions.push_back(deliver_event{std::move(it)});
+        }
         actions.push_back(deliver_event{event});
     }
+    held_.clear();
     if (is_final(event)) {
         state_ = state::done;
         actions.push_back(finish_request{});
@@ -275,6 +284,7 @@
     }
     // No token was delivered to the caller, so the stream starts again with the next generation's first event.
     sequencer_ = stream_sequencer();
+    held_.clear();
     attach_pending_ = false;
     attachments_ = 0;
     return {ask_grant{excluded_, remaining(now)}, next_timer(now)};
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -158,6 +158,8 @@
     instant lost_since_{};
     instant attach_at_{};
     std::optional<instant> paused_since_;
+    /// Events before the first token, kept back while the request can still move to another engine.
+    std::vector<stream_event> held_;
     std::int64_t output_tokens_ = 0;
     int attempts_ = 0;
     /// Links opened since the last event.
