--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -66,6 +66,7 @@
     out.flow = read_flow_limits(reader);
     out.stall = read_stall_limits(reader, out.flow);
     out.retries = read_retry_limits(reader);
+    out.claims = read_claim_settings(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
     out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/common/daemon.h"
+#include "apps/gateway/claim_settings.h"
 #include "routing/request_flow.h"
 #include "routing/retry_budget.h"
 #include "transport/http_types.h"
@@ -20,6 +21,7 @@
     flow_limits flow;
     stall_limits stall;
     retry_budget_limits retries;
+    claim_settings claims;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
     /// How long callers may keep an answer of /v1/endpoints.
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "apps/gateway/keyed_requests.h"
 #include "core/bounded_json.h"
 #include "core/crypto.h"
 #include "core/log.h"
@@ -145,20 +146,6 @@
     context_.schedulers.cancel(id_);
 }
 
-void response_stream::act(const write_claim&)
-{
-    claim_answer answer{claim_answer::verdict::unavailable,
-                        make_error(error_kind::platform_unavailable, "claims are not available")};
-    on_sequence([this, answer] { carry_out(flow_->on_claim(context_.pool.timers().now(), answer)); });
-}
-
-void response_stream::act(const withdraw_claim&)
-{
-    on_sequence([this] {
-        carry_out(flow_->on_claim(context_.pool.timers().now(), {claim_answer::verdict::withdrawn, {}}));
-    });
-}
-
 void response_stream::act(const dispatch_generation& action)
 {
     location_.engine = action.engine;
@@ -174,6 +161,7 @@
     progress.input = request_.input;
     context_.progress.begin(scheduler_, progress);
     active_grant_ = progress.id;
+    context_.keyed->dispatched(request_, location_);
     context_.counters.observe_ms("grant_wait", elapsed_ms(started_, context_.pool.timers().now()));
 
     auto body = request_.body;
@@ -346,7 +334,12 @@
 
 void response_stream::act(const fail_request& action)
 {
-    const auto& reason = action.reason;
+    auto reason = action.reason;
+    if (handed_over(reason)) {
+        release_grant(grant_state::lost);
+        close_timers();
+        return;
+    }
     if (reason.kind == error_kind::generation_lost) {
         log(log_level::warning, log_event::generation_lost,
             {{"request", id_.str()},
@@ -432,6 +425,7 @@
 
 void response_stream::close_timers()
 {
+    release_claim();
     if (call_) {
         call_->abandon();
         call_.reset();
