--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -30,6 +30,8 @@
     milliseconds progress_period{100};
     /// How long callers may keep an answer of /v1/endpoints.
     milliseconds endpoints_ttl{5000};
+    /// Longest time for the answer of a plain service.
+    milliseconds service_timeout{30'000};
     /// Clock and delivery tolerance added to endpoints_ttl during a graceful shutdown.
     milliseconds shutdown_skew{1000};
     /// The engine link is not read while a caller has more unsent bytes than this.
--- a/src/apps/gateway/service_proxy.cpp
+++ b/src/apps/gateway/service_proxy.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::string_view prefix = "/services/";
 // Time for the head of an answer when the workload has no deadline.
-constexpr milliseconds answer_timeout{30'000};
 constexpr milliseconds load_timeout{1000};
 constexpr std::size_t load_report_bytes = 64 * 1024;
 constexpr int most_running = 1'000'000;
@@ -70,7 +69,7 @@
     out.target = target->name;
     out.path = rest.substr(slash);
     out.idempotent = repeatable(request.method);
-    out.timeout = answer_timeout;
+    out.timeout = context_.settings.service_timeout;
     const auto checked = apply_workload(request, configuration, out);
     if (!checked) {
         reply_error(*exchange, checked.error());
--- /dev/null
+++ b/tests/invariants/in_force_test.cpp
@@ -0,0 +1,182 @@
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include "core/crypto.h"
+#include "tests/support/cluster.h"
+
+using namespace testing;
+
+namespace {
+
+constexpr milliseconds in_force_bound{6000};
+
+cluster_options options()
+{
+    auto out = sized(3);
+    out.proxied = true;
+    return out;
+}
+
+/// An edit adds one organisation; a gateway has the edit in force once it accepts the organisation's key.
+std::string key_of(int edit)
+{
+    return fmt::format("edit-{}-key", edit);
+}
+
+std::string write_edit(cluster& it, int edit)
+{
+    const nlohmann::json organisation = {
+        {"name", fmt::format("edit-{}", edit)}, {"weight", 1}, {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
+    return it.configure(fmt::format("40-edit-{}.json", edit), {{"organisations", {organisation}}});
+}
+
+bool in_force(cluster& it, int host, int edit)
+{
+    return it.client()
+               .call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit)), milliseconds(1000))
+               .status == 200;
+}
+
+bool in_force_everywhere(cluster& it, int edit, milliseconds bound = in_force_bound)
+{
+    const auto end = clock::now() + bound;
+    for (int host = 1; host <= it.options().hosts; ++host) {
+        const auto left = std::chrono::duration_cast<milliseconds>(end - clock::now());
+        if (!eventually([&] { return in_force(it, host, edit); }, left)) {
+            fmt::print("edit {} is not in force at gateway {}\n", edit, host);
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+/// An accepted configuration is in force everywhere within 6 s with the platform up, and never reverts.
+TEST_GROUP(accepted_configuration_is_in_force){};
+
+// Guards against an edit that waits for the agent that used to accept.
+TEST(accepted_configuration_is_in_force, with_each_agent_killed_in_turn)
+{
+    cluster it(options());
+    for (int host = 1; host <= 3; ++host) {
+        const auto agent = fmt::format("agent-{}", host);
+        it.kill(agent);
+        STRCMP_EQUAL("", write_edit(it, host).c_str());
+        for (int other = 1; other <= 3; ++other) {
+            if (other != host) {
+                CHECK_TEXT(eventually([&] { return in_force(it, other, host); }, in_force_bound), agent.c_str());
+            }
+        }
+        it.restart(agent);
+        CHECK_TEXT(in_force_everywhere(it, host), agent.c_str());
+    }
+}
+
+// Guards against an agent with an old view that accepts it after it was paused, which would revert newer edits.
+TEST(accepted_configuration_is_in_force, agent_is_paused_with_an_old_view_and_resumed)
+{
+    cluster it(options());
+    for (int host = 1; host <= 3; ++host) {
+        const auto agent = fmt::format("agent-{}", host);
+        it.pause(agent);
+        STRCMP_EQUAL("", write_edit(it, host).c_str());
+        for (int other = 1; other <= 3; ++other) {
+            CHECK_TEXT(other == host || eventually([&] { return in_force(it, other, host); }, in_force_bound),
+                       agent.c_str());
+        }
+        it.resume(agent);
+        CHECK_TEXT(in_force_everywhere(it, host), agent.c_str());
+        bool reverted = false;
+        eventually(
+            [&] {
+                for (int gateway = 1; gateway <= 3; ++gateway) {
+                    reverted = reverted || !in_force(it, gateway, host);
+                }
+                return reverted;
+            },
+            milliseconds(1000));
+        CHECK_TEXT(!reverted, agent.c_str());
+    }
+}
+
+// Guards against a configuration that only some processes have when the platform fails just after the accept, against
+// a revert, and against a process that is not served when it starts during the outage.
+TEST(accepted_configuration_is_in_force, platform_fails_just_after_the_accept)
+{
+    cluster it(options());
+    STRCMP_EQUAL("", write_edit(it, 1).c_str());
+    CHECK(eventually([&] { return in_force(it, 1, 1) || in_force(it, 2, 1) || in_force(it, 3, 1); }));
+    it.fault("platform", {{"cut", true}});
+    CHECK(in_force_everywhere(it, 1));
+    for (const auto* name : {"gateway-2", "scheduler-2", "agent-2"}) {
+        it.kill(name);
+    }
+    for (const auto* name : {"agent-2", "scheduler-2", "gateway-2"}) {
+        it.restart(name);
+    }
+    CHECK(in_force_everywhere(it, 1));
+    const question value{new_input(), "clearance-check", 5};
+    const auto answer = it.client().ask(it.gateway(2), value);
+    CHECK(answer->wait_end());
+    STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+}
+
+// Guards against an edit that is lost when two operators write at the same time, or when answers to writes are lost.
+TEST(accepted_configuration_is_in_force, writers_race_and_answers_are_lost)
+{
+    cluster it(options());
+    it.fault("platform", {{"lose_answers", 3}});
+    STRCMP_EQUAL("", write_edit(it, 1).c_str());
+    CHECK(in_force_everywhere(it, 1));
+    it.fault("platform", {{"lose_answers", 0}});
+    // Two operators with folders of their own that differ in one file.
+    const auto file = [&](int edit) {
+        const nlohmann::json body = {{"organisations",
+                                      {{{"name", fmt::format("edit-{}", edit)},
+                                        {"weight", 1},
+                                        {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}}}}};
+        return body.dump();
+    };
+    process first(it.directory().file("first.log"),
+                  {program("anvilleadctl"), "config", "apply", it.folder(), it.address("platform")});
+    it.directory().write("config/40-edit-2.json", file(2));
+    process second(it.directory().file("second.log"),
+                   {program("anvilleadctl"), "config", "apply", it.folder(), it.address("platform")});
+    CHECK(first.wait_exit().has_value());
+    CHECK(second.wait_exit().has_value());
+    // The loser of the race is told so and applies again.
+    STRCMP_EQUAL("", it.apply().c_str());
+    CHECK(in_force_everywhere(it, 2));
+    CHECK(in_force_everywhere(it, 1));
+}
+
+// Guards against an outage that stops streams, idempotent work, limits or work with a bound key.
+TEST(accepted_configuration_is_in_force, platform_outage_leaves_everything_else_running)
+{
+    cluster it(options());
+    const question open{new_input(), "appointment-sheet", 400};
+    const auto stream = it.client().ask(it.gateway(1), open);
+    const auto prefix = it.client()
+                            .call(it.gateway(1), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"))
+                            .json()
+                            .value("bound_key_prefix", "");
+    CHECK(stream->wait_events(3));
+    it.fault("platform", {{"cut", true}});
+    for (int i = 0; i < 12; ++i) {
+        const question value{new_input(), "clearance-check", 5};
+        const auto answer = it.client().ask(it.gateway(1 + i % 3), value);
+        CHECK(answer->wait_end());
+        STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+    }
+    for (const int host : {1, 2}) {
+        const question bound{new_input(), "appointment", 5, prefix + "." + new_key()};
+        const auto answer = it.client().ask(it.gateway(host), bound);
+        CHECK(answer->wait_end());
+        STRCMP_EQUAL("", check_answer(answer->events(), bound).c_str());
+        LONGS_EQUAL(1, it.count_ran(bound.input));
+    }
+    CHECK(stream->wait_end());
+    STRCMP_EQUAL("", check_answer(stream->events(), open).c_str());
+}
--- /dev/null
+++ b/tests/support/background_load.cpp
@@ -0,0 +1,164 @@
+#include "tests/support/background_load.h"
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "streams/types/stream_event.h"
+
+namespace testing {
+
+namespace {
+
+constexpr int most_resumptions = 40;
+constexpr milliseconds answer_bound{20'000};
+constexpr milliseconds resume_pause{50};
+
+bool is_final(const std::vector<received_event>& events)
+{
+    return !events.empty() && (events.back().type == anvillead::event_completed || events.back().type == "error");
+}
+
+} // namespace
+
+background_load::background_load(cluster& target, int callers, unsigned seed) : cluster_(target)
+{
+    for (int i = 1; i <= target.options().hosts; ++i) {
+        bootstrap_.push_back(target.gateway(i));
+    }
+    for (int i = 0; i < callers; ++i) {
+        threads_.emplace_back([this, own = seed + static_cast<unsigned>(i)] { run(own); });
+    }
+}
+
+std::vector<load_record> background_load::stop()
+{
+    stopping_ = true;
+    for (auto& it : threads_) {
+        it.join();
+    }
+    threads_.clear();
+    return records_;
+}
+
+void background_load::run(unsigned seed)
+{
+    std::mt19937 random(seed);
+    address_book book;
+    while (!stopping_) {
+        auto record = ask(book, random());
+        ++finished_;
+        const std::lock_guard lock(mutex_);
+        records_.push_back(std::move(record));
+    }
+}
+
+const std::vector<std::string>& background_load::endpoints(address_book& book)
+{
+    if (clock::now() < book.until) {
+        return book.addresses;
+    }
+    auto known = book.addresses;
+    known.insert(known.end(), bootstrap_.begin(), bootstrap_.end());
+    for (const auto& it : known) {
+        const auto answer = cluster_.client().call(it, "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"),
+                                                   milliseconds(1000));
+        const auto body = answer.json();
+        if (answer.status != 200 || body["endpoints"].empty()) {
+            continue;
+        }
+        book.addresses.clear();
+        for (const auto& entry : body["endpoints"]) {
+            book.addresses.push_back(entry.value("address", ""));
+        }
+        book.until = clock::now() + milliseconds(body.value("ttl_ms", 0));
+        return book.addresses;
+    }
+    book.addresses = bootstrap_;
+    return book.addresses;
+}
+
+load_record background_load::ask(address_book& book, unsigned random)
+{
+    load_record out;
+    out.value = {new_input(), "appointment-sheet", 5 + static_cast<int>(random % 40)};
+    if (random % 3 == 0) {
+        out.value.workload = "appointment";
+        out.value.idempotency_key = new_key();
+    }
+    std::vector<stream::ptr> parts = {cluster_.client().ask(endpoints(book).front(), out.value)};
+    const auto end = clock::now() + answer_bound;
+    std::vector<received_event> events;
+    while (true) {
+        const auto& last = parts.back();
+        last->wait_end(std::chrono::duration_cast<milliseconds>(end - clock::now()));
+        events = join(parts);
+        if (is_final(events) || !last->head().error_kind().empty() || clock::now() >= end ||
+            out.resumptions >= most_resumptions) {
+            break;
+        }
+        ++out.resumptions;
+        const auto id = parts.front()->response_id();
+        const auto& addresses = endpoints(book);
+        const auto& address = addresses[static_cast<std::size_t>(out.resumptions) % addresses.size()];
+        eventually([] { return false; }, resume_pause);
+        if (!id.empty()) {
+            parts.push_back(cluster_.client().resume(address, id, static_cast<std::int64_t>(events.size()) - 1));
+        } else {
+            // Nothing has arrived. An appointment is repeated with its key; a draft is asked as another request, so
+            // that the record of what ran stays unambiguous.
+            if (out.value.idempotency_key.empty()) {
+                out.value.input = new_input();
+            }
+            parts = {cluster_.client().ask(address, out.value)};
+        }
+    }
+    out.wrong_tokens = check_beginning(events, out.value);
+    const auto error = !events.empty() && events.back().type == "error"
+                           ? events.back().data.value("error", nlohmann::json::object())
+                           : parts.back()->head().json().value("error", nlohmann::json::object());
+    out.kind = error.value("kind", "");
+    out.outcome = error.value("outcome", "");
+    if (out.kind.empty()) {
+        out.unanswered = check_answer(events, out.value);
+    }
+    return out;
+}
+
+std::map<int, std::string> judge(const std::vector<load_record>& records, const cluster& target)
+{
+    std::map<int, std::string> out;
+    std::map<std::string, int> runs;
+    for (const auto& it : target.ran()) {
+        ++runs[it.input];
+    }
+    for (const auto& it : records) {
+        const auto name = fmt::format("{} ({}, {} resumptions)", it.value.input, it.value.workload, it.resumptions);
+        const auto count = runs[it.value.input];
+        if (!it.wrong_tokens.empty()) {
+            out[1] += fmt::format("{}: {}\n", name, it.wrong_tokens);
+        }
+        if (!it.unanswered.empty()) {
+            out[2] += fmt::format("{}: {}\n", name, it.unanswered);
+        }
+        if (it.outcome == "not_run" && count > 0) {
+            out[3] += fmt::format("{}: {}/not_run, but ran {} times\n", name, it.kind, count);
+        }
+        if (!it.value.idempotency_key.empty() && count > 1) {
+            out[4] += fmt::format("{}: ran {} times\n", name, count);
+        }
+    }
+    return out;
+}
+
+std::string all_problems(const std::map<int, std::string>& problems)
+{
+    std::string out;
+    for (const auto& [invariant, text] : problems) {
+        out += fmt::format("invariant {}:\n{}", invariant, text);
+    }
+    return out;
+}
+
+} // namespace testing
