--- /dev/null
+++ b/src/apps/load/load_report.cpp
@@ -0,0 +1,86 @@
+#include "apps/load/load_report.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace anvillead {
+
+namespace {
+
+// Bins of 3 % from 0.1 ms to 1,000 s.
+constexpr unsigned bin_count = 545;
+constexpr double lowest_ms = 0.1;
+constexpr double highest_ms = 1e6;
+constexpr double quantiles[] = {0.5, 0.95, 0.99, 1.0};
+
+/// Upper edge of the bin that holds the quantile.
+template <typename Histogram>
+double quantile(const Histogram& values, double total, double share)
+{
+    double seen = 0;
+    for (const auto& bin : boost::histogram::indexed(values, boost::histogram::coverage::all)) {
+        seen += *bin;
+        if (seen > 0 && seen >= share * total) {
+            return bin.bin().upper();
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+void load_report::record(const std::string& workload, const std::string& measure, double ms)
+{
+    const std::lock_guard lock(mutex_);
+    auto& measures = parts_[workload].measures;
+    const auto it =
+        measures.try_emplace(measure, boost::histogram::make_histogram(axis_type(bin_count, lowest_ms, highest_ms)))
+            .first;
+    it->second(std::clamp(ms, lowest_ms, highest_ms));
+}
+
+void load_report::count(const std::string& workload, const std::string& what, double amount)
+{
+    const std::lock_guard lock(mutex_);
+    parts_[workload].counts[what] += amount;
+}
+
+nlohmann::json load_report::json() const
+{
+    const std::lock_guard lock(mutex_);
+    auto out = nlohmann::json::object();
+    for (const auto& [workload, it] : parts_) {
+        auto& entry = out[workload];
+        entry["counts"] = it.counts;
+        for (const auto& [measure, values] : it.measures) {
+            const double total = boost::histogram::algorithm::sum(values);
+            auto& summary = entry["ms"][measure];
+            summary["count"] = total;
+            for (const double share : quantiles) {
+                summary[fmt::format("p{:g}", share * 100)] = quantile(values, total, share);
+            }
+        }
+        const auto requests = it.counts.find("requests");
+        const auto attempts = it.counts.find("attempts");
+        if (requests != it.counts.end() && attempts != it.counts.end()) {
+            entry["attempts_per_request"] = attempts->second / requests->second;
+        }
+    }
+    return out;
+}
+
+std::string load_report::text() const
+{
+    std::string out;
+    const auto values = json();
+    for (const auto& [workload, entry] : values.items()) {
+        out += fmt::format("{} {}\n", workload, entry["counts"].dump());
+        for (const auto& [measure, summary] : entry.value("ms", nlohmann::json::object()).items()) {
+            out += fmt::format("{} {}_ms {}\n", workload, measure, summary.dump());
+        }
+    }
+    return out;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/apps/load/load_request.cpp
@@ -0,0 +1,181 @@
+#include "apps/load/load_request.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+#include "core/bounded_json.h"
+#include "core/crypto.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr milliseconds resume_delay{50};
+constexpr std::size_t answer_bytes = 64 * 1024;
+
+double ms_between(instant from, instant to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+/// A UUIDv7 of the present time.
+std::string new_key(wall_time now)
+{
+    const auto stamp = fmt::format("{:012x}", std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
+    const auto random = random_hex(10);
+    return fmt::format("{}-{}-7{}-8{}-{}", stamp.substr(0, 8), stamp.substr(8), random.substr(0, 3),
+                       random.substr(3, 3), random.substr(6, 12));
+}
+
+} // namespace
+
+load_request::load_request(load_context& context, const load_arrival& arrival)
+    : context_(context), arrival_(arrival), workload_(context.options.workloads[arrival.workload]),
+      sequence_(context.pool.make_sequence())
+{}
+
+void load_request::start()
+{
+    arrived_ = context_.pool.timers().now();
+    last_token_ = arrived_;
+    context_.report.count(workload_.name, "requests");
+    if (workload_.keyed) {
+        key_ = new_key(context_.pool.timers().wall_now());
+    }
+    sequence_->post([self = shared_from_this()] { self->attempt(); });
+}
+
+http_call_request load_request::make_call() const
+{
+    const auto& options = context_.options;
+    http_call_request out;
+    out.address = context_.address(attempts_);
+    out.headers = {{"Authorization", "Bearer " + options.organisations[arrival_.organisation].bearer},
+                   {"Anvillead-Workload", workload_.name}};
+    out.head_timeout = options.patience;
+    out.idle_timeout = options.patience;
+    if (!response_id_.empty()) {
+        out.target = fmt::format("/v1/responses/{}?stream=true&starting_after={}", response_id_, last_number_);
+        return out;
+    }
+    out.method = "POST";
+    out.target = "/v1/responses";
+    out.body = nlohmann::json({{"model", options.model},
+                               {"input", fmt::format("load {}", arrival_.number)},
+                               {"stream", true},
+                               {"metadata", {{"output_tokens", arrival_.tokens}}}})
+                   .dump();
+    if (!key_.empty()) {
+        out.headers.emplace_back("Idempotency-Key", key_);
+    }
+    return out;
+}
+
+void load_request::attempt()
+{
+    ++attempts_;
+    context_.report.count(workload_.name, "attempts");
+    status_ = 0;
+    body_.clear();
+    retry_after_ = milliseconds(0);
+    const auto self = shared_from_this();
+    parser_ = std::make_unique<sse_parser>([raw = this](const std::string& type, const std::string& id,
+                                                        const std::string& data) { raw->event(type, id, data); });
+    http_call_handlers handlers;
+    handlers.on_head = [self](int status, const http_headers& headers) {
+        self->status_ = status;
+        const std::string value(find_header(headers, "Retry-After"));
+        self->retry_after_ = seconds(std::strtoll(value.c_str(), nullptr, 10));
+    };
+    handlers.on_data = [self](std::string_view data) {
+        if (self->status_ == 200) {
+            self->parser_->feed(data);
+        } else if (self->body_.size() + data.size() <= answer_bytes) {
+            self->body_ += data;
+        }
+    };
+    handlers.on_end = [self](const http_call_end& end) { self->ended(end); };
+    call_ = context_.client.start(make_call(), std::move(handlers), sequence_);
+}
+
+void load_request::event(const std::string& type, const std::string& id, const std::string& data)
+{
+    const auto now = context_.pool.timers().now();
+    if (type == "error") {
+        refused(parse_bounded_json(data).value_or(nlohmann::json::object()));
+        return;
+    }
+    last_number_ = std::strtoll(id.c_str(), nullptr, 10);
+    if (type == event_created) {
+        const auto value = parse_bounded_json(data).value_or(nlohmann::json::object());
+        response_id_ = value.value("response", nlohmann::json::object()).value("id", "");
+    } else if (type == event_delta) {
+        const auto waited = ms_between(last_token_, now);
+        context_.report.record(workload_.name, tokens_ == 0 ? "first_token" : "gap", waited);
+        longest_stall_ms_ = std::max(longest_stall_ms_, waited);
+        last_token_ = now;
+        ++tokens_;
+    } else if (is_final({type, last_number_, ""})) {
+        context_.report.record(workload_.name, "whole_answer", ms_between(arrived_, now));
+        finish(type == event_completed ? "completed" : "incomplete");
+    }
+}
+
+void load_request::ended(const http_call_end& end)
+{
+    if (done_) {
+        return;
+    }
+    if (context_.pool.timers().now() - arrived_ > context_.options.patience) {
+        finish("unanswered");
+    } else if (end.end == http_end::complete && status_ != 200) {
+        refused(parse_bounded_json(body_).value_or(nlohmann::json::object()));
+    } else if (response_id_.empty() && workload_.keyed == false && end.may_have_been_sent) {
+        // Without an id nothing can be resumed; the same request is asked again.
+        context_.report.count(workload_.name, "connections_lost");
+        again(resume_delay);
+    } else {
+        context_.report.count(workload_.name, response_id_.empty() ? "connections_failed" : "resumptions");
+        again(resume_delay);
+    }
+}
+
+void load_request::refused(const nlohmann::json& reason)
+{
+    const auto error = reason.value("error", nlohmann::json::object());
+    const auto kind = fmt::format("{}/{}", error.value("kind", "unknown"), error.value("outcome", "unknown"));
+    context_.report.count(workload_.name, "refusals " + kind);
+    const bool helps = retry_after_.count() > 0 && tokens_ == 0;
+    if (!helps || context_.options.retry == retry_mode::none) {
+        finish("refused " + kind);
+    } else {
+        again(context_.options.retry == retry_mode::at_once ? milliseconds(0) : retry_after_);
+    }
+}
+
+void load_request::again(milliseconds delay)
+{
+    if (attempts_ >= context_.options.attempts) {
+        finish("given_up");
+        return;
+    }
+    context_.pool.timers().after(delay,
+                                 [self = shared_from_this()] { self->sequence_->post([self] { self->attempt(); }); });
+}
+
+void load_request::finish(const std::string& what)
+{
+    if (std::exchange(done_, true)) {
+        return;
+    }
+    longest_stall_ms_ = std::max(longest_stall_ms_, ms_between(last_token_, context_.pool.timers().now()));
+    context_.report.record(workload_.name, "stall", longest_stall_ms_);
+    context_.report.count(workload_.name, "ended " + what);
+    context_.report.count(workload_.name, "tokens", static_cast<double>(tokens_));
+    call_->cancel();
+    context_.finished();
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/tests/invariants/chaos_main.cpp
@@ -0,0 +1,234 @@
+#include <cstdio>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include "core/crypto.h"
+#include "tests/support/background_load.h"
+
+using namespace testing;
+
+namespace {
+
+constexpr int hosts = 7;
+constexpr int engines = 3;
+constexpr int services = 2;
+constexpr int callers = 12;
+constexpr milliseconds in_force_bound{6000};
+constexpr milliseconds leaving_bound{3000};
+constexpr const char* invariant_names[] = {"each token once, in order, from one generation",
+                                           "whole answer to its own request",
+                                           "a refusal that says not_run was not run",
+                                           "non-idempotent at most once",
+                                           "a leaving upstream gets no new work",
+                                           "graceful shutdown interrupts nothing",
+                                           "accepted configuration in force and never reverts"};
+
+/// One fault that can be started and ended; its name says what it hits.
+struct fault
+{
+    std::string name;
+    std::function<void()> begin;
+    std::function<void()> end;
+};
+
+/// Runs random faults, alone and two at once, on a cluster under load and collects what broke.
+class chaos
+{
+public:
+    chaos(unsigned seed, milliseconds length) : random_(seed), end_(clock::now() + length), cluster_(options()) {}
+
+    std::map<int, std::string> run(unsigned seed)
+    {
+        background_load load(cluster_, callers, seed);
+        while (clock::now() < end_) {
+            const auto first = choose_fault();
+            auto second = choose_fault();
+            const bool both = random_() % 2 == 0 && first.name != second.name;
+            fmt::print("{}{}\n", first.name, both ? " and " + second.name : "");
+            std::fflush(stdout);
+            first.begin();
+            if (both) {
+                second.begin();
+            }
+            // The fault lasts while some requests are under way, at most for a second.
+            const auto target = load.finished() + 10 + random_() % 40;
+            eventually([&] { return load.finished() >= target; }, milliseconds(200 + random_() % 800));
+            first.end();
+            if (both) {
+                second.end();
+            }
+            if (!cluster_.wait_ready()) {
+                problems_[2] += fmt::format("gateways not ready after {}\n", first.name);
+            }
+            if (random_() % 3 == 0) {
+                edit_configuration();
+            }
+        }
+        check_edits();
+        check_leaving();
+        const auto records = load.stop();
+        for (const auto& [invariant, text] : judge(records, cluster_)) {
+            problems_[invariant] += text;
+        }
+        std::map<std::string, int> seen;
+        for (const auto& it : records) {
+            ++seen[it.kind.empty() ? (it.unanswered.empty() ? "whole" : "unanswered") : it.kind + "/" + it.outcome];
+        }
+        for (const auto& [what, count] : seen) {
+            fmt::print("{}: {}\n", what, count);
+        }
+        return problems_;
+    }
+
+private:
+    static cluster_options options()
+    {
+        auto out = sized(hosts, engines, services);
+        out.proxied = true;
+        out.gateway_settings = {{"endpoints_ttl_ms", 300}, {"stall_ms", 300}, {"loss_ms", 2000}};
+        out.agent_settings = {{"hosts_period_ms", 500}};
+        return out;
+    }
+
+    std::string pick(const std::string& role, int count)
+    {
+        return fmt::format("{}-{}", role, 1 + random_() % static_cast<unsigned>(count));
+    }
+
+    fault link_fault()
+    {
+        static const std::vector<std::pair<nlohmann::json, nlohmann::json>> kinds = {
+            {{{"cut", true}}, {{"cut", false}}},
+            {{{"freeze", true}}, {{"freeze", false}}},
+            {{{"drop_answers", true}}, {{"drop_answers", false}}},
+            {{{"drop_requests", true}}, {{"drop_requests", false}}},
+            {{{"delay_ms", 80}}, {{"delay_ms", 0}}},
+            {{{"lose_answers", 5}}, {{"lose_answers", 0}}},
+            {{{"duplicate", true}}, {{"duplicate", false}}},
+        };
+        const auto& [begin, end] = kinds[random_() % kinds.size()];
+        const auto route = random_() % 3 == 0 ? std::string("platform") : pick("engine", engines);
+        return {fmt::format("{} on {}", begin.dump(), route),
+                [this, route, value = begin] { cluster_.fault(route, value); },
+                [this, route, value = end] { cluster_.fault(route, value); }};
+    }
+
+    fault choose_fault()
+    {
+        const auto daemon = pick(std::vector<std::string>{"gateway", "scheduler", "agent"}[random_() % 3], hosts);
+        switch (random_() % 6) {
+        case 0:
+            return {"kill " + daemon, [this, daemon] { cluster_.kill(daemon); },
+                    [this, daemon] { cluster_.restart(daemon); }};
+        case 1:
+            return {"pause " + daemon, [this, daemon] { cluster_.pause(daemon); },
+                    [this, daemon] { cluster_.resume(daemon); }};
+        case 2:
+            return {"stop " + daemon, [this, daemon] { stop_gracefully(daemon); },
+                    [this, daemon] { cluster_.restart(daemon); }};
+        case 3: {
+            const auto engine = pick("engine", engines);
+            return {"kill " + engine, [this, engine] { cluster_.kill(engine); },
+                    [this, engine] { cluster_.restart(engine); }};
+        }
+        default:
+            return link_fault();
+        }
+    }
+
+    void stop_gracefully(const std::string& daemon)
+    {
+        const auto code = cluster_.running(daemon).terminate(milliseconds(30'000));
+        if (!code || *code != 0) {
+            problems_[6] += fmt::format("{} ended with {} instead of 0\n", daemon, code.value_or(-1));
+        }
+    }
+
+    std::string key_of(int edit) const { return fmt::format("chaos-{}-key", edit); }
+
+    void edit_configuration()
+    {
+        const int edit = ++edits_;
+        const nlohmann::json organisation = {{"name", fmt::format("chaos-{}", edit)},
+                                             {"weight", 1},
+                                             {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
+        const auto refused =
+            cluster_.configure(fmt::format("40-chaos-{}.json", edit), {{"organisations", {organisation}}});
+        if (!refused.empty()) {
+            problems_[7] += fmt::format("edit {}: {}\n", edit, refused);
+        }
+        check_edits();
+    }
+
+    /// Every edit so far must be in force at every gateway within the bound; an edit that was and is not has reverted.
+    void check_edits()
+    {
+        const auto end = clock::now() + in_force_bound;
+        for (int edit = 1; edit <= edits_; ++edit) {
+            for (int host = 1; host <= hosts; ++host) {
+                const auto served = [&] {
+                    return cluster_.client()
+                               .call(cluster_.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit)),
+                                     milliseconds(1000))
+                               .status == 200;
+                };
+                const auto left = std::chrono::duration_cast<milliseconds>(end - clock::now());
+                if (!eventually(served, left)) {
+                    problems_[7] += fmt::format("edit {} is not in force at gateway {}\n", edit, host);
+                }
+            }
+        }
+    }
+
+    void check_leaving()
+    {
+        const auto engine = pick("engine", engines);
+        cluster_.client().control(cluster_.address(engine), {{"leaving", true}});
+        // No agent can know earlier than the engine says so; the schedulers poll every 200 ms.
+        eventually([] { return false; }, leaving_bound + milliseconds(400));
+        const auto count = [&] {
+            const auto runs = cluster_.ran();
+            return std::count_if(runs.begin(), runs.end(), [&](const auto& it) { return it.upstream == engine; });
+        };
+        const auto before = count();
+        eventually([] { return false; }, milliseconds(1000));
+        if (count() != before) {
+            problems_[5] += fmt::format("{} got {} new generations\n", engine, count() - before);
+        }
+    }
+
+    std::mt19937 random_;
+    clock::time_point end_;
+    cluster cluster_;
+    int edits_ = 0;
+    std::map<int, std::string> problems_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // The support library links CppUTest, whose leak detector does not follow memory freed by other threads.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    try {
+        TCLAP::CmdLine line("Runs random faults on seven hosts of processes and checks the invariants.", ' ', "1");
+        TCLAP::ValueArg<unsigned> seed("", "seed", "Seed of the run", false, 1, "N", line);
+        TCLAP::ValueArg<int> length("", "seconds", "Length of the run", false, 20, "S", line);
+        line.parse(argc, argv);
+        fmt::print("seed {}\n", seed.getValue());
+        chaos run(seed.getValue(), milliseconds(length.getValue() * 1000));
+        const auto problems = run.run(seed.getValue());
+        for (int i = 1; i <= static_cast<int>(std::size(invariant_names)); ++i) {
+            const auto it = problems.find(i);
+            fmt::print("{}. {}: {}\n", i, invariant_names[i - 1],
+                       it == problems.end() ? "held" : "BROKEN\n" + it->second);
+        }
+        return problems.empty() ? 0 : 1;
+    } catch (const std::exception& ex) {
+        fmt::print(stderr, "chaos: {}\n", ex.what());
+        return 2;
+    }
+}
