Grant again from excluded engines when no other is left

not_run_test showed drafts that waited for the longest queue time after a fault of all engine links: every engine was on the request's list of excluded engines.

--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -92,6 +92,16 @@
 engine_state* placement::choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
                                 work_class served, const length_curve& curve, bool ahead) const
 {
+    const auto& excluded = request.excluded;
+    const bool none_left = std::all_of(engines.begin(), engines.end(), [&](const engine_state* it) {
+        return !it->usable || std::find(excluded.begin(), excluded.end(), it->settings.id) != excluded.end();
+    });
+    if (none_left && !excluded.empty()) {
+        // After a fault of all engines, one that failed before is better than a wait for an engine that does not exist.
+        auto any = request;
+        any.excluded.clear();
+        return choose(now, engines, any, served, curve, ahead);
+    }
     std::vector<engine_state*> open;
     for (auto* it : engines) {
         if (open_to(now, *it, request, served)) {
--- a/src/apps/load/load_report.cpp
+++ b/src/apps/load/load_report.cpp
@@ -76,7 +76,8 @@
     const auto values = json();
     for (const auto& [workload, entry] : values.items()) {
         out += fmt::format("{} {}\n", workload, entry["counts"].dump());
-        for (const auto& [measure, summary] : entry.value("ms", nlohmann::json::object()).items()) {
+        const auto measures = entry.value("ms", nlohmann::json::object());
+        for (const auto& [measure, summary] : measures.items()) {
             out += fmt::format("{} {}_ms {}\n", workload, measure, summary.dump());
         }
     }
--- a/src/apps/load/load_run.cpp
+++ b/src/apps/load/load_run.cpp
@@ -15,6 +15,7 @@
 std::discrete_distribution<std::size_t> weights_of(const std::vector<Part>& parts)
 {
     std::vector<double> weights;
+    weights.reserve(parts.size());
     for (const auto& it : parts) {
         weights.push_back(it.weight);
     }
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -87,7 +87,7 @@
     std::string input;
     std::string workload = "appointment-sheet";
     int output_tokens = 20;
-    std::string idempotency_key = "";
+    std::string idempotency_key = {};
     std::string bearer = "demo-galle-key";
     bool stream = true;
 };
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -75,6 +75,7 @@
 process::process(std::string log_file, std::vector<std::string> arguments) : log_file_(std::move(log_file))
 {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (auto& it : arguments) {
         argv.push_back(it.data());
     }
