--- a/src/apps/agent/local_publisher.cpp
+++ b/src/apps/agent/local_publisher.cpp
@@ -57,12 +57,15 @@
 void local_publisher::update_roles(instant now)
 {
     local_roles next;
+    bool gateway_reported = false;
     for (const auto& [link, state] : links_) {
         if (!is_local(link) || now - state.heard > silence_limit) {
             continue;
         }
         if (state.report.role == "gateway") {
-            next.gateway_http = state.report.http_address;
+            gateway_reported = true;
+            // Callers are sent to a gateway only once it has a configuration to serve with.
+            next.gateway_http = state.report.generation > 0 ? state.report.http_address : std::string();
             next.gateway_link = state.report.link_address;
             next.gateway_leaving = state.report.leaving;
             gateway_seen_ = now;
@@ -73,7 +76,7 @@
         }
     }
     // A short reconnection must not make the process disappear for the fleet.
-    if (next.gateway_http.empty() && now - gateway_seen_ < reconnection_grace) {
+    if (!gateway_reported && now - gateway_seen_ < reconnection_grace) {
         next.gateway_http = roles_.gateway_http;
         next.gateway_link = roles_.gateway_link;
         next.gateway_leaving = roles_.gateway_leaving;
