Measure the drain rate only while requests wait throughout

Cause: the first sample set the rate, whatever the demand was. Change: the rate starts from the assumed rate of the engines and is lowered only by periods in which requests waited throughout; any period may raise it.

--- a/src/admission/engine_group.h
+++ b/src/admission/engine_group.h
@@ -28,6 +28,8 @@
     int urgent_limit(const organisation_id& id, const organisation* settings) const;
     /// The organisation has got clearly more than its share while others are active: it must leave room for them.
     bool ahead(const organisation_id& id) const;
+    /// Tokens per second that the group is taken to deliver before that was measured.
+    double assumed_rate() const;
     /// Seconds until the organisation's backlog in this class and more urgent ones is served at its share.
     double predicted_wait_s(const organisation_id& id, work_class urgency, double added) const;
 };
--- a/src/admission/internal/engine_group.cpp
+++ b/src/admission/internal/engine_group.cpp
@@ -29,15 +29,20 @@
     return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
 }
 
+double engine_group::assumed_rate() const
+{
+    return assumed_engine_rate * static_cast<double>(engines.size());
+}
+
 bool engine_group::ahead(const organisation_id& id) const
 {
-    const double rate = drain.rate(assumed_engine_rate * static_cast<double>(engines.size()));
+    const double rate = drain.rate(assumed_rate());
     return share.lead(id) * share.active_weight() > lead_s * rate;
 }
 
 double engine_group::predicted_wait_s(const organisation_id& id, work_class urgency, double added) const
 {
-    const double rate = drain.rate(assumed_engine_rate * static_cast<double>(engines.size()));
+    const double rate = drain.rate(assumed_rate());
     const double weights = std::max(share.active_weight(), share.weight(id));
     return (queue.backlog(id, urgency) + added) / std::max(1.0, rate * share.weight(id) / weights);
 }
--- a/src/admission/internal/retry_advice.cpp
+++ b/src/admission/internal/retry_advice.cpp
@@ -15,22 +15,23 @@
 
 } // namespace
 
-void retry_advice::delivered(instant now, double token_count, bool waiting)
+void retry_advice::delivered(instant now, double token_count, bool waiting, double assumed)
 {
     if (last_ == instant{}) {
         last_ = now;
+        rate_ = assumed;
     }
     pending_ += token_count;
+    waited_throughout_ = waited_throughout_ && waiting;
     const double passed = std::chrono::duration<double>(now - last_).count();
     if (passed < sample_s) {
         return;
     }
     const double sample = pending_ / passed;
-    const double part = known_ ? 1 - std::exp(-passed / time_constant_s) : 1;
-    if (waiting || sample > rate_) {
-        rate_ += (sample - rate_) * part;
+    if (waited_throughout_ || sample > rate_) {
+        rate_ += (sample - rate_) * (1 - std::exp(-passed / time_constant_s));
     }
-    known_ = known_ || pending_ > 0;
+    waited_throughout_ = true;
     pending_ = 0;
     last_ = now;
 }
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -186,7 +186,7 @@
     for (auto& [name, group] : groups_) {
         const auto waiting = static_cast<int>(group.queue.size(work_class::urgent));
         group.reserve.observe(now, group.urgent_total + std::min(waiting, group.urgent_total));
-        group.drain.delivered(now, group.delivered, group.queue.size() > 0);
+        group.drain.delivered(now, group.delivered, group.queue.size() > 0, group.assumed_rate());
         group.delivered = 0;
         placement_.assign_short(group.engines, group.reserve.slots());
     }
--- a/src/admission/retry_advice.h
+++ b/src/admission/retry_advice.h
@@ -12,11 +12,12 @@
 {
 public:
     explicit retry_advice(std::uint64_t seed) : random_(seed) {}
-    /// Called with the tokens that were delivered since the last call. Without waiting requests the rate shows demand
-    /// and not capacity, so it can only rise.
-    void delivered(instant now, double token_count, bool waiting);
-    /// Tokens per second; `fallback` until something was delivered.
-    double rate(double fallback) const { return known_ ? rate_ : fallback; }
+    /// Called with the tokens that were delivered since the last call. Only a period in which requests waited throughout
+    /// shows capacity; any other shows demand, so it can raise the rate but not lower it. `assumed` is the rate to start
+    /// from, in tokens per second.
+    void delivered(instant now, double token_count, bool waiting, double assumed);
+    /// Tokens per second; `assumed` before the first period.
+    double rate(double assumed) const { return rate_ > 0 ? rate_ : assumed; }
     /// Spreads callers over [delay, 1.5 * delay], within fixed bounds.
     milliseconds jittered(double delay_s);
 
@@ -25,7 +26,7 @@
     double rate_ = 0;
     double pending_ = 0;
     instant last_{};
-    bool known_ = false;
+    bool waited_throughout_ = true;
 };
 
 } // namespace anvillead
