--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,162 @@
+#!/usr/bin/env python3
+"""Rewrites the generated tables of docs/CAPACITY.md from the output of `anvillead-bench slopes --json`.
+
+Usage: scripts/capacity.py [FILE]. Without a file the measurement is run. The worked-out figures use the target size of
+docs/design.md 1.8 and the assumptions listed in the page.
+"""
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs/CAPACITY.md"
+
+NODES = 420
+ENGINES = 600
+REQUESTS = 11_000  # per second
+TOKENS = 2_700_000  # per second
+ORGANISATIONS = 37_000
+CHANGES = 620  # per day
+WATCHERS = 10  # two in each of five availability zones
+WATCH_WAIT_S = 10
+GAP_S = 0.03  # mean time between tokens assumed for the number of open streams
+PROGRESS_HZ = 10
+FULL_EVERY = 200
+LOAD_HZ = 5
+MEMBER_BYTES = 5_600  # slope at 420 members replaces it below
+LIMIT_BYTES, LIMIT_CORE, LIMIT_MEMORY = 17_000, 0.01, 256e6
+LIMIT_READS, LIMIT_WRITES = 2_000, 300
+CLAIMS = 7_000 / 86_400  # per second; non-idempotent requests are few
+
+
+def fit(points):
+    """Least squares line: slope, intercept, largest residual relative to the largest value."""
+    n = len(points)
+    mean_x = sum(p[0] for p in points) / n
+    mean_y = sum(p[1] for p in points) / n
+    var = sum((p[0] - mean_x) ** 2 for p in points)
+    slope = sum((p[0] - mean_x) * (p[1] - mean_y) for p in points) / var
+    intercept = mean_y - slope * mean_x
+    top = max(abs(p[1]) for p in points) or 1
+    residual = max(abs(p[1] - slope * p[0] - intercept) for p in points) / top
+    return slope, intercept, residual
+
+
+def number(value):
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def slope_table(slopes):
+    rows = ["| slope | points (x: y) | fit per unit | offset | largest residual |", "|---|---|---|---|---|"]
+    for it in slopes:
+        slope, intercept, residual = fit(it["points"])
+        points = ", ".join(f"{number(x)}: {number(y)}" for x, y in it["points"])
+        note = "" if residual <= 0.1 else " (not a straight line)"
+        rows.append(f"| {it['name']} [{it['y_unit']}] | {points} | {number(slope)} | {number(intercept)} |"
+                    f" {residual * 100:.1f} %{note} |")
+    return "\n".join(rows)
+
+
+def verdict(value, limit):
+    return "within" if value <= limit else "**misses**"
+
+
+def last(slopes, name):
+    return next(it for it in slopes if it["name"] == name)["points"][-1][1]
+
+
+def node_table(slopes):
+    def per(name):
+        return fit(next(it for it in slopes if it["name"] == name)["points"])[0]
+
+    requests = REQUESTS / NODES
+    streams = TOKENS * GAP_S / NODES
+    engines = ENGINES / NODES
+    gossip = last(slopes, "agent.membership bytes sent per second")
+    short = streams * PROGRESS_HZ * per("messages.bytes per progress entry")
+    full = (streams * PROGRESS_HZ / FULL_EVERY + 2 * requests) * per("messages.bytes per full progress entry")
+    grants = requests * per("messages.bytes per request")
+    change = ORGANISATIONS * per("messages.bytes per organisation and change")
+    config = change * CHANGES / 86_400
+    total = gossip + short + full + grants
+    core = {
+        "gateway and scheduler: progress entries":
+            streams * PROGRESS_HZ * per("scheduler.processor per progress entry") / 1e6,
+        "gateway and scheduler: full progress entries":
+            (streams * PROGRESS_HZ / FULL_EVERY + 2 * requests)
+            * per("scheduler.processor per full progress entry") / 1e6,
+        "scheduler: requests": requests * per("scheduler.processor per request") / 1e6,
+        "scheduler: engine load reports":
+            engines * LOAD_HZ * per("scheduler.processor per engine load report") / 1e6,
+        "agent: membership": last(slopes, "agent.membership processor per second") / 1e6,
+        "agent, gateway, scheduler: configuration changes":
+            3 * ORGANISATIONS * per("agent.processor per organisation and change") * CHANGES / 86_400 / 1e6,
+    }
+    memory = {
+        "member table": NODES * per("agent.memory per member"),
+        "configuration in three processes": 3 * ORGANISATIONS * per("any.memory per organisation"),
+        "grants in the scheduler": streams * per("scheduler.memory per running grant"),
+    }
+    reads = WATCHERS / WATCH_WAIT_S + CHANGES * 2 / 86_400
+    rows = ["| cost of control per node | worked out | limit | verdict |", "|---|---|---|---|"]
+
+    def row(name, value, unit, limit=None):
+        rows.append(f"| {name} | {number(value)} {unit} | {'' if limit is None else number(limit) + ' ' + unit} |"
+                    f" {'' if limit is None else verdict(value, limit)} |")
+
+    row("membership datagrams sent", gossip, "B/s")
+    row(f"short progress entries ({streams:.0f} streams at {PROGRESS_HZ} a second)", short, "B/s")
+    row("full progress entries (first, last, every 200th)", full, "B/s")
+    row(f"grant requests and grants ({requests:.1f} a second)", grants, "B/s")
+    row("**bytes sent, without configuration**", total, "B/s", LIMIT_BYTES)
+    row(f"configuration, whole document of {change / 1e6:.1f} MB sent once a change", config, "B/s", LIMIT_BYTES)
+    for name, value in core.items():
+        row(name, value * 100, "% of a core")
+    row("**share of a core for control**", sum(core.values()) * 100, "% of a core", LIMIT_CORE * 100)
+    for name, value in memory.items():
+        row(name, value / 1e6, "MB")
+    row("**memory for control**", sum(memory.values()) / 1e6, "MB", LIMIT_MEMORY / 1e6)
+    row("the `accepted` object, one value", change / 1e6, "MB", 1)
+    row("platform reads a second, whole fleet", reads, "calls/s", LIMIT_READS)
+    row("platform writes a second, whole fleet (configuration)", CHANGES * 4 / 86_400, "calls/s", LIMIT_WRITES)
+    rows.append("")
+    rows.append("| data path per node, for comparison (not control) | worked out |")
+    rows.append("|---|---|")
+    rows.append(f"| gateway processor for tokens ({TOKENS / NODES:,.0f} a second) |"
+                f" {TOKENS / NODES * per('gateway.processor per token') / 1e4:.1f} % of a core |")
+    rows.append(f"| gateway processor for requests | "
+                f"{requests * per('gateway.processor per request') / 1e4:.1f} % of a core |")
+    rows.append(f"| gateway memory for {streams:.0f} open streams |"
+                f" {streams * per('gateway.memory per open stream') / 1e6:.1f} MB |")
+    lookup = ORGANISATIONS * per("gateway.processor per authentication")
+    rows.append(f"| one authentication among {ORGANISATIONS:,} organisations | {lookup / 1000:.2f} ms |")
+    return "\n".join(rows)
+
+
+def replace(text, mark, table):
+    begin, end = f"<!-- {mark} begin -->", f"<!-- {mark} end -->"
+    head, rest = text.split(begin, 1)
+    tail = rest.split(end, 1)[1]
+    return f"{head}{begin}\n{table}\n{end}{tail}"
+
+
+def main():
+    if len(sys.argv) > 1:
+        raw = Path(sys.argv[1]).read_text()
+    else:
+        raw = subprocess.run([ROOT / "build/bin/anvillead-bench", "slopes", "--json"], check=True, text=True,
+                             capture_output=True).stdout
+    slopes = json.loads(raw)["slopes"]
+    text = PAGE.read_text()
+    text = replace(text, "slopes", slope_table(slopes))
+    text = replace(text, "node", node_table(slopes))
+    PAGE.write_text(text)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/admission/retry_advice.h
+++ b/src/admission/retry_advice.h
@@ -12,9 +12,9 @@
 {
 public:
     explicit retry_advice(std::uint64_t seed) : random_(seed) {}
-    /// Called with the tokens that were delivered since the last call. Only a period in which requests waited throughout
-    /// shows capacity; any other shows demand, so it can raise the rate but not lower it. `assumed` is the rate to start
-    /// from, in tokens per second.
+    /// Called with the tokens that were delivered since the last call. Only a period in which requests waited
+    /// throughout shows capacity; any other shows demand, so it can raise the rate but not lower it. `assumed` is the
+    /// rate to start from, in tokens per second.
     void delivered(instant now, double token_count, bool waiting, double assumed);
     /// Tokens per second; `assumed` before the first period.
     double rate(double assumed) const { return rate_ > 0 ? rate_ : assumed; }
--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -227,7 +227,8 @@
     CHECK(!grants().empty());
 }
 
-// Guards against a rate that was measured while hardly anything was asked for: a small burst on idle engines was refused.
+// Guards against a rate that was measured while hardly anything was asked for: a small burst on idle engines was
+// refused.
 TEST(scheduler_core_test, a_burst_after_a_quiet_time_is_not_refused)
 {
     start(true);
--- a/src/apps/gateway/tests/response_test.cpp
+++ b/src/apps/gateway/tests/response_test.cpp
@@ -78,8 +78,9 @@
 
     const auto id = read_stream(f.ask(f.create(body(5)))).response_id;
     CHECK_EQUAL(std::string("not_found"), kind(f.get("/v1/responses/" + id, "kandy-key")));
-    for (const std::string after : {"-2", "x", "99999999999999999999", "1e3", "2000000000"}) {
-        CHECK_EQUAL(bad, kind(f.get("/v1/responses/" + id + "?stream=true&starting_after=" + after)));
+    const auto resume = "/v1/responses/" + id + "?stream=true&starting_after=";
+    for (const char* after : {"-2", "x", "99999999999999999999", "1e3", "2000000000"}) {
+        CHECK_EQUAL(bad, kind(f.get(resume + after)));
     }
     CHECK_EQUAL(bad, kind(f.get(resume_target(id, 1'000'000))));
     CHECK(contains(f.ask(f.get("/healthz")), "200 OK"));
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -192,6 +192,7 @@
     });
     std::atomic<int> unanswered{0};
     std::vector<std::thread> callers;
+    callers.reserve(3);
     for (int i = 0; i < 3; ++i) {
         callers.emplace_back([&] {
             for (int n = 0; n < 300; ++n) {
--- a/src/transport/tests/raw_client.cpp
+++ b/src/transport/tests/raw_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/tests/raw_client.h"
 
+#include <cstdio>
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -21,7 +23,9 @@
     if (receive_buffer > 0) {
         ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     }
-    ::connect(socket_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    if (::connect(socket_, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
+        std::perror("connect");
+    }
 }
 
 raw_client::~raw_client()
--- a/tests/invariants/at_most_once_test.cpp
+++ b/tests/invariants/at_most_once_test.cpp
@@ -84,7 +84,7 @@
             killed ? it.kill("gateway-1") : it.pause("gateway-1");
             it.client().control(it.address("platform"), {{"delay_ms", 1}});
             const auto outcome = settle(it, 2, value);
-            CHECK_TEXT(outcome == "whole" || outcome == "may_have_run", (text + ": " + outcome).c_str());
+            CHECK_TEXT(outcome == "whole" || outcome == "may_have_run", fmt::format("{}: {}", text, outcome).c_str());
             if (killed) {
                 it.restart("gateway-1");
                 CHECK(it.wait_ready());
@@ -152,6 +152,7 @@
         headers.emplace_back("Idempotency-Key", new_key());
         it.fault("service-1", {{"lose_answers", lost}});
         std::vector<stream::ptr> calls;
+        calls.reserve(6);
         for (int i = 0; i < 6; ++i) {
             calls.push_back(
                 it.client().open(it.gateway(1 + i % 3), "POST", "/services/roster-app/appoint", body, headers));
