Share the process handling of demo.sh and overhead.sh

Cause: both scripts had the same 35 lines that start, find and stop processes. Change: scripts/processes.sh holds them.

--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -5,43 +5,9 @@
 cd "$(dirname "$0")/.."
 streams=${1:-300}
 tokens=${2:-200}
-bin=$PWD/build/bin
+source scripts/processes.sh
 # A gateway of another build, for example one with a sanitizer.
 gateway_program=${OVERHEAD_GATEWAY:-$bin/anvillead-gateway}
-work=$(mktemp -d)
-pids=()
-cleanup() {
-    for pid in "${pids[@]}"; do
-        kill -TERM "$pid" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    [ -n "${OVERHEAD_KEEP:-}" ] || rm -rf "$work"
-}
-trap cleanup EXIT
-
-# start NAME COMMAND...: runs a process in the background with its output in $work/NAME.log.
-start() {
-    local name=$1
-    shift
-    "$@" >"$work/$name.log" 2>&1 &
-    pids+=($!)
-}
-
-# await NAME PATTERN: prints the first match of PATTERN (a sed expression with one group) in the log of NAME.
-await() {
-    local found
-    for _ in $(seq 200); do
-        found=$(sed -nE "s/.*$2.*/\1/p" "$work/$1.log" | head -n 1)
-        if [ -n "$found" ]; then
-            echo "$found"
-            return 0
-        fi
-        sleep 0.05
-    done
-    echo "overhead: $1 did not start:" >&2
-    cat "$work/$1.log" >&2
-    return 1
-}
 
 start platform "$bin/standin-platform"
 # 20 ms and 0.04 ms for each generation: 44 ms between tokens with 600 generations, the design's target.
