--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 streams=${1:-300}
-tokens=${2:-200}
+tokens=${2:-600}
 source scripts/processes.sh
 # A gateway of another build, for example one with a sanitizer.
 gateway_program=${OVERHEAD_GATEWAY:-$bin/anvillead-gateway}
