Test that an engine is not kept slow by link faults and short probes

Cause: not_run_test.links_fail and not_run_test.processes_fail left draft requests without an answer; all of them were requests without a deadline that waited for a grant. Suspected: an engine judged slow from a link fault, whose probes are too short to be judged. Change: two tests of engine_health for these cases.

--- a/src/admission/tests/engine_health_test.cpp
+++ b/src/admission/tests/engine_health_test.cpp
@@ -30,6 +30,37 @@
     CHECK(health.usable(now, now, 10));
 }
 
+// Guards against a fault of the links, after which the engine is as fast as before, being learned as a slow engine.
+TEST(engine_health_test, a_silence_is_not_counted_as_slowness)
+{
+    run(60, 15);
+    for (int silent_ms = 100; silent_ms <= 2000; silent_ms += 100) {
+        now += milliseconds(100);
+        health.observe(now, 0, 10, milliseconds(silent_ms));
+    }
+    CHECK(!health.usable(now, now, 10));
+    run(1, 15);
+    CHECK(health.usable(now, now, 10));
+}
+
+// Guards against an engine that stays slow for ever because its probes are too short for a whole sample.
+TEST(engine_health_test, a_short_probe_ends_the_slow_mark)
+{
+    run(60, 15);
+    run(10, 150);
+    CHECK(!health.usable(now, now, 10));
+    now += milliseconds(100);
+    health.observe(now, 0, 0, milliseconds(0));
+    CHECK(!health.usable(now, now, 0));
+    now += seconds(6);
+    CHECK(health.usable(now, now, 0));
+    now += milliseconds(100);
+    health.observe(now, 7, 1, milliseconds(10));
+    now += milliseconds(100);
+    health.observe(now, 3, 0, milliseconds(0));
+    CHECK(health.usable(now, now, 0));
+}
+
 // Guards against condemning an engine because its batch is full.
 TEST(engine_health_test, a_busy_engine_stays_usable)
 {
