Judge engines by probes that end early and not by link silence

Cause: a silence of all links was counted into the next sample of gaps between tokens, and a slow engine's probe of a few tokens ended before it was a whole sample, so the engine stayed slow for ever. Change: time judged as silence is dropped from the sample; a probe with at least 5 tokens is judged when it ends.

--- a/src/admission/engine_health.h
+++ b/src/admission/engine_health.h
@@ -29,7 +29,9 @@
 
     double quantile(double part) const;
     double total() const;
+    void collect(double token_count, double passed_ms, int grants);
     void judge();
+    void drop_sample();
 
     histogram_type gaps_;
     instant last_{};
@@ -38,6 +40,7 @@
     double pending_tokens_ = 0;
     double pending_ms_ = 0;
     double recent_gap_ms_ = 0;
+    int last_grants_ = 0;
     bool slow_ = false;
     bool silent_ = false;
 };
--- a/src/admission/internal/engine_health.cpp
+++ b/src/admission/internal/engine_health.cpp
@@ -21,6 +21,8 @@
 constexpr double silence_factor = 20;
 constexpr milliseconds shortest_silence{500};
 constexpr seconds probe_period{5};
+// Tokens from which a probe that ends before a whole sample is judged.
+constexpr double probe_tokens = 5;
 
 } // namespace
 
@@ -52,30 +54,50 @@
 
 void engine_health::observe(instant now, double token_count, int grants, milliseconds shortest)
 {
-    if (last_ != instant{} && grants > 0) {
+    if (last_ != instant{}) {
         const auto passed = std::chrono::duration<double, std::milli>(now - last_).count();
-        pending_tokens_ += token_count;
-        pending_ms_ += passed * grants;
+        collect(token_count, passed, grants);
+    }
+    last_grants_ = grants;
+    last_ = now;
+    const double limit = silence_factor * std::max(quantile(high_quantile), shortest_gap_ms);
+    const double bound = std::clamp(limit, static_cast<double>(shortest_silence.count()), 2000.0);
+    silent_ = grants > 0 && static_cast<double>(shortest.count()) > bound;
+    // Time that was judged as silence must not make the first tokens after it look slow.
+    if (silent_) {
+        drop_sample();
+    }
+}
+
+void engine_health::collect(double token_count, double passed_ms, int grants)
+{
+    pending_tokens_ += token_count;
+    if (grants > 0) {
+        pending_ms_ += passed_ms * grants;
         // A period without tokens is judged as silence; a missing report must not look like a slow engine.
         if (pending_ms_ >= sample_period_ms * grants && pending_tokens_ > 0) {
-            recent_gap_ms_ = pending_ms_ / pending_tokens_;
-            pending_tokens_ = 0;
-            pending_ms_ = 0;
             judge();
         }
+        return;
     }
-    if (grants == 0) {
-        pending_tokens_ = 0;
-        pending_ms_ = 0;
+    // Probes may be shorter than a sample; without this the engine would stay slow for ever.
+    if (slow_ && pending_tokens_ >= probe_tokens) {
+        pending_ms_ += passed_ms * std::max(last_grants_, 1);
+        judge();
     }
-    last_ = now;
-    const double limit = silence_factor * std::max(quantile(high_quantile), shortest_gap_ms);
-    const double bound = std::clamp(limit, static_cast<double>(shortest_silence.count()), 2000.0);
-    silent_ = grants > 0 && static_cast<double>(shortest.count()) > bound;
+    drop_sample();
+}
+
+void engine_health::drop_sample()
+{
+    pending_tokens_ = 0;
+    pending_ms_ = 0;
 }
 
 void engine_health::judge()
 {
+    recent_gap_ms_ = pending_ms_ / pending_tokens_;
+    drop_sample();
     if (total() >= samples_needed) {
         slow_ = recent_gap_ms_ > slow_factor_of_median * quantile(0.5) &&
                 recent_gap_ms_ > slow_factor_of_high * quantile(high_quantile);
--- a/src/admission/tests/engine_health_test.cpp
+++ b/src/admission/tests/engine_health_test.cpp
@@ -52,7 +52,10 @@
     now += milliseconds(100);
     health.observe(now, 0, 0, milliseconds(0));
     CHECK(!health.usable(now, now, 0));
-    now += seconds(6);
+    for (int i = 0; i < 60; ++i) {
+        now += milliseconds(100);
+        health.observe(now, 0, 0, milliseconds(0));
+    }
     CHECK(health.usable(now, now, 0));
     now += milliseconds(100);
     health.observe(now, 7, 1, milliseconds(10));
