Test that a draft is not kept from the only engine that takes drafts

Cause: found by printing the scheduler's engines once a second during not_run_test.links_fail: four drafts waited for over 10 s before two idle, usable engines. One was kept short for urgent work, the other was excluded because its link had been cut once. Change: a test of placement for this case, and two for what an exclusion is meant to do. Result: a_draft_returns_to_the_only_engine_that_takes_drafts fails, the others pass.

--- /dev/null
+++ b/src/admission/tests/placement_test.cpp
@@ -0,0 +1,62 @@
+#include "admission/placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "admission/tests/scheduler_fixture.h"
+
+using namespace anvillead;
+
+TEST_GROUP(placement_test)
+{
+    engine_state short_engine = make_engine("e0");
+    engine_state long_engine = make_engine("e1");
+    length_model lengths;
+    placement placement_{placement_settings()};
+    instant now = instant(seconds(1000));
+
+    void setup() override
+    {
+        short_engine.short_batch = true;
+    }
+
+    static engine_state make_engine(const char* id)
+    {
+        engine_state out;
+        out.settings.id = upstream_id(id);
+        out.settings.capacity = {test_capacity};
+        out.settings.batch_limit = test_batch_limit;
+        out.usable = true;
+        return out;
+    }
+
+    const engine_state* choose(work_class served, const std::vector<upstream_id>& excluded)
+    {
+        auto request = make_test_request(1, 0, served);
+        request.excluded = excluded;
+        const auto& curve = lengths.curve({request.organisation, request.workload, request.model});
+        return placement_.choose(now, {&short_engine, &long_engine}, request, served, curve, false);
+    }
+};
+
+// Guards against a draft that waits for ever because the only engine that takes drafts failed it once.
+TEST(placement_test, a_draft_returns_to_the_only_engine_that_takes_drafts)
+{
+    POINTERS_EQUAL(&long_engine, choose(work_class::draft, {upstream_id("e1")}));
+    POINTERS_EQUAL(&long_engine, choose(work_class::draft, {upstream_id("e0"), upstream_id("e1")}));
+}
+
+// Guards against a retry on the engine that has just failed the request.
+TEST(placement_test, a_retry_prefers_another_engine)
+{
+    POINTERS_EQUAL(&short_engine, choose(work_class::urgent, {upstream_id("e1")}));
+    POINTERS_EQUAL(&long_engine, choose(work_class::urgent, {upstream_id("e0")}));
+    short_engine.short_batch = false;
+    POINTERS_EQUAL(&short_engine, choose(work_class::draft, {upstream_id("e1")}));
+}
+
+// Guards against leaving a busy engine's turn to an engine that failed the request.
+TEST(placement_test, a_retry_waits_for_another_engine_that_is_full)
+{
+    short_engine.running = test_batch_limit;
+    POINTERS_EQUAL(nullptr, choose(work_class::urgent, {upstream_id("e1")}));
+}
