Give a request back to an engine that failed it when no other takes its class

Cause: an excluded engine was avoided as long as any other was usable, also when that other was kept short for urgent work and took no drafts; a draft without a deadline then waited up to the longest queue wait of 120 s. Change: an exclusion holds only while another usable engine takes the request's class.

--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -55,9 +55,15 @@
     }
 }
 
+bool placement::takes_class(const engine_state& target, work_class served) const
+{
+    const bool bulk = !target.short_batch || settings_.short_batch_bulk > 0;
+    return target.usable && (served == work_class::urgent || bulk);
+}
+
 bool placement::open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const
 {
-    if (!target.usable || target.batch() >= target.settings.batch_limit) {
+    if (!takes_class(target, served) || target.batch() >= target.settings.batch_limit) {
         return false;
     }
     const auto& excluded = request.excluded;
@@ -93,11 +99,12 @@
                                 work_class served, const length_curve& curve, bool ahead) const
 {
     const auto& excluded = request.excluded;
-    const bool none_left = std::all_of(engines.begin(), engines.end(), [&](const engine_state* it) {
-        return !it->usable || std::find(excluded.begin(), excluded.end(), it->settings.id) != excluded.end();
+    const bool none_left = std::none_of(engines.begin(), engines.end(), [&](const engine_state* it) {
+        return takes_class(*it, served) &&
+               std::find(excluded.begin(), excluded.end(), it->settings.id) == excluded.end();
     });
     if (none_left && !excluded.empty()) {
-        // After a fault of all engines, one that failed before is better than a wait for an engine that does not exist.
+        // An engine that failed the request before is better than a wait for one that does not exist.
         auto any = request;
         any.excluded.clear();
         return choose(now, engines, any, served, curve, ahead);
--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -59,6 +59,8 @@
     bool better(instant now, const engine_state& a, const engine_state& b, work_class served) const;
     bool fits(instant now, const engine_state& target, const grant_request& request, work_class served,
               const length_curve& curve, bool ahead) const;
+    /// Whether the engine takes requests of the class at all, now or when others have ended.
+    bool takes_class(const engine_state& target, work_class served) const;
     bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const;
 
     placement_settings settings_;
