Test that a scheduler which takes over does not refuse a small burst

Cause: shutdown_test.rolling_restart_of_seven_hosts failed once under ctest -j 4: the logs show 4 drafts refused as overloaded 0.2 to 0.5 s after scheduler-7, which had no engines before, took over both engines. Change: a test of scheduler_core that takes over and queues a hundred short drafts. Result: fails, 27 refusals.

--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -248,6 +248,28 @@
     LONGS_EQUAL(20, grants().size());
 }
 
+// Guards against refusals by a scheduler that has just taken over: its rate of delivery began at zero, because it had
+// no engines before, and a hundred short drafts seemed to wait for minutes.
+TEST(scheduler_core_test, a_burst_after_a_takeover_is_not_refused)
+{
+    core.on_gateway_count(1);
+    core.on_configuration(now, configuration, {});
+    run(milliseconds(1000));
+    core.on_configuration(now, configuration, all_engines(configuration));
+    grant_progress running =
+        progress_of({request_id("r0"), grant_id("other-1"), upstream_id("e0"), "", 0}, 50, work_class::draft);
+    core.on_progress(now, gateway, {{running}, {}, true});
+    report_loads(0, 0);
+    run(milliseconds(300));
+    running.output = {80};
+    core.on_progress(now, gateway, {{running}, {}, false});
+    run(milliseconds(400));
+    for (int i = 1; i <= 100; ++i) {
+        ask(i, 0, work_class::draft);
+    }
+    LONGS_EQUAL(0, refusals().size());
+}
+
 // Guards against a refusal without advice and against waiting for a certain deadline miss.
 TEST(scheduler_core_test, a_backlog_beyond_the_deadline_is_refused_early)
 {
