Start a scheduler that takes over from the assumed rate of its engines

Cause: the drain rate was set to the assumed rate at the first observation, when the group had no engines, so it was zero; after the takeover it rose by a tenth of the measured rate per half second. Change: the rate follows the number of engines in proportion. Result: a_burst_after_a_takeover_is_not_refused passes.

--- a/src/admission/internal/retry_advice.cpp
+++ b/src/admission/internal/retry_advice.cpp
@@ -19,7 +19,11 @@
 {
     if (last_ == instant{}) {
         last_ = now;
-        rate_ = assumed;
+    }
+    if (assumed != assumed_) {
+        // Engines came or went. A scheduler that had none would start from a rate of zero and refuse nearly everything.
+        rate_ = assumed_ > 0 ? rate_ * assumed / assumed_ : assumed;
+        assumed_ = assumed;
     }
     pending_ += token_count;
     waited_throughout_ = waited_throughout_ && waiting;
