Keep one link per gateway in the scheduler and close the one it replaces

Cause: not_run_test.processes_fail left the drafts of one gateway without an answer for good. The log of the scheduler shows two links of the gateway opened in the same millisecond when the paused scheduler went on; the one that the gateway had given up was remembered, and when it closed the scheduler had no link to the gateway, while it still took its requests. Change: class gateway_links; a new link closes the earlier one, so that a gateway that still uses it connects again and repeats its waiting requests.

--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -51,15 +51,13 @@
     const auto options = make_link_options(settings_.common, "scheduler", new_incarnation());
     link_handlers handlers;
     handlers.on_open = [this](const link_ptr& link) {
-        sequence_->post([this, link] { gateways_[gateway_identity(link->peer())] = link; });
+        sequence_->post([this, link] { gateways_.opened(link); });
     };
     handlers.on_message = [this](const link_ptr& link, const std::string& payload) { received(link, payload); };
     handlers.on_closed = [this](const link_ptr& link) {
         sequence_->post([this, link] {
-            const gateway_identity gateway(link->peer());
-            const auto it = gateways_.find(gateway);
-            if (it != gateways_.end() && it->second == link) {
-                gateways_.erase(it);
+            if (gateways_.closed(link)) {
+                const gateway_identity gateway(link->peer());
                 progress_.forget(gateway);
                 carry_out(core_->on_gateway_lost(pool_.timers().now(), gateway));
             }
@@ -197,9 +195,8 @@
 
 void scheduler_daemon::send(const gateway_identity& gateway, message value)
 {
-    const auto it = gateways_.find(gateway);
-    if (it != gateways_.end()) {
-        it->second->send(encode({applied_, std::move(value)}));
+    if (const auto link = gateways_.find(gateway)) {
+        link->send(encode({applied_, std::move(value)}));
     }
 }
 
--- a/src/apps/scheduler/scheduler_daemon.h
+++ b/src/apps/scheduler/scheduler_daemon.h
@@ -8,6 +8,7 @@
 #include "admission/progress_expander.h"
 #include "apps/common/agent_link.h"
 #include "apps/common/status_server.h"
+#include "apps/scheduler/gateway_links.h"
 #include "apps/scheduler/scheduler_settings.h"
 #include "transport/ihttp_client.h"
 
@@ -43,7 +44,7 @@
     std::unique_ptr<ischeduler_core> core_;
     progress_expander progress_;
     std::unique_ptr<ihttp_client> client_;
-    std::map<gateway_identity, link_ptr> gateways_;
+    gateway_links gateways_;
     std::map<upstream_id, std::string> owned_;
     std::set<upstream_id> polled_;
     std::set<upstream_id> leaving_;
