Share the rejection of malformed messages between the daemons

Cause: the decode, count, log and close steps stood in five places, and the agent link did not count what it rejected. Change: apps/common/message_intake serves all of them.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "apps/agent/control_traffic.h"
+#include "apps/common/message_intake.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -108,16 +109,12 @@
 
 void agent_daemon::received(const link_ptr& link, const std::string& payload)
 {
-    auto decoded = decode(payload);
+    auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        counters_.add("messages_rejected_total");
-        log(log_level::warning, log_event::message_rejected,
-            {{"peer", link->peer()}, {"problem", decoded.error().message}});
-        link->close("invalid message");
         return;
     }
-    count_received(decoded.value(), payload.size(), counters_);
-    sequence_->post([this, link, value = std::move(decoded.value())] { handle(link, value); });
+    count_received(*decoded, payload.size(), counters_);
+    sequence_->post([this, link, value = std::move(*decoded)] { handle(link, value); });
 }
 
 void agent_daemon::handle(const link_ptr& link, const envelope& value)
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "apps/common/message_intake.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -145,19 +146,16 @@
 
 void agent_link::received(const link_ptr& link, const std::string& payload, bool is_backup)
 {
-    auto decoded = decode(payload);
+    auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        log(log_level::warning, log_event::message_rejected,
-            {{"peer", link->peer()}, {"problem", decoded.error().message}});
-        link->close("invalid message");
         return;
     }
     if (!is_backup) {
         const std::lock_guard lock(mutex_);
         heard_ = pool_.timers().now();
     }
-    const auto generation = decoded.value().generation;
-    if (auto* value = std::get_if<view>(&decoded.value().body)) {
+    const auto generation = decoded->generation;
+    if (auto* value = std::get_if<view>(&decoded->body)) {
         apply(std::move(*value));
     }
     const auto have = current()->configuration->generation;
--- a/src/apps/gateway/registry_links.cpp
+++ b/src/apps/gateway/registry_links.cpp
@@ -1,6 +1,6 @@
 #include "apps/gateway/registry_links.h"
 
-#include "core/log.h"
+#include "apps/common/message_intake.h"
 #include "messages/codec.h"
 #include "routing/rendezvous.h"
 
@@ -178,10 +178,13 @@
 
 void registry_links::answered(const link_ptr& link, const std::string& payload)
 {
-    const auto decoded = decode(payload);
-    const auto* entry = decoded ? std::get_if<registry_entry>(&decoded.value().body) : nullptr;
+    const auto decoded = decode_or_reject(link, payload, counters_);
+    if (!decoded) {
+        return;
+    }
+    const auto* entry = std::get_if<registry_entry>(&decoded->body);
     if (entry == nullptr) {
-        reject(link, decoded ? "unexpected message" : decoded.error().message);
+        reject_message(link, "unexpected message", counters_);
         return;
     }
     finish(entry->query, entry->response_id.empty() ? std::nullopt : std::optional<std::string>(entry->response_id),
@@ -197,12 +200,11 @@
 
 void registry_links::asked(const link_ptr& link, const std::string& payload)
 {
-    const auto decoded = decode(payload);
+    const auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        reject(link, decoded.error().message);
         return;
     }
-    const auto& body = decoded.value().body;
+    const auto& body = decoded->body;
     if (const auto* entry = std::get_if<registry_put>(&body)) {
         const std::lock_guard lock(mutex_);
         registry_.put(pool_.timers().now(), entry->key_hash, entry->response_id);
@@ -216,15 +218,8 @@
         }
         link->send(encode({generation, std::move(answer)}));
     } else {
-        reject(link, "unexpected message");
+        reject_message(link, "unexpected message", counters_);
     }
 }
 
-void registry_links::reject(const link_ptr& link, const std::string& problem)
-{
-    counters_.add("messages_rejected_total");
-    log(log_level::warning, log_event::message_rejected, {{"peer", link->peer()}, {"problem", problem}});
-    link->close("invalid message");
-}
-
 } // namespace anvillead
--- a/src/apps/gateway/registry_links.h
+++ b/src/apps/gateway/registry_links.h
@@ -48,7 +48,6 @@
     void opened(const std::string& address, const link_ptr& link);
     void answered(const link_ptr& link, const std::string& payload);
     void asked(const link_ptr& link, const std::string& payload);
-    void reject(const link_ptr& link, const std::string& problem);
     void finish(std::uint64_t query, std::optional<std::string> response_id, bool final);
 
     worker_pool& pool_;
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "apps/common/message_intake.h"
 #include "core/crypto.h"
-#include "core/log.h"
 #include "messages/codec.h"
 #include "routing/rendezvous.h"
 
@@ -203,20 +203,16 @@
 
 void scheduler_links::received(const std::string& address, const link_ptr& link, const std::string& payload)
 {
-    const auto decoded = decode(payload);
+    const auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        counters_.add("messages_rejected_total");
-        log(log_level::warning, log_event::message_rejected,
-            {{"peer", link->peer()}, {"problem", decoded.error().message}});
-        link->close("invalid message");
         return;
     }
     if (!when_current_) {
-        handle(address, decoded.value().body);
+        handle(address, decoded->body);
         return;
     }
     // The scheduler may already have a newer configuration; this process gets it before it acts on the answer.
-    when_current_(decoded.value().generation, [this, address, body = decoded.value().body] { handle(address, body); });
+    when_current_(decoded->generation, [this, address, body = decoded->body] { handle(address, body); });
 }
 
 void scheduler_links::handle(const std::string& address, const message& body)
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "admission/scheduler_core.h"
+#include "apps/common/message_intake.h"
 #include "core/crypto.h"
 #include "core/log.h"
 #include "messages/codec.h"
@@ -153,17 +154,13 @@
 
 void scheduler_daemon::received(const link_ptr& link, const std::string& payload)
 {
-    auto decoded = decode(payload);
+    auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        counters_.add("messages_rejected_total");
-        log(log_level::warning, log_event::message_rejected,
-            {{"peer", link->peer()}, {"problem", decoded.error().message}});
-        link->close("invalid message");
         return;
     }
     // A gateway may already have a newer configuration; this process gets it before it decides.
-    const auto generation = decoded.value().generation;
-    agent_->when_current(generation, [this, link, value = std::move(decoded.value())] {
+    const auto generation = decoded->generation;
+    agent_->when_current(generation, [this, link, value = std::move(*decoded)] {
         sequence_->post([this, link, value] { handle(link, value); });
     });
 }
