Report an address that cannot be listened on, and reserve the ports of test processes

Cause: shutdown_test.rolling_restart_of_seven_hosts aborted in 2 of 2 runs of ctest -j 6 beside other test runs: a restarted daemon found its link port taken, because the kernel had given the port to another test's process while the daemon was down. The daemon itself ended with an uncaught exception that named neither address nor reason. Test processes listen on ports that a socket of the test program keeps reserved (port_reservation). UDP ports are not reserved.

--- a/src/apps/common/daemon.cpp
+++ b/src/apps/common/daemon.cpp
@@ -56,6 +56,11 @@
     std::exit(exit_usage);
 }
 
+void report_start_failure(const std::system_error& problem)
+{
+    log(log_level::error, log_event::start_failed, {{"problem", problem.what()}});
+}
+
 incarnation new_incarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/apps/common/daemon.h
+++ b/src/apps/common/daemon.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -10,6 +11,7 @@
 #include "core/types/ids.h"
 #include "core/types/units.h"
 #include "transport/ilink.h"
+#include "transport/worker_pool.h"
 
 namespace anvillead {
 
@@ -41,6 +43,7 @@
 Settings load_settings(const std::string& path, Settings (*read)(field_reader&));
 
 [[noreturn]] void reject_settings(const std::string& problem);
+void report_start_failure(const std::system_error& problem);
 
 /// Number of this process start: milliseconds since the Unix epoch, so that a restart uses a higher one.
 incarnation new_incarnation();
@@ -49,6 +52,22 @@
 /// Sets up the log of a daemon from its settings.
 void configure_daemon_log(const common_settings& settings, const std::string& role);
 
+/// Runs a daemon until it has been stopped. The exit code: 1, after one line on standard error, when it cannot start.
+template <typename Daemon, typename Settings>
+int run_daemon(Settings settings, const std::string& role)
+{
+    configure_daemon_log(settings.common, role);
+    try {
+        worker_pool pool(settings.common.worker_threads);
+        Daemon daemon(pool, std::move(settings));
+        daemon.run();
+    } catch (const std::system_error& problem) {
+        report_start_failure(problem);
+        return exit_failure;
+    }
+    return exit_ok;
+}
+
 template <typename Settings>
 Settings load_settings(const std::string& path, Settings (*read)(field_reader&))
 {
--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -68,6 +68,7 @@
         row(e::shutdown_began, "shutdown_began"),
         row(e::shutdown_forced, "shutdown_forced"),
         row(e::settings_rejected, "settings_rejected"),
+        row(e::start_failed, "start_failed"),
         row(e::link_opened, "link_opened"),
         row(e::link_closed, "link_closed"),
         row(e::link_rejected, "link_rejected"),
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -15,6 +15,7 @@
     shutdown_began = 102,
     shutdown_forced = 103,
     settings_rejected = 104,
+    start_failed = 105,
     link_opened = 200,
     link_closed = 201,
     link_rejected = 202,
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -28,8 +28,11 @@
         const auto endpoint = parse_endpoint(options.address);
         acceptor_.open(endpoint.protocol());
         acceptor_.set_option(net::socket_base::reuse_address(true));
-        acceptor_.bind(endpoint);
-        acceptor_.listen();
+        boost::system::error_code ec;
+        acceptor_.bind(endpoint, ec);
+        check_listening(ec, options.address);
+        acceptor_.listen(net::socket_base::max_listen_connections, ec);
+        check_listening(ec, options.address);
         address_ =
             fmt::format("{}:{}", acceptor_.local_endpoint().address().to_string(), acceptor_.local_endpoint().port());
     }
--- a/src/transport/internal/link_server.cpp
+++ b/src/transport/internal/link_server.cpp
@@ -27,7 +27,13 @@
             [this](websocketpp::connection_hdl handle, const websocket_server::message_ptr& message) {
                 received(handle, message);
             });
-        server_.listen(parse_endpoint(address));
+        websocketpp::lib::error_code ec;
+        server_.listen(parse_endpoint(address), ec);
+        if (ec) {
+            // websocketpp does not tell the cause; this is the usual one.
+            throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                                    "cannot listen on " + address);
+        }
         server_.start_accept();
     }
 
--- a/src/transport/internal/udp_socket.cpp
+++ b/src/transport/internal/udp_socket.cpp
@@ -22,7 +22,9 @@
     {
         const auto endpoint = parse_endpoint(address);
         socket_.open(net::ip::udp::v4());
-        socket_.bind({endpoint.address(), endpoint.port()});
+        boost::system::error_code ec;
+        socket_.bind({endpoint.address(), endpoint.port()}, ec);
+        check_listening(ec, address);
         socket_.non_blocking(true);
         receive();
     }
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -171,4 +171,11 @@
     return {ip, static_cast<std::uint16_t>(port)};
 }
 
+void check_listening(const boost::system::error_code& ec, const std::string& address)
+{
+    if (ec) {
+        throw std::system_error(ec, "cannot listen on " + address);
+    }
+}
+
 } // namespace anvillead
--- a/src/transport/internal/worker_pool_implementation.h
+++ b/src/transport/internal/worker_pool_implementation.h
@@ -70,5 +70,7 @@
 
 /// Splits "address:port"; throws nothing, an unusable text gives port 0 on the unspecified address.
 net::ip::tcp::endpoint parse_endpoint(const std::string& address);
+/// Throws std::system_error "cannot listen on ADDRESS: reason" when `ec` is set.
+void check_listening(const boost::system::error_code& ec, const std::string& address);
 
 } // namespace anvillead
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -1,8 +1,10 @@
 #include "transport/ihttp_server.h"
 
 #include <atomic>
+#include <system_error>
 #include <thread>
 
+#include "transport/ilink.h"
 #include "transport/tests/raw_client.h"
 // CppUTest redefines new, so its header comes after those of the standard library.
 #include <CppUTest/TestHarness.h>
@@ -27,6 +29,8 @@
     return false;
 }
 
+void ignore_request(const http_request&, const std::shared_ptr<ihttp_exchange>&) {}
+
 /// A server on a port of the kernel's choice with small bounds.
 struct server_fixture
 {
@@ -205,3 +209,26 @@
     }
     LONGS_EQUAL(0, unanswered);
 }
+
+// Guards against a daemon that aborts without naming the address when another process listens there.
+TEST(http_server_test, a_taken_address_is_named)
+{
+    const server_fixture first(ignore_request);
+    worker_pool pool{1};
+    metrics counters;
+    const auto address = first.server->address();
+    std::string problem;
+    try {
+        make_http_server(pool, {address, {}}, ignore_request, counters);
+    } catch (const std::system_error& it) {
+        problem = it.what();
+    }
+    CHECK(contains(problem, "cannot listen on " + address));
+    problem.clear();
+    try {
+        make_link_server(pool, address, {{"key"}, "agent/entry-1/1"}, {}, counters);
+    } catch (const std::system_error& it) {
+        problem = it.what();
+    }
+    CHECK(contains(problem, "cannot listen on " + address));
+}
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -64,6 +64,12 @@
     }
 }
 
+std::string cluster::reserve_address()
+{
+    ports_.push_back(std::make_unique<port_reservation>());
+    return ports_.back()->address();
+}
+
 std::string cluster::route(const std::string& name)
 {
     if (!options_.proxied) {
@@ -79,7 +85,7 @@
     it.name = name;
     auto settings = control;
     settings["log_ran"] = true;
-    it.arguments = {program(program_name), "--control", settings.dump(), "--listen", "127.0.0.1:0"};
+    it.arguments = {program(program_name), "--control", settings.dump(), "--listen", reserve_address()};
     it.running = std::make_unique<process>(directory_.file(name + ".log"), it.arguments);
 }
 
@@ -97,14 +103,17 @@
     const auto agent = fmt::format("agent-{}", number);
     const auto scheduler = fmt::format("scheduler-{}", number);
     const auto gateway_name = fmt::format("gateway-{}", number);
-    start_daemon(agent, "anvillead-agent",
-                 merged({{"link_listen", "127.0.0.1:0"}, {"probe_listen", "127.0.0.1:0"}}, options_.agent_settings));
+    start_daemon(
+        agent, "anvillead-agent",
+        merged({{"link_listen", reserve_address()}, {"probe_listen", "127.0.0.1:0"}}, options_.agent_settings));
     read_addresses(at(agent));
-    start_daemon(scheduler, "anvillead-scheduler",
-                 merged({{"listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}}, options_.scheduler_settings));
-    start_daemon(gateway_name, "anvillead-gateway",
-                 merged({{"listen", "127.0.0.1:0"}, {"link_listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}},
-                        options_.gateway_settings));
+    start_daemon(
+        scheduler, "anvillead-scheduler",
+        merged({{"listen", reserve_address()}, {"agent", at(agent).link_address}}, options_.scheduler_settings));
+    start_daemon(
+        gateway_name, "anvillead-gateway",
+        merged({{"listen", reserve_address()}, {"link_listen", reserve_address()}, {"agent", at(agent).link_address}},
+               options_.gateway_settings));
     read_addresses(at(scheduler));
     read_addresses(at(gateway_name));
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "tests/support/caller.h"
+#include "tests/support/port_reservation.h"
 
 namespace testing {
 
@@ -100,6 +101,8 @@
     void start_daemon(const std::string& name, const std::string& program_name, nlohmann::json settings);
     void read_addresses(node& value);
     void write_folder();
+    /// Address of a new reserved port, so that a process can be restarted at the address that it had.
+    std::string reserve_address();
     /// Address at which others reach the process.
     std::string route(const std::string& name);
 
@@ -107,6 +110,7 @@
     work_directory directory_;
     caller caller_;
     std::map<std::string, node> nodes_;
+    std::vector<std::unique_ptr<port_reservation>> ports_;
 };
 
 } // namespace testing
