Share signed tokens between response ids and bound keys

Cause: both derived keys from the fleet keys and checked a truncated HMAC with the same lines. Change: class token_signer in core; ids and keys have the same form as before.

--- a/src/claims/bound_key_codec.h
+++ b/src/claims/bound_key_codec.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/result.h"
+#include "core/token_signer.h"
 #include "core/types/ids.h"
 #include "core/types/units.h"
 
@@ -40,13 +41,8 @@
     bool is_forwarding_mark(std::string_view mark, std::string_view key) const;
 
 private:
-    struct derived_keys
-    {
-        std::string prefix;
-        std::string forwarding;
-    };
-
-    std::vector<derived_keys> keys_;
+    token_signer prefixes_;
+    token_signer forwarding_;
 };
 
 } // namespace anvillead
--- a/src/streams/response_id.h
+++ b/src/streams/response_id.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/result.h"
+#include "core/token_signer.h"
 #include "core/types/ids.h"
 
 namespace anvillead {
@@ -29,7 +30,7 @@
     result<response_location> decode(std::string_view id) const;
 
 private:
-    std::vector<std::string> keys_;
+    token_signer signer_;
 };
 
 } // namespace anvillead
