Test that requests without an engine are refused early

Cause: with the only engine dead, a request waits in the scheduler's queue for its whole deadline, and a draft without a deadline for 120 s, although nothing can serve it. Change: a failing test of scheduler_core.

--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -259,3 +259,35 @@
     CHECK(refusals().front().kind == error_kind::overloaded);
     CHECK(refusals().front().retry_after->count() > 0);
 }
+
+// Guards against requests that wait for their whole deadline although the only engine has died.
+TEST(scheduler_core_test, requests_without_an_engine_are_refused_early_until_one_reports)
+{
+    configuration = make_test_document(1, 1);
+    start(true);
+    ask(1, 0, work_class::urgent);
+    auto dead = progress_of(grants().at(0), 0, work_class::urgent);
+    dead.state = grant_state::lost;
+    keep(core.on_progress(now, gateway, {{dead}, {}, false}));
+    ask(2, 0, work_class::urgent, milliseconds(5000));
+    ask(3, 0, work_class::draft);
+    run(milliseconds(1000));
+    LONGS_EQUAL_TEXT(0, refusals().size(), "a short absence must not refuse anything");
+    run(milliseconds(2000));
+    LONGS_EQUAL(2, refusals().size());
+    // The absence is known now.
+    ask(4, 0, work_class::urgent, milliseconds(5000));
+    LONGS_EQUAL(3, refusals().size());
+    for (const auto& it : refusals()) {
+        CHECK(it.kind == error_kind::no_upstream);
+        CHECK(it.retry_after && it.retry_after->count() > 0);
+    }
+    run(milliseconds(10'000));
+    ask(5, 0, work_class::urgent);
+    CHECK_TEXT(*refusals().back().retry_after > *refusals().front().retry_after, "a longer absence, a later retry");
+    report_loads(0, 0);
+    run(milliseconds(200));
+    ask(6, 0, work_class::urgent);
+    LONGS_EQUAL(4, refusals().size());
+    LONGS_EQUAL(2, grants().size());
+}
