Refuse requests early while no engine can serve them

Cause: with its only engine dead, a request waited for its whole deadline, and a draft for 120 s; until the next observation a lost engine was even granted again.

--- a/src/admission/engine_group.h
+++ b/src/admission/engine_group.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "admission/fair_share.h"
 #include "admission/request_queue.h"
 #include "admission/retry_advice.h"
@@ -22,12 +24,17 @@
     std::map<organisation_id, int> urgent;
     int urgent_total = 0;
     double delivered = 0;
+    /// Since when every engine is gone.
+    std::optional<instant> absent_since;
 
     /// Largest number of concurrent urgent generations of one organisation: as configured, or by share of a quarter of
     /// the group's slots. Urgent requests beyond it are served as drafts.
     int urgent_limit(const organisation_id& id, const organisation* settings) const;
     /// The organisation has got clearly more than its share while others are active: it must leave room for them.
     bool ahead(const organisation_id& id) const;
+    void observe_absence(instant now);
+    /// For how long the group has had no engine that takes work, in seconds; 0 while there is one.
+    double absent_s(instant now) const;
     /// Tokens per second that the group is taken to deliver before that was measured.
     double assumed_rate() const;
     /// Seconds until the organisation's backlog in this class and more urgent ones is served at its share.
--- a/src/admission/engine_health.h
+++ b/src/admission/engine_health.h
@@ -17,6 +17,8 @@
     void observe(instant now, double token_count, int grants, milliseconds shortest_silence);
     /// A generation was lost with the engine.
     void lost(instant now) { lost_at_ = now; }
+    /// A generation was lost with the engine after its newest report was taken.
+    bool lost_since(instant reported) const { return lost_at_ != instant{} && reported <= lost_at_; }
     /// `reported` is when the newest load report was taken; one after a loss shows that the engine is back.
     bool usable(instant now, instant reported, int running);
     bool slow() const { return slow_; }
--- a/src/admission/internal/engine_group.cpp
+++ b/src/admission/internal/engine_group.cpp
@@ -29,6 +29,20 @@
     return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
 }
 
+void engine_group::observe_absence(instant now)
+{
+    if (std::any_of(engines.begin(), engines.end(), [](const engine_state* it) { return !it->gone; })) {
+        absent_since.reset();
+    } else if (!absent_since) {
+        absent_since = now;
+    }
+}
+
+double engine_group::absent_s(instant now) const
+{
+    return absent_since ? std::chrono::duration<double>(now - *absent_since).count() : 0;
+}
+
 double engine_group::assumed_rate() const
 {
     return assumed_engine_rate * static_cast<double>(engines.size());
--- a/src/admission/internal/engine_health.cpp
+++ b/src/admission/internal/engine_health.cpp
@@ -111,7 +111,7 @@
 
 bool engine_health::usable(instant now, instant reported, int running)
 {
-    if (lost_at_ != instant{} && reported <= lost_at_) {
+    if (lost_since(reported)) {
         return false;
     }
     if (!slow_ && !silent_) {
--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -34,6 +34,10 @@
     }
     engines_ = std::move(engines);
     for (auto& [name, group] : groups_) {
+        // Engines that this scheduler gets now have had no time to report.
+        if (group.engines.empty()) {
+            group.absent_since.reset();
+        }
         group.engines.clear();
     }
     for (auto& [id, it] : engines_) {
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -120,6 +120,9 @@
     }
     if (value.state == grant_state::lost) {
         engine->second.health.lost(now);
+        // Not left to the next observation: the gateway asks again at once.
+        engine->second.gone = true;
+        engine->second.usable = false;
     }
     if (value.state != grant_state::running) {
         release(value.id);
@@ -162,8 +165,9 @@
     engine.unknown.record(now, engine.forecast.current(), acknowledged);
     engine.health.observe(now, engine.delivered, acknowledged, grants.empty() ? no_silence : silence);
     engine.delivered = 0;
-    engine.usable = !engine.leaving && !engine.load.leaving && engine.unknown.reported() &&
-                    engine.health.usable(now, engine.unknown.taken(), engine.running);
+    engine.gone = engine.leaving || engine.load.leaving || !engine.unknown.reported() ||
+                  engine.health.lost_since(engine.unknown.taken());
+    engine.usable = !engine.gone && engine.health.usable(now, engine.unknown.taken(), engine.running);
 }
 
 void scheduler_core::observe(instant now)
@@ -184,6 +188,7 @@
         rebuild(now, it, by_engine[id]);
     }
     for (auto& [name, group] : groups_) {
+        group.observe_absence(now);
         const auto waiting = static_cast<int>(group.queue.size(work_class::urgent));
         group.reserve.observe(now, group.urgent_total + std::min(waiting, group.urgent_total));
         group.drain.delivered(now, group.delivered, group.queue.size() > 0, group.assumed_rate());
--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -9,12 +9,44 @@
 namespace {
 
 constexpr double milliseconds_per_second = 1000;
+// Callers come back at least this often, so that they find engines that have returned.
+constexpr double longest_absence_s = 30;
 
 } // namespace
 
+bool scheduler_core::absent(instant now, const engine_group& group) const
+{
+    return group.absent_s(now) * milliseconds_per_second >= static_cast<double>(options_.absence.count());
+}
+
+double scheduler_core::predicted_absence_s(instant now, const engine_group& group)
+{
+    // Nothing is known of the end. A wait as long as the absence so far keeps the attempts of one caller logarithmic
+    // in the length of the absence.
+    return std::min(group.absent_s(now), longest_absence_s);
+}
+
+void scheduler_core::refuse_unserved(instant now, engine_group& group, scheduler_actions& actions)
+{
+    if (group.queue.size() == 0 || !absent(now, group)) {
+        return;
+    }
+    // Without own engines, the request may have arrived before the view that makes this scheduler responsible.
+    const auto latest = group.engines.empty() ? now - options_.absence : now;
+    for (const auto& it : group.queue.take_if([&](const queued_request& at) { return at.since <= latest; })) {
+        group.share.leave(it.request.organisation);
+        const auto delay = group.drain.jittered(predicted_absence_s(now, group));
+        actions.push_back(send_refusal{it.gateway, {it.request.id, error_kind::no_upstream, delay}});
+    }
+}
+
 std::optional<refusal> scheduler_core::early_refusal(instant now, engine_group& group, const grant_request& value,
                                                      double expected)
 {
+    if (!group.engines.empty() && absent(now, group)) {
+        const auto delay = group.drain.jittered(predicted_absence_s(now, group));
+        return refusal{value.id, error_kind::no_upstream, delay};
+    }
     if (const auto wait = limiter_.take_request(now, value.organisation)) {
         const double delay = static_cast<double>(wait->count()) / milliseconds_per_second;
         return refusal{value.id, error_kind::organisation_limit, group.drain.jittered(delay)};
@@ -84,6 +116,7 @@
             const double wait = group.predicted_wait_s(request.organisation, request.urgency, it.expected);
             actions.push_back(send_refusal{it.gateway, {request.id, it.expiry, group.drain.jittered(wait)}});
         }
+        refuse_unserved(now, group, actions);
     }
 }
 
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -38,6 +38,11 @@
     void enqueue(instant now, const gateway_identity& gateway, const grant_request& value, scheduler_actions& actions);
     /// The reason to refuse a new request at once, if there is one.
     std::optional<refusal> early_refusal(instant now, engine_group& group, const grant_request& value, double expected);
+    /// Refuses what waits for engines that have been gone for `scheduler_options::absence`.
+    void refuse_unserved(instant now, engine_group& group, scheduler_actions& actions);
+    bool absent(instant now, const engine_group& group) const;
+    /// Seconds after which engines that are gone may be back.
+    static double predicted_absence_s(instant now, const engine_group& group);
     void make_room(engine_group& group, scheduler_actions& actions);
     void expire_queue(instant now, scheduler_actions& actions);
 
--- a/src/admission/types/engine_state.h
+++ b/src/admission/types/engine_state.h
@@ -31,6 +31,8 @@
     /// Until the gateways have reported after a takeover, the known use is incomplete.
     bool cautious = false;
     bool usable = false;
+    /// Takes no work until it reports again: not reported yet, lost since its newest report, or leaving.
+    bool gone = true;
     instant last_bulk{};
     instant last_grant{};
     /// Prompt tokens of the grants around `last_grant`.
--- a/src/admission/types/scheduler_options.h
+++ b/src/admission/types/scheduler_options.h
@@ -21,6 +21,9 @@
     milliseconds acknowledge_within{3'000};
     /// Longest cautious admission after a takeover.
     milliseconds takeover_wait{3'000};
+    /// Requests are refused after a group has had no engine for this long. One load poll takes up to 1.2 s with its
+    /// time-out, so that a single missed one refuses nothing.
+    milliseconds absence{2'000};
     placement_settings placement;
 };
 
--- a/src/apps/load/load_options.cpp
+++ b/src/apps/load/load_options.cpp
@@ -39,6 +39,11 @@
     return out;
 }
 
+milliseconds to_milliseconds(double value_s)
+{
+    return milliseconds(static_cast<std::int64_t>(value_s * 1000));
+}
+
 /// "NAME:WEIGHT:MEAN_TOKENS" or "NAME:WEIGHT:MEAN_TOKENS:keyed"
 load_workload parse_workload(const std::string& text)
 {
@@ -81,6 +86,12 @@
         TCLAP::ValueArg<std::string> retry("", "retry", "After a retryable refusal", false, "retry-after", &allowed,
                                            line);
         TCLAP::ValueArg<int> attempts("", "attempts", "Most attempts of one request", false, 5, "N", line);
+        TCLAP::ValueArg<std::string> patience("", "patience", "Longest time to the end of a request", false, "60", "S",
+                                              line);
+        TCLAP::ValueArg<std::string> timeout("", "attempt-timeout",
+                                             "Time without a token after which a caller asks again; 0 for none", false,
+                                             "0", "S", line);
+        TCLAP::SwitchArg records("", "records", "List every request in the JSON report", line);
         TCLAP::SwitchArg json("", "json", "Print JSON", line);
         line.parse(argc, argv);
         load_options out;
@@ -99,6 +110,11 @@
                     : retry.getValue() == "at-once" ? retry_mode::at_once
                                                     : retry_mode::honour_retry_after;
         out.attempts = attempts.getValue();
+        out.patience = to_milliseconds(positive(patience.getValue(), "--patience"));
+        if (timeout.getValue() != "0") {
+            out.attempt_timeout = to_milliseconds(positive(timeout.getValue(), "--attempt-timeout"));
+        }
+        out.records = records.getValue();
         out.json = json.getValue();
         return out;
     } catch (const TCLAP::ArgException& ex) {
--- a/src/apps/load/load_options.h
+++ b/src/apps/load/load_options.h
@@ -46,6 +46,10 @@
     int attempts = 5;
     /// A request without its final event after this time is counted as unanswered.
     milliseconds patience{60'000};
+    /// A caller that has no token this long after an attempt asks again; zero means that it waits.
+    milliseconds attempt_timeout{0};
+    /// The JSON report lists every request.
+    bool records = false;
     bool json = false;
 };
 
--- a/src/apps/load/load_report.cpp
+++ b/src/apps/load/load_report.cpp
@@ -46,6 +46,18 @@
     parts_[workload].counts[what] += amount;
 }
 
+void load_report::list(nlohmann::json request)
+{
+    const std::lock_guard lock(mutex_);
+    requests_.push_back(std::move(request));
+}
+
+nlohmann::json load_report::requests() const
+{
+    const std::lock_guard lock(mutex_);
+    return requests_;
+}
+
 nlohmann::json load_report::json() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/apps/load/load_report.h
+++ b/src/apps/load/load_report.h
@@ -15,7 +15,11 @@
 public:
     void record(const std::string& workload, const std::string& measure, double ms);
     void count(const std::string& workload, const std::string& what, double amount = 1);
+    /// Adds one request to the list of requests.
+    void list(nlohmann::json request);
     nlohmann::json json() const;
+    /// The listed requests in the order in which they ended.
+    nlohmann::json requests() const;
     /// One line per workload and measure.
     std::string text() const;
 
@@ -31,6 +35,7 @@
 
     mutable std::mutex mutex_;
     std::map<std::string, part> parts_;
+    nlohmann::json requests_ = nlohmann::json::array();
 };
 
 } // namespace anvillead
--- a/src/apps/load/load_request.cpp
+++ b/src/apps/load/load_request.cpp
@@ -63,7 +63,7 @@
     out.method = "POST";
     out.target = "/v1/responses";
     out.body = nlohmann::json({{"model", options.model},
-                               {"input", fmt::format("load {}", arrival_.number)},
+                               {"input", fmt::format("load-{}-{}", options.seed, arrival_.number)},
                                {"stream", true},
                                {"metadata", {{"output_tokens", arrival_.tokens}}}})
                    .dump();
@@ -75,6 +75,7 @@
 
 void load_request::attempt()
 {
+    waiting_ = false;
     ++attempts_;
     context_.report.count(workload_.name, "attempts");
     status_ = 0;
@@ -84,6 +85,16 @@
     parser_ = std::make_unique<sse_parser>([raw = this](const std::string& type, const std::string& id,
                                                         const std::string& data) { raw->event(type, id, data); });
     http_call_handlers handlers;
+    const auto number = attempts_;
+    if (context_.options.attempt_timeout.count() > 0 && tokens_ == 0) {
+        context_.pool.timers().after(context_.options.attempt_timeout, [self, number] {
+            self->sequence_->post([self, number] {
+                if (self->attempts_ == number && self->tokens_ == 0 && !self->done_) {
+                    self->give_up_attempt();
+                }
+            });
+        });
+    }
     handlers.on_head = [self](int status, const http_headers& headers) {
         self->status_ = status;
         const std::string value(find_header(headers, "Retry-After"));
@@ -96,7 +107,11 @@
             self->body_ += data;
         }
     };
-    handlers.on_end = [self](const http_call_end& end) { self->ended(end); };
+    handlers.on_end = [self, number](const http_call_end& end) {
+        if (self->attempts_ == number && !self->waiting_) {
+            self->ended(end);
+        }
+    };
     call_ = context_.client.start(make_call(), std::move(handlers), sequence_);
 }
 
@@ -115,6 +130,10 @@
         const auto waited = ms_between(last_token_, now);
         context_.report.record(workload_.name, tokens_ == 0 ? "first_token" : "gap", waited);
         longest_stall_ms_ = std::max(longest_stall_ms_, waited);
+        first_token_ms_ = tokens_ == 0 ? waited : first_token_ms_;
+        if (now - context_.started < context_.options.length) {
+            context_.report.count(workload_.name, "tokens_during_arrivals");
+        }
         last_token_ = now;
         ++tokens_;
     } else if (is_final({type, last_number_, ""})) {
@@ -142,6 +161,14 @@
     }
 }
 
+void load_request::give_up_attempt()
+{
+    context_.report.count(workload_.name, "attempts_timed_out");
+    const auto call = call_;
+    again(context_.options.retry == retry_mode::at_once ? milliseconds(0) : resume_delay);
+    call->cancel();
+}
+
 void load_request::refused(const nlohmann::json& reason)
 {
     const auto error = reason.value("error", nlohmann::json::object());
@@ -157,6 +184,7 @@
 
 void load_request::again(milliseconds delay)
 {
+    waiting_ = true;
     if (attempts_ >= context_.options.attempts) {
         finish("given_up");
         return;
@@ -174,6 +202,18 @@
     context_.report.record(workload_.name, "stall", longest_stall_ms_);
     context_.report.count(workload_.name, "ended " + what);
     context_.report.count(workload_.name, "tokens", static_cast<double>(tokens_));
+    if (context_.options.records) {
+        context_.report.list({{"number", arrival_.number},
+                              {"at_ms", arrival_.at.count()},
+                              {"workload", workload_.name},
+                              {"organisation", arrival_.organisation},
+                              {"attempts", attempts_},
+                              {"tokens", tokens_},
+                              {"first_token_ms", first_token_ms_},
+                              {"stall_ms", longest_stall_ms_},
+                              {"whole_ms", ms_between(arrived_, context_.pool.timers().now())},
+                              {"end", what}});
+    }
     call_->cancel();
     context_.finished();
 }
--- a/src/apps/load/load_request.h
+++ b/src/apps/load/load_request.h
@@ -24,6 +24,8 @@
     /// Address for the given attempt, following /v1/endpoints.
     std::function<std::string(int attempt)> address;
     std::function<void()> finished;
+    /// Start of the run.
+    instant started{};
 };
 
 /// One planned request.
@@ -48,6 +50,7 @@
     void attempt();
     void event(const std::string& type, const std::string& id, const std::string& data);
     void ended(const http_call_end& end);
+    void give_up_attempt();
     void refused(const nlohmann::json& reason);
     void again(milliseconds delay);
     void finish(const std::string& what);
@@ -65,11 +68,14 @@
     instant arrived_{};
     instant last_token_{};
     double longest_stall_ms_ = 0;
+    double first_token_ms_ = -1;
     std::int64_t last_number_ = -1;
     std::int64_t tokens_ = 0;
     milliseconds retry_after_{0};
     int attempts_ = 0;
     int status_ = 0;
+    /// Between two attempts.
+    bool waiting_ = false;
     bool done_ = false;
 };
 
--- a/src/apps/load/load_run.cpp
+++ b/src/apps/load/load_run.cpp
@@ -97,6 +97,7 @@
 {
     const auto plan = plan_load(options_);
     open_ = plan.size();
+    context_.started = pool_.timers().now();
     pool_.start();
     follow_endpoints(0);
     for (const auto& it : plan) {
--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -8,6 +8,10 @@
     const auto options = anvillead::parse_load_options(argc, argv);
     anvillead::load_run run(options);
     run.run();
-    fmt::print("{}\n", options.json ? run.report().json().dump(2) : run.report().text());
+    auto values = run.report().json();
+    if (options.records) {
+        values["requests"] = run.report().requests();
+    }
+    fmt::print("{}\n", options.json ? values.dump(2) : run.report().text());
     return anvillead::exit_ok;
 }
