Divide organisation token buckets among schedulers by cells

Cause: each scheduler applied the whole limit to its own cells. Change: a scheduler applies the part of each bucket that its cells are of all cells of the engine services that workloads use; a bucket keeps how full it is when its rate changes, and holds at least one request instead of charging less for it at small rates. The tests report loads, because schedulers without reported engines refuse requests for another reason.

--- a/src/admission/internal/organisation_limiter.cpp
+++ b/src/admission/internal/organisation_limiter.cpp
@@ -15,7 +15,7 @@
 void organisation_limiter::bucket::fill(instant now)
 {
     const double passed = std::chrono::duration<double>(now - filled).count();
-    level = std::min(rate * burst_s, level + rate * passed);
+    level = std::min(capacity, level + rate * passed);
     filled = now;
 }
 
@@ -24,19 +24,27 @@
     return milliseconds(static_cast<std::int64_t>(std::ceil((level_wanted - level) / rate * 1000)));
 }
 
-void organisation_limiter::configure(instant now, bucket& value, double rate)
+void organisation_limiter::configure(instant now, bucket& value, double rate, double smallest)
 {
     if (value.rate == rate) {
         return;
     }
-    value = {rate, rate * burst_s, now};
+    const double capacity = std::max(rate * burst_s, smallest);
+    if (value.rate <= 0) {
+        value = {rate, capacity, capacity, now};
+        return;
+    }
+    value.fill(now);
+    value = {rate, capacity * value.level / value.capacity, capacity, now};
 }
 
-void organisation_limiter::configure(instant now, const organisation_id& id, const organisation_limits& limits)
+void organisation_limiter::configure(instant now, const organisation_id& id, const organisation_limits& limits,
+                                     double share)
 {
     auto& it = entries_[id];
-    configure(now, it.requests, limits.requests_per_second);
-    configure(now, it.tokens, limits.tokens_per_second);
+    // A bucket holds at least one request, or a rate below one request per burst would let none through.
+    configure(now, it.requests, limits.requests_per_second * share, 1);
+    configure(now, it.tokens, limits.tokens_per_second * share, 0);
 }
 
 std::optional<milliseconds> organisation_limiter::take_request(instant now, const organisation_id& id)
@@ -54,12 +62,10 @@
     }
     if (requests.rate > 0) {
         requests.fill(now);
-        // A rate below one request per burst still lets single requests through.
-        const double need = std::min(1.0, requests.rate * burst_s);
-        if (requests.level < need) {
-            return requests.until(need);
+        if (requests.level < 1) {
+            return requests.until(1);
         }
-        requests.level -= need;
+        requests.level -= 1;
     }
     return std::nullopt;
 }
--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/rendezvous.h"
+
 namespace anvillead {
 
 scheduler_core::scheduler_core(scheduler_options options) : options_(std::move(options)), placement_(options_.placement)
@@ -45,10 +47,31 @@
     }
 }
 
-void scheduler_core::apply_organisations(instant now)
+double scheduler_core::limit_share(const std::vector<upstream_id>& owned) const
+{
+    const std::set<upstream_id> own(owned.begin(), owned.end());
+    std::size_t all = 0;
+    std::size_t mine = 0;
+    for (const auto& it : configuration_.services) {
+        const bool used = std::any_of(configuration_.workloads.begin(), configuration_.workloads.end(),
+                                      [&](const workload& at) { return at.target == it.name; });
+        if (it.kind != service_kind::engine || !used) {
+            continue;
+        }
+        for (const auto& group : cells_of(it)) {
+            ++all;
+            mine += own.count(group.engines.front());
+        }
+    }
+    // Without own cells, requests come only from gateways whose view is older or newer than this scheduler's.
+    return static_cast<double>(std::max<std::size_t>(mine, 1)) / static_cast<double>(std::max<std::size_t>(all, 1));
+}
+
+void scheduler_core::apply_organisations(instant now, const std::vector<upstream_id>& owned)
 {
+    const double share = limit_share(owned);
     for (const auto& it : configuration_.organisations) {
-        limiter_.configure(now, it.id, it.limits);
+        limiter_.configure(now, it.id, it.limits, share);
         for (auto& [name, group] : groups_) {
             group.share.set_weight(it.id, it.weight);
         }
@@ -65,7 +88,7 @@
         }
     }
     adopt_engines(now, owned);
-    apply_organisations(now);
+    apply_organisations(now, owned);
     // Grants on engines that moved to another scheduler are that scheduler's.
     for (const auto& id : grants_.ids_if([&](const granted& it) { return engines_.count(it.engine) == 0; })) {
         release(id);
--- a/src/admission/organisation_limiter.h
+++ b/src/admission/organisation_limiter.h
@@ -7,11 +7,14 @@
 
 namespace anvillead {
 
-/// Token buckets per organisation for requests and for tokens per second. A rate of 0 means no limit.
+/// This scheduler's part of the token buckets per organisation for requests and for tokens per second. A rate of 0 means
+/// no limit.
 class organisation_limiter
 {
 public:
-    void configure(instant now, const organisation_id& id, const organisation_limits& limits);
+    /// `share` is the part of the limits that this scheduler applies. A changed rate keeps how full a bucket is: cells that
+    /// move between schedulers add nothing to the limit.
+    void configure(instant now, const organisation_id& id, const organisation_limits& limits, double share = 1);
     /// Takes one request; returns the time until one is possible when a bucket is empty.
     std::optional<milliseconds> take_request(instant now, const organisation_id& id);
     /// Tokens are charged when they are known, so their bucket may go below zero.
@@ -22,6 +25,7 @@
     {
         double rate = 0;
         double level = 0;
+        double capacity = 0;
         instant filled{};
 
         void fill(instant now);
@@ -34,7 +38,7 @@
         bucket tokens;
     };
 
-    static void configure(instant now, bucket& value, double rate);
+    static void configure(instant now, bucket& value, double rate, double smallest);
 
     std::map<organisation_id, entry> entries_;
 };
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -31,7 +31,10 @@
 
 private:
     engine_group& group_of(const service_name& name);
-    void apply_organisations(instant now);
+    void apply_organisations(instant now, const std::vector<upstream_id>& owned);
+    /// The part of each organisation's limits that this scheduler applies: its part of the cells of the engine services
+    /// that workloads use. Gateways spread requests evenly over the cells of a service.
+    double limit_share(const std::vector<upstream_id>& owned) const;
     void adopt_engines(instant now, const std::vector<upstream_id>& owned);
     void end_caution();
 
--- a/src/admission/tests/organisation_share_test.cpp
+++ b/src/admission/tests/organisation_share_test.cpp
@@ -57,6 +57,9 @@
                 }
             }
             cores[i]->on_configuration(now, configuration, owned);
+            for (const auto& id : owned) {
+                cores[i]->on_load(now, make_test_load(id, 0, 0));
+            }
         }
     }
 
