--- a/src/admission/organisation_limiter.h
+++ b/src/admission/organisation_limiter.h
@@ -7,13 +7,13 @@
 
 namespace anvillead {
 
-/// This scheduler's part of the token buckets per organisation for requests and for tokens per second. A rate of 0 means
-/// no limit.
+/// This scheduler's part of the token buckets per organisation for requests and for tokens per second. A rate of 0
+/// means no limit.
 class organisation_limiter
 {
 public:
-    /// `share` is the part of the limits that this scheduler applies. A changed rate keeps how full a bucket is: cells that
-    /// move between schedulers add nothing to the limit.
+    /// `share` is the part of the limits that this scheduler applies. A changed rate keeps how full a bucket is: cells
+    /// that move between schedulers add nothing to the limit.
     void configure(instant now, const organisation_id& id, const organisation_limits& limits, double share = 1);
     /// Takes one request; returns the time until one is possible when a bucket is empty.
     std::optional<milliseconds> take_request(instant now, const organisation_id& id);
