Ignore refusals by a scheduler that no longer has the request

Cause: after a cell moved, a refusal by the former owner ended a request that waits at the new one. Change: the gateway takes refusals only from the scheduler that the request is assigned to. anvillead-load gives a request up when its Retry-After ends beyond its patience.

--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -242,7 +242,10 @@
         {
             const std::lock_guard lock(mutex_);
             const auto it = waiting_.find(refused->request);
-            if (it != waiting_.end() && !it->second.granted) {
+            // The former owner of a cell that has moved may still have the request in its queue.
+            const bool current =
+                it != waiting_.end() && (it->second.scheduler == address || it->second.scheduler.empty());
+            if (current && !it->second.granted) {
                 callbacks = it->second.callbacks;
                 waiting_.erase(it);
             }
--- a/src/apps/load/load_request.cpp
+++ b/src/apps/load/load_request.cpp
@@ -185,7 +185,8 @@
 void load_request::again(milliseconds delay)
 {
     waiting_ = true;
-    if (attempts_ >= context_.options.attempts) {
+    const bool too_late = context_.pool.timers().now() + delay > arrived_ + context_.options.patience;
+    if (attempts_ >= context_.options.attempts || too_late) {
         finish("given_up");
         return;
     }
