--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -291,3 +291,21 @@
     LONGS_EQUAL(4, refusals().size());
     LONGS_EQUAL(2, grants().size());
 }
+
+// Guards against a standby scheduler that has measured a rate of 0 without engines and refuses the first requests after
+// its takeover as overload.
+TEST(scheduler_core_test, a_takeover_after_a_time_without_engines_refuses_nothing)
+{
+    core.on_gateway_count(1);
+    core.on_configuration(now, configuration, {});
+    run(milliseconds(2000));
+    start(true);
+    ask(1, 0, work_class::urgent);
+    run(milliseconds(500));
+    core.on_progress(now, gateway, {{progress_of(grants().at(0), 20, work_class::urgent)}, {}, false});
+    run(milliseconds(700));
+    for (int i = 2; i <= 60; ++i) {
+        ask(i, 0, work_class::urgent, milliseconds(5000));
+    }
+    LONGS_EQUAL(0, refusals().size());
+}
