Scale the delivery rate with the engines that a scheduler owns

Cause: a scheduler without engines measured a rate of 0 from an assumed rate of 0. After a takeover the rate recovered over many samples, predicted waits were far too long, and urgent requests were refused as overloaded. Change: the rate starts from the assumed one when the first engines come and scales with their number afterwards. anvillead-load ignores the rest of an attempt that it has given up.

--- a/src/admission/internal/retry_advice.cpp
+++ b/src/admission/internal/retry_advice.cpp
@@ -17,9 +17,13 @@
 
 void retry_advice::delivered(instant now, double token_count, bool waiting, double assumed)
 {
-    if (last_ == instant{}) {
+    if (assumed != assumed_) {
+        // A rate measured without engines would be 0 and take many samples to recover.
+        rate_ = assumed_ > 0 ? rate_ * assumed / assumed_ : assumed;
+        assumed_ = assumed;
+        pending_ = 0;
+        waited_throughout_ = true;
         last_ = now;
-        rate_ = assumed;
     }
     pending_ += token_count;
     waited_throughout_ = waited_throughout_ && waiting;
--- a/src/admission/retry_advice.h
+++ b/src/admission/retry_advice.h
@@ -14,7 +14,7 @@
     explicit retry_advice(std::uint64_t seed) : random_(seed) {}
     /// Called with the tokens that were delivered since the last call. Only a period in which requests waited
     /// throughout shows capacity; any other shows demand, so it can raise the rate but not lower it. `assumed` is the
-    /// rate to start from, in tokens per second.
+    /// rate to start from, in tokens per second; when it changes, engines came or went, and the rate changes with it.
     void delivered(instant now, double token_count, bool waiting, double assumed);
     /// Tokens per second; `assumed` before the first period.
     double rate(double assumed) const { return rate_ > 0 ? rate_ : assumed; }
@@ -24,6 +24,7 @@
 private:
     std::mt19937_64 random_;
     double rate_ = 0;
+    double assumed_ = 0;
     double pending_ = 0;
     instant last_{};
     bool waited_throughout_ = true;
--- a/src/apps/load/load_request.cpp
+++ b/src/apps/load/load_request.cpp
@@ -95,12 +95,19 @@
             });
         });
     }
-    handlers.on_head = [self](int status, const http_headers& headers) {
+    // The last events of an abandoned attempt may still arrive.
+    handlers.on_head = [self, number](int status, const http_headers& headers) {
+        if (self->attempts_ != number) {
+            return;
+        }
         self->status_ = status;
         const std::string value(find_header(headers, "Retry-After"));
         self->retry_after_ = seconds(std::strtoll(value.c_str(), nullptr, 10));
     };
-    handlers.on_data = [self](std::string_view data) {
+    handlers.on_data = [self, number](std::string_view data) {
+        if (self->attempts_ != number) {
+            return;
+        }
         if (self->status_ == 200) {
             self->parser_->feed(data);
         } else if (self->body_.size() + data.size() <= answer_bytes) {
