--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -31,13 +31,21 @@
 
 private:
     engine_group& group_of(const service_name& name);
-    void apply_organisations(instant now);
+    void apply_organisations(instant now, const std::vector<upstream_id>& owned);
+    /// The part of each organisation's limits that this scheduler applies: its part of the cells of the engine services
+    /// that workloads use. Gateways spread requests evenly over the cells of a service.
+    double limit_share(const std::vector<upstream_id>& owned) const;
     void adopt_engines(instant now, const std::vector<upstream_id>& owned);
     void end_caution();
 
     void enqueue(instant now, const gateway_identity& gateway, const grant_request& value, scheduler_actions& actions);
     /// The reason to refuse a new request at once, if there is one.
     std::optional<refusal> early_refusal(instant now, engine_group& group, const grant_request& value, double expected);
+    /// Refuses what waits for engines that have been gone for `scheduler_options::absence`.
+    void refuse_unserved(instant now, engine_group& group, scheduler_actions& actions);
+    bool absent(instant now, const engine_group& group) const;
+    /// Seconds after which engines that are gone may be back.
+    static double predicted_absence_s(instant now, const engine_group& group);
     void make_room(engine_group& group, scheduler_actions& actions);
     void expire_queue(instant now, scheduler_actions& actions);
 
