Let an ordinary EventSource resume without loss and stop at the end

Causes: a starting_after in the URL took precedence over Last-Event-ID, so each reconnect repeated all events since the first; the id line came before the data, so node-eventsource, which takes an id as soon as its line has arrived, skipped an event in which the connection broke; a resumption after the last event got an empty 200 stream, after which an EventSource connects again for ever. Change: the higher of the two numbers counts; the id is the last line of an event; nothing left is answered with 204. response_test expected the empty 200 stream; it now expects 204 without an event stream, which is as strict.

--- a/src/apps/gateway/response_request.cpp
+++ b/src/apps/gateway/response_request.cpp
@@ -1,7 +1,10 @@
 #include "apps/gateway/response_request.h"
 
+#include <algorithm>
 #include <charconv>
 
+#include <fmt/format.h>
+
 #include "core/bounded_json.h"
 #include "core/crypto.h"
 
@@ -43,6 +46,20 @@
     return found;
 }
 
+/// Reads the number of the last event that a caller has; -1 when `text` is empty.
+result<sequence_number> parse_sequence_number(std::string_view text, std::string_view field)
+{
+    if (text.empty()) {
+        return -1;
+    }
+    sequence_number out = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (ec != std::errc() || end != text.data() + text.size() || out < 0 || out > highest_sequence) {
+        return invalid(fmt::format("{}: expected an integer from 0 to {}", field, highest_sequence));
+    }
+    return out;
+}
+
 } // namespace
 
 result<const organisation*> authenticate_caller(const http_request& request, const document& configuration)
@@ -122,19 +139,16 @@
 
 result<sequence_number> parse_starting_after(const http_request& request)
 {
-    auto text = request.query("starting_after");
-    if (text.empty()) {
-        text = request.header("Last-Event-ID");
-    }
-    if (text.empty()) {
-        return -1;
+    const auto in_query = parse_sequence_number(request.query("starting_after"), "starting_after");
+    if (!in_query) {
+        return in_query.error();
     }
-    sequence_number out = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-    if (ec != std::errc() || end != text.data() + text.size() || out < 0 || out > highest_sequence) {
-        return invalid("starting_after: expected an integer from 0 to 1000000000");
+    const auto in_header = parse_sequence_number(request.header("Last-Event-ID"), "Last-Event-ID");
+    if (!in_header) {
+        return in_header.error();
     }
-    return out;
+    // An EventSource that reconnects sends the URL's old starting_after together with the id of its last event.
+    return std::max(in_query.value(), in_header.value());
 }
 
 } // namespace anvillead
--- a/src/apps/gateway/response_request.h
+++ b/src/apps/gateway/response_request.h
@@ -29,7 +29,7 @@
 result<const organisation*> authenticate_caller(const http_request& request, const document& configuration);
 /// Checks body, model, workload and limits. The pointers point into `configuration`.
 result<response_request> parse_response_request(const http_request& request, const document& configuration);
-/// Reads starting_after from the query or Last-Event-ID; -1 when there is neither.
+/// Reads starting_after from the query and Last-Event-ID; the higher one, or -1 when there is neither.
 result<sequence_number> parse_starting_after(const http_request& request);
 
 } // namespace anvillead
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds engine_connect_timeout{1000};
 constexpr milliseconds engine_head_timeout{5000};
 constexpr std::size_t cancel_answer_bytes = 64 * 1024;
+constexpr int http_no_content = 204;
 
 double elapsed_ms(instant from, instant to)
 {
@@ -367,8 +368,10 @@
 
 void response_stream::act(const finish_request&)
 {
-    if (caller_present_ && wants_stream_) {
-        begin_stream();
+    if (caller_present_ && wants_stream_ && !head_sent_) {
+        // The caller already has the last event. An EventSource reconnects after each stream until it gets this status.
+        exchange_->reply(http_no_content, {}, "");
+    } else if (caller_present_ && wants_stream_) {
         exchange_->end_stream();
     }
     if (flow_->dispatched()) {
--- a/src/apps/gateway/tests/response_test.cpp
+++ b/src/apps/gateway/tests/response_test.cpp
@@ -122,9 +122,10 @@
     LONGS_EQUAL(401, at_a.numbers.back());
     LONGS_EQUAL(401, at_b.numbers.back());
     LONGS_EQUAL(1, f.ran(0));
-    // The last event is there already: the stream ends in order.
+    // The last event is there already: 204 tells an EventSource not to connect again.
     const auto done = f.ask(f.get(resume_target(first.response_id, 401)), 1);
-    CHECK(contains(done, "200 OK") && contains(done, "0\r\n\r\n"));
+    CHECK(contains(done, "204 No Content") && contains(done, "\r\n\r\n"));
+    CHECK(!contains(done, "event-stream"));
     CHECK(eventually([&] { return f.counter("open_requests") == 0; }));
 }
 
--- a/src/streams/internal/sse.cpp
+++ b/src/streams/internal/sse.cpp
@@ -15,7 +15,9 @@
 
 std::string encode_sse(const stream_event& event)
 {
-    return fmt::format("event: {}\nid: {}\ndata: {}\n\n", event.type, event.number, event.data);
+    // The id comes last because some clients take it as seen as soon as its line has arrived. When the connection
+    // breaks inside the data, they would ask for the event after this one.
+    return fmt::format("event: {}\ndata: {}\nid: {}\n\n", event.type, event.data, event.number);
 }
 
 std::string encode_sse_comment(std::string_view text)
--- a/tests/invariants/event_source_test.cpp
+++ b/tests/invariants/event_source_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr int long_answer = 1000;
+constexpr int long_answer = 1500;
 constexpr std::size_t some_events = 20;
 // The client waits a second before each new connection.
 constexpr milliseconds client_bound{30'000};
@@ -44,9 +44,13 @@
         return std::count_if(all.begin(), all.end(), [](const auto& e) { return e.value("client", "") == "open"; });
     }
 
-    bool wait_events(std::size_t count) const
+    /// Waits for `count` further events on connection number `connection`, counted from 1.
+    bool wait_more_events(std::ptrdiff_t connection, std::size_t count)
     {
-        return eventually([&] { return events().size() >= count; });
+        const bool arrived =
+            eventually([&] { return opened() >= connection && events().size() >= seen_ + count; }, client_bound);
+        seen_ = events().size();
+        return arrived;
     }
 
     process& running() { return process_; }
@@ -75,6 +79,7 @@
     }
 
     process process_;
+    std::size_t seen_ = 0;
 };
 
 std::string url_of(const std::string& address, const std::string& id, const std::string& more = "")
@@ -127,7 +132,7 @@
     cluster it;
     const auto value = long_question();
     event_source client(it, url_of(it.gateway(), begin_response(it, value)->response_id()));
-    CHECK(client.wait_events(some_events));
+    CHECK(client.wait_more_events(1, some_events));
     it.kill("gateway-1");
     const auto before = client.events().size();
     CHECK(before < long_answer);
@@ -145,10 +150,10 @@
     cluster it(with_proxy());
     const auto value = long_question();
     const auto first = begin_response(it, value, some_events);
-    event_source client(it, url_of(proxied_gateway(it), first->response_id(),
-                                   fmt::format("&starting_after={}", some_events - 1)));
-    for (std::size_t round = 1; round <= 2; ++round) {
-        CHECK(client.wait_events(round * some_events));
+    event_source client(
+        it, url_of(proxied_gateway(it), first->response_id(), fmt::format("&starting_after={}", some_events - 1)));
+    for (int connection = 1; connection <= 2; ++connection) {
+        CHECK(client.wait_more_events(connection, some_events));
         cut_callers(it);
         CHECK(client.events().size() + some_events < long_answer);
     }
@@ -170,7 +175,7 @@
     std::vector<received_event> events;
     {
         event_source client(it, url_of(it.gateway(1), id));
-        CHECK(client.wait_events(some_events));
+        CHECK(client.wait_more_events(1, some_events));
         client.running().kill();
         events = client.events();
     }
@@ -190,10 +195,10 @@
     options.engine_control["step_base_ms"] = 60;
     cluster it(options);
     auto value = long_question();
-    value.output_tokens = 100;
+    value.output_tokens = 150;
     event_source client(it, url_of(proxied_gateway(it), begin_response(it, value)->response_id()));
-    for (std::size_t round = 1; round <= 4; ++round) {
-        CHECK(client.wait_events(round * 5));
+    for (int connection = 1; connection <= 4; ++connection) {
+        CHECK(client.wait_more_events(connection, 5));
         cut_callers(it);
     }
     LONGS_EQUAL(0, client.running().wait_exit(client_bound).value_or(-1));
