Make config validate lead the operator to each mistake

Cause: the JSON library keeps the last of two equal fields, so a section given twice was ignored in silence; an empty folder passed; messages had no position in broken JSON, no index in lists, and said "expected no such field".

--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -5,7 +5,7 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
-#include "core/crypto.h"
+#include "core/strict_json.h"
 
 namespace anvillead {
 
@@ -46,18 +46,8 @@
         each(reader, "organisations", [&](field_reader& it) { add_organisation(it); });
         each(reader, "workloads", [&](field_reader& it) { add_workload(it); });
         each(reader, "models", [&](field_reader& it) { add_model(it); });
-        if (reader.has("drains")) {
-            field_reader drains(reader.object_or_empty("drains"), file, "drains", out_.problems);
-            for (const auto& it : drains.texts_or_empty("hosts")) {
-                out_.merged.drains.hosts.emplace_back(it);
-            }
-            for (const auto& it : drains.texts_or_empty("upstreams")) {
-                const auto path = fmt::format("drains.upstreams[{}]", out_.merged.drains.upstreams.size());
-                drain_references_.push_back({0, it, file, path});
-                out_.merged.drains.upstreams.emplace_back(it);
-            }
-            drains.reject_unknown();
-        }
+        field_reader drains(reader.object_or_empty("drains"), file, "drains", out_.problems);
+        add_drains(drains);
         reader.reject_unknown();
     }
 
@@ -65,18 +55,18 @@
     {
         for (const auto& it : workload_positions_) {
             const auto& target = out_.merged.workloads[it.index].target;
-            if (out_.merged.find_service(target) == nullptr) {
-                out_.problems.push_back({it.file, it.path, "the name of a service in the folder"});
+            if (!target.str().empty() && out_.merged.find_service(target) == nullptr) {
+                add_dangling(it, "the name of a service", target.str());
             }
         }
         for (const auto& it : model_references_) {
             if (models_.count(it.name) == 0) {
-                out_.problems.push_back({it.file, it.path, "the name of a model in the folder"});
+                add_dangling(it, "the name of a model", it.name);
             }
         }
         for (const auto& it : drain_references_) {
             if (upstreams_.count(it.name) == 0) {
-                out_.problems.push_back({it.file, it.path, fmt::format("the id of an upstream, not {}", it.name)});
+                add_dangling(it, "the id of an upstream", it.name);
             }
         }
     }
@@ -90,6 +80,11 @@
         std::string path;
     };
 
+    void add_dangling(const position& at, const char* wanted, const std::string& found)
+    {
+        out_.problems.push_back({at.file, at.path, fmt::format("{} in the folder, not {}", wanted, found)});
+    }
+
     template <typename Function>
     void each(field_reader& reader, const std::string& name, Function function)
     {
@@ -110,6 +105,19 @@
         return name;
     }
 
+    void add_drains(field_reader& reader)
+    {
+        for (const auto& it : reader.texts_or_empty("hosts")) {
+            out_.merged.drains.hosts.emplace_back(it);
+        }
+        std::size_t n = 0;
+        for (const auto& it : reader.texts_or_empty("upstreams")) {
+            drain_references_.push_back({0, it, reader.file(), reader.path_of(fmt::format("upstreams[{}]", n++))});
+            out_.merged.drains.upstreams.emplace_back(it);
+        }
+        reader.reject_unknown();
+    }
+
     void add_service(field_reader& reader)
     {
         service out;
@@ -120,8 +128,9 @@
         }
         out.kind = kind == "plain" ? service_kind::plain : service_kind::engine;
         for (const auto& it : reader.texts_or_empty("models")) {
+            const auto field = fmt::format("models[{}]", out.models.size());
+            model_references_.push_back({0, it, reader.file(), reader.path_of(field)});
             out.models.emplace_back(it);
-            model_references_.push_back({0, it, reader.file(), reader.path_of("models")});
         }
         out.checks_fencing = reader.flag_or("checks_fencing", false);
         each(reader, "upstreams", [&](field_reader& it) { out.upstreams.push_back(read_upstream(it, out.kind)); });
@@ -149,20 +158,19 @@
         organisation out;
         out.id = organisation_id(unique_name(reader, organisations_));
         out.weight = reader.real_or("weight", 0.001, 1e6, 1);
-        if (reader.has("limits")) {
-            field_reader limits(reader.object_or_empty("limits"), reader.file(), reader.path_of("limits"),
-                                out_.problems);
-            out.limits.requests_per_second = limits.real_or("requests_per_second", 0, rate_limit, 0);
-            out.limits.tokens_per_second = limits.real_or("tokens_per_second", 0, rate_limit, 0);
-            out.limits.concurrent_urgent = static_cast<int>(limits.number_or("concurrent_urgent", batch_range, 0));
-            limits.reject_unknown();
-        }
+        field_reader limits(reader.object_or_empty("limits"), reader.file(), reader.path_of("limits"), out_.problems);
+        out.limits.requests_per_second = limits.real_or("requests_per_second", 0, rate_limit, 0);
+        out.limits.tokens_per_second = limits.real_or("tokens_per_second", 0, rate_limit, 0);
+        out.limits.concurrent_urgent = static_cast<int>(limits.number_or("concurrent_urgent", batch_range, 0));
+        limits.reject_unknown();
         out.key_hashes = reader.texts_or_empty("key_hashes");
-        for (const auto& it : out.key_hashes) {
+        for (std::size_t i = 0; i < out.key_hashes.size(); ++i) {
+            const auto& it = out.key_hashes[i];
             if (it.size() != 64 || it.find_first_not_of("0123456789abcdef") != std::string::npos) {
-                reader.problem("key_hashes", "SHA-256 digests as 64 lower-case hexadecimal digits");
+                reader.problem(fmt::format("key_hashes[{}]", i),
+                               "a SHA-256 digest as 64 lower-case hexadecimal digits");
             } else if (!key_hashes_.insert(it).second) {
-                reader.problem("key_hashes", "digests that are used once");
+                reader.problem(fmt::format("key_hashes[{}]", i), "a digest that no other entry has");
             }
         }
         out_.merged.organisations.push_back(std::move(out));
@@ -172,8 +180,9 @@
     {
         workload out;
         out.name = workload_name(unique_name(reader, workloads_));
-        const auto urgency = parse_work_class(reader.text("class"));
-        if (!urgency) {
+        const auto word = reader.text("class");
+        const auto urgency = parse_work_class(word);
+        if (!word.empty() && !urgency) {
             reader.problem("class", "\"urgent\", \"normal\" or \"draft\"");
         }
         out.urgency = urgency.value_or(work_class::normal);
@@ -268,12 +277,11 @@
     merge_result out;
     file_merger merger(out);
     for (const auto& [name, text] : files) {
-        const auto root = json::parse(text, nullptr, false);
-        if (root.is_discarded()) {
-            out.problems.push_back({name, "(root)", "valid JSON"});
-            continue;
+        const auto known = out.problems.size();
+        const auto root = parse_strict_json(text, name, out.problems);
+        if (out.problems.size() == known) {
+            merger.merge(root, name);
         }
-        merger.merge(root, name);
     }
     merger.check_references();
     return out;
--- a/src/core/internal/field_reader.cpp
+++ b/src/core/internal/field_reader.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "core/strict_json.h"
+
 namespace anvillead {
 
 field_reader::field_reader(const nlohmann::json& object, std::string file, std::string path,
@@ -167,7 +169,7 @@
     }
     for (const auto& it : object_.items()) {
         if (seen_.count(it.key()) == 0) {
-            problem(it.key(), "no such field");
+            problem(it.key(), fmt::format("one of the fields {}", fmt::join(seen_, ", ")));
         }
     }
 }
@@ -197,9 +199,11 @@
     }
     std::stringstream buf;
     buf << in.rdbuf();
-    auto value = nlohmann::json::parse(buf.str(), nullptr, false);
-    if (value.is_discarded()) {
-        return make_error(error_kind::invalid_settings, fmt::format("{}: (root): expected valid JSON", path));
+    std::vector<field_problem> problems;
+    auto value = parse_strict_json(buf.str(), path, problems);
+    const auto checked = problems_to_result(problems);
+    if (!checked) {
+        return checked.error();
     }
     return value;
 }
--- a/tests/invariants/config_validate_test.cpp
+++ b/tests/invariants/config_validate_test.cpp
@@ -73,7 +73,7 @@
 const std::vector<broken_file> broken_files = {
     {"broken JSON", "{\"models\": [\n  {\"name\": \"a\"},,\n]}", "(root)", "valid JSON (wrong at line 2, column 17)"},
     {"empty file", "", "(root)", "valid JSON (wrong at line 1, column 1)"},
-    {"number too large", organisation(R"("weight": 1e400)"), "(root)", "valid JSON (wrong at line 1, column 51)"},
+    {"number too large", organisation(R"("weight": 1e400)"), "(root)", "valid JSON with numbers up to 1.8e308"},
     {"not UTF-8", "{\"models\": [{\"name\": \"\xff\"}]}", "(root)", "valid JSON (wrong at line 1, column 23)"},
     {"too deeply nested", R"({"models": )" + std::string(100'000, '[') + std::string(100'000, ']') + "}", "(root)",
      "at most 64 levels of nesting"},
@@ -92,6 +92,8 @@
      "an integer from 1 to 1000000000"},
     {"fraction out of range", organisation(R"("weight": -1)"), "organisations[0].weight",
      "a number from 0.001 to 1000000"},
+    {"unknown limit", organisation(R"("limits": {"requests": 5})"), "organisations[0].limits.requests",
+     "one of the fields concurrent_urgent, requests_per_second, tokens_per_second"},
     {"missing field", R"({"models": [{"context_tokens": 5}]})", "models[0].name", "a value (the field is required)"},
     {"missing class", R"({"workloads": [{"name": "w", "service": "anvil-roster"}]})", "workloads[0].class",
      "a value (the field is required)"},
