--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,6 +1,6 @@
 # Sourced by scripts that run the binaries on loopback: starts processes in the background, finds their addresses, and
 # stops them at exit. KEEP_LOGS=1 keeps the work folder.
-bin=$PWD/build/bin
+bin=${ANVILLEAD_BIN:-$PWD/build/bin}
 work=$(mktemp -d)
 pids=()
 cleanup() {
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -60,17 +60,8 @@
     return it == value.end() ? std::string() : it->is_string() ? it->get<std::string>() : it->dump();
 }
 
-/// An empty folder is most often a mistyped one; applied, it would remove the whole configuration.
-error no_files(const ctl_options& options)
-{
-    return make_error(error_kind::invalid_settings, options.folder + ": (root): expected at least one .json file");
-}
-
 int validate(const ctl_options& options, const config_files& files)
 {
-    if (files.empty()) {
-        return fail(options, no_files(options));
-    }
     const auto code = report_problems(options, merge_files(files).problems);
     if (code == exit_ok && !options.json) {
         fmt::print("valid: {} files\n", files.size());
@@ -161,9 +152,6 @@
     if (!merged.problems.empty()) {
         return report_problems(options, merged.problems);
     }
-    if (files.empty()) {
-        return fail(options, no_files(options));
-    }
     platform_session platform(options.platform);
     folder_upload upload(platform);
     const auto before = upload.read_settled();
--- a/src/apps/ctl/config_folder.cpp
+++ b/src/apps/ctl/config_folder.cpp
@@ -25,6 +25,9 @@
     if (ec) {
         return make_error(error_kind::invalid_settings, path + ": (root): expected a readable folder");
     }
+    if (out.empty()) {
+        return make_error(error_kind::invalid_settings, path + ": (root): expected at least one .json file");
+    }
     return out;
 }
 
--- a/src/apps/ctl/config_folder.h
+++ b/src/apps/ctl/config_folder.h
@@ -7,7 +7,8 @@
 
 namespace anvillead {
 
-/// Reads every `*.json` file of a folder.
+/// Reads every `*.json` file of a folder. A folder without any is an error: it is most often a mistyped one, and
+/// applied it would remove the whole configuration.
 result<config_files> read_folder(const std::string& path);
 
 } // namespace anvillead
--- a/src/apps/ctl/drain_file.cpp
+++ b/src/apps/ctl/drain_file.cpp
@@ -14,17 +14,52 @@
 
 using nlohmann::json;
 
-result<void> save(const std::filesystem::path& path, const json& root)
+using names = std::vector<std::string>;
+
+/// The drained hosts and upstreams of a drain file.
+struct drained_names
+{
+    names hosts;
+    names upstreams;
+};
+
+/// Reads the drain file; empty lists when there is none. Other sections are refused, because the file is removed with
+/// its last drain.
+result<drained_names> load(const std::filesystem::path& path)
+{
+    drained_names out;
+    if (!std::filesystem::exists(path)) {
+        return out;
+    }
+    const auto root = read_json_file(path.string());
+    if (!root) {
+        return root.error();
+    }
+    std::vector<field_problem> problems;
+    field_reader reader(root.value(), drain_file_name, "", problems);
+    field_reader drains(reader.object_or_empty("drains"), drain_file_name, "drains", problems);
+    out.hosts = drains.texts_or_empty("hosts");
+    out.upstreams = drains.texts_or_empty("upstreams");
+    drains.reject_unknown();
+    reader.reject_unknown();
+    const auto checked = problems_to_result(problems);
+    if (!checked) {
+        return checked.error();
+    }
+    return out;
+}
+
+result<void> save(const std::filesystem::path& path, const drained_names& value)
 {
     std::error_code ec;
-    if (root["drains"]["hosts"].empty() && root["drains"]["upstreams"].empty()) {
+    if (value.hosts.empty() && value.upstreams.empty()) {
         std::filesystem::remove(path, ec);
         return success();
     }
     // Written beside and renamed, so that an interrupted command leaves the old file.
     const auto beside = path.string() + ".new";
     std::ofstream out(beside);
-    out << root.dump(4) << '\n';
+    out << json({{"drains", {{"hosts", value.hosts}, {"upstreams", value.upstreams}}}}).dump(4) << '\n';
     out.close();
     if (!out) {
         return make_error(error_kind::invalid_settings, beside + ": (root): expected a writable file");
@@ -36,13 +71,10 @@
     return success();
 }
 
-result<void> check_upstream(const std::string& folder, const std::string& name)
+/// An upstream has to be in the folder; hosts are not part of it.
+result<void> check_drained(const config_files& files, const std::string& kind, const std::string& name)
 {
-    const auto files = read_folder(folder);
-    if (!files) {
-        return files.error();
-    }
-    if (merge_files(files.value()).merged.find_upstream(upstream_id(name)) == nullptr) {
+    if (kind == "upstream" && merge_files(files).merged.find_upstream(upstream_id(name)) == nullptr) {
         return make_error(
             error_kind::invalid_settings,
             fmt::format("{}: expected the id of an upstream in the folder, not {}", drain_file_name, name));
@@ -54,16 +86,16 @@
 
 result<void> edit_drain_file(const std::string& folder, const std::string& kind, const std::string& name, bool remove)
 {
+    const auto files = read_folder(folder);
+    if (!files) {
+        return files.error();
+    }
     const auto path = std::filesystem::path(folder) / drain_file_name;
-    json root = {{"drains", {{"hosts", json::array()}, {"upstreams", json::array()}}}};
-    if (std::filesystem::exists(path)) {
-        const auto present = read_json_file(path.string());
-        if (!present) {
-            return present.error();
-        }
-        root.merge_patch(present.value());
+    auto drained = load(path);
+    if (!drained) {
+        return drained.error();
     }
-    auto& list = root["drains"][kind + "s"];
+    auto& list = kind == "host" ? drained.value().hosts : drained.value().upstreams;
     const auto it = std::find(list.begin(), list.end(), name);
     if (remove) {
         if (it == list.end()) {
@@ -71,18 +103,16 @@
                               fmt::format("{}: expected {} {} to be drained", drain_file_name, kind, name));
         }
         list.erase(it);
-        return save(path, root);
+        return save(path, drained.value());
     }
-    if (kind == "upstream") {
-        const auto known = check_upstream(folder, name);
-        if (!known) {
-            return known.error();
-        }
+    const auto known = check_drained(files.value(), kind, name);
+    if (!known) {
+        return known.error();
     }
     if (it == list.end()) {
         list.push_back(name);
     }
-    return save(path, root);
+    return save(path, drained.value());
 }
 
 } // namespace anvillead
--- a/src/apps/ctl/tests/drain_file_test.cpp
+++ b/src/apps/ctl/tests/drain_file_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include <CppUTest/TestHarness.h>
 
@@ -53,3 +54,38 @@
     CHECK(edit_drain_file(folder, "upstream", "e1", true).error().kind == error_kind::invalid_settings);
     CHECK_FALSE(std::filesystem::exists(folder + "/" + drain_file_name));
 }
+
+// Guards against a drain file edited by hand that ends the program, or whose other sections are lost with the last
+// drain.
+TEST(drain_file_test, broken_file_is_reported_and_left)
+{
+    const std::vector<std::pair<std::string, std::string>> broken = {
+        {R"({"drains": {"hosts": 5}})", "90-drains.json: drains.hosts: expected an array"},
+        {R"({"drains": 3})", "90-drains.json: drains: expected an object"},
+        {R"([1])", "90-drains.json: (root): expected an object"},
+        {R"({"drains": {"hosts": ["a", 1]}})", "90-drains.json: drains.hosts: expected an array of non-empty strings"},
+        {R"({"models": []})", "90-drains.json: models: expected one of the fields drains"},
+        {R"({"drains": {"racks": []}})", "90-drains.json: drains.racks: expected one of the fields hosts, upstreams"},
+    };
+    const auto path = folder + "/" + drain_file_name;
+    for (const auto& [text, message] : broken) {
+        std::ofstream(path) << text;
+        const auto edited = edit_drain_file(folder, "host", "entry-1", false);
+        CHECK_TEXT(!edited.has_value(), text.c_str());
+        STRCMP_EQUAL(message.c_str(), edited.error().message.c_str());
+        std::stringstream left;
+        left << std::ifstream(path).rdbuf();
+        STRCMP_EQUAL(text.c_str(), left.str().c_str());
+    }
+}
+
+// Guards against a mistyped folder: the drain alone would be applied and replace the whole configuration.
+TEST(drain_file_test, folder_without_configuration_is_refused)
+{
+    std::filesystem::remove_all(folder);
+    CHECK(edit_drain_file(folder, "host", "entry-1", false).error().kind == error_kind::invalid_settings);
+    std::filesystem::create_directory(folder);
+    const auto edited = edit_drain_file(folder, "host", "entry-1", false);
+    CHECK(!edited.has_value() && edited.error().kind == error_kind::invalid_settings);
+    CHECK_FALSE(std::filesystem::exists(folder + "/" + drain_file_name));
+}
