Test and check each seed that is not a member, soon after the start

Cause: an agent that had joined asked one random seed every 30 s and skipped the check when that seed was a member already. Measured: membership_network_test.groups_that_start_apart_join_through_seeds fails without the change (not joined after 5 s) and passes with it.

--- a/src/membership/internal/pull_planner.cpp
+++ b/src/membership/internal/pull_planner.cpp
@@ -1,13 +1,16 @@
 #include "membership/pull_planner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace anvillead {
 
 namespace {
 
-constexpr milliseconds seed_check_period{30000};
+// The first checks follow each other quickly, because a fleet that starts at once joins in groups that do not know each
+// other. Seeds that stay away are asked no more often than this.
+constexpr milliseconds longest_seed_check_wait{30000};
 // A paused process that finds no peer serves its table again after this time.
 constexpr milliseconds stale_limit{10000};
 
@@ -20,6 +23,23 @@
 
 } // namespace
 
+void pull_planner::set_seeds(std::vector<std::string> addresses)
+{
+    if (addresses != seeds_) {
+        seeds_ = std::move(addresses);
+        next_seed_check_ = {};
+        seed_check_wait_ = period_;
+    }
+}
+
+std::string pull_planner::unknown_seed(const member_table& table, std::mt19937_64& random) const
+{
+    std::vector<std::string> unknown;
+    std::copy_if(seeds_.begin(), seeds_.end(), std::back_inserter(unknown),
+                 [&](const std::string& it) { return !is_live_address(table, it); });
+    return unknown.empty() ? std::string() : unknown[random() % unknown.size()];
+}
+
 void pull_planner::mark_stale(instant now)
 {
     stale_ = true;
@@ -64,9 +84,10 @@
         return std::exchange(repair_address_, {});
     }
     if ((!joined_ || now >= next_seed_check_) && !seeds_.empty()) {
-        next_seed_check_ = now + seed_check_period;
-        const auto& seed = seeds_[random() % seeds_.size()];
-        if (!joined_ || !is_live_address(table, seed)) {
+        next_seed_check_ = now + seed_check_wait_;
+        seed_check_wait_ = joined_ ? std::min(2 * seed_check_wait_, longest_seed_check_wait) : period_;
+        auto seed = unknown_seed(table, random);
+        if (!seed.empty()) {
             return seed;
         }
     }
--- a/src/membership/pull_planner.h
+++ b/src/membership/pull_planner.h
@@ -14,9 +14,9 @@
 class pull_planner
 {
 public:
-    explicit pull_planner(milliseconds period) : period_(period) {}
+    explicit pull_planner(milliseconds period) : period_(period), seed_check_wait_(period) {}
 
-    void set_seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
+    void set_seeds(std::vector<std::string> addresses);
     /// The process was paused and its table is out of date.
     void mark_stale(instant now);
     /// The table of this peer differs from ours.
@@ -30,6 +30,8 @@
     bool has_joined() const { return joined_; }
 
 private:
+    /// A seed that is not a live member; empty when all are.
+    std::string unknown_seed(const member_table& table, std::mt19937_64& random) const;
     std::string choose(instant now, const member_table& table, const host_id& self, std::mt19937_64& random);
 
     milliseconds period_;
@@ -37,6 +39,7 @@
     std::string repair_address_;
     instant next_pull_{};
     instant next_seed_check_{};
+    milliseconds seed_check_wait_;
     instant stale_since_{};
     bool joined_ = false;
     bool stale_ = false;
--- a/src/membership/tests/membership_network_test.cpp
+++ b/src/membership/tests/membership_network_test.cpp
@@ -278,3 +278,26 @@
     const auto actions = net.nodes[0].core->on_datagram(net.now, "udph1", std::string(200, 'x'));
     CHECK(actions.empty());
 }
+
+// Guards against hosts that start together, join in two groups and then do not know the other group for minutes.
+TEST(membership_network_test, groups_that_start_apart_join_through_seeds)
+{
+    for (const unsigned seed : {61U, 62U, 63U}) {
+        network net(seed);
+        for (int i = 0; i < 8; ++i) {
+            net.start(i);
+            net.nodes[i].core->set_seeds({"linkh" + std::to_string(i % 2 + 2 * (i < 2 ? 1 : 0))});
+        }
+        net.run(seconds(2));
+        CHECK(net.live_counts_are(4));
+        std::vector<std::string> all;
+        for (int i = 0; i < 8; ++i) {
+            all.push_back("linkh" + std::to_string(i));
+        }
+        for (auto& [i, it] : net.nodes) {
+            it.core->set_seeds(all);
+        }
+        net.run(seconds(5));
+        CHECK(net.live_counts_are(8));
+    }
+}
