--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -154,6 +154,11 @@
             upstream["id"] = fmt::format("{}-{}", engines ? "engine" : "roster-app", i);
             upstream["address"] = route(fmt::format("{}-{}", engines ? "engine" : "service", i));
             upstream["availability_zone"] = zone_of(i);
+            for (const auto* field : {"batch_limit", "capacity_tokens"}) {
+                if (engines && options_.engine_control.contains(field)) {
+                    upstream[field] = options_.engine_control[field];
+                }
+            }
             service["upstreams"].push_back(upstream);
         }
     }
