Put probes and links behind the fault proxy and test lost datagrams

Cause: the proxy carried TCP only, so lost probe datagrams and links between two groups of hosts could not be tested.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -32,13 +32,11 @@
     self_.number = new_incarnation();
     link_options_ = make_link_options(settings_.common, "agent", self_.number);
     make_server();
-    self_.addresses.agent_link = server_->address();
+    self_.addresses.agent_link = reachable_address(settings_.link_advertise, server_->address());
     make_parts();
     status_ = std::make_unique<status_server>(pool, settings_.http_listen, counters_, [this] { return ready_.load(); });
     log(log_level::info, log_event::process_started,
-        {{"link", server_->address()},
-         {"probe", membership_->core().self().addresses.agent_udp},
-         {"http", status_->address()}});
+        {{"link", server_->address()}, {"probe", membership_->probe_address()}, {"http", status_->address()}});
 }
 
 agent_daemon::~agent_daemon() = default;
--- a/src/apps/agent/agent_settings.cpp
+++ b/src/apps/agent/agent_settings.cpp
@@ -14,6 +14,8 @@
     out.common = read_common_settings(reader);
     out.link_listen = reader.text("link_listen");
     out.probe_listen = reader.text("probe_listen");
+    out.link_advertise = reader.text_or("link_advertise", "");
+    out.probe_advertise = reader.text_or("probe_advertise", "");
     out.http_listen = reader.text_or("http_listen", "");
     out.seeds = reader.texts_or_empty("seeds");
     out.platform_period = milliseconds(reader.number_or("platform_period_ms", period_range, 500));
--- a/src/apps/agent/agent_settings.h
+++ b/src/apps/agent/agent_settings.h
@@ -11,6 +11,9 @@
     std::string link_listen;
     /// "address:port" for membership probes.
     std::string probe_listen;
+    /// Addresses that other hosts use for links and probes; empty for the ones above.
+    std::string link_advertise;
+    std::string probe_advertise;
     /// "address:port" for /metrics, /healthz and /readyz; empty for none.
     std::string http_listen;
     /// Link addresses of agents to join through, beside the platform's host list.
--- a/src/apps/agent/membership_driver.cpp
+++ b/src/apps/agent/membership_driver.cpp
@@ -18,9 +18,9 @@
     return out;
 }
 
-member with_udp_address(member self, const iudp_socket& socket)
+member with_udp_address(member self, const std::string& address)
 {
-    self.addresses.agent_udp = socket.address();
+    self.addresses.agent_udp = address;
     return self;
 }
 
@@ -52,7 +52,9 @@
               counters_.add("control_received_messages_total{kind=\"datagram\"}");
               apply([&](membership& it, instant now) { return it.on_datagram(now, from, payload); });
           })),
-      core_(make_options(settings), with_udp_address(std::move(self), *socket_), std::random_device()())
+      core_(make_options(settings),
+            with_udp_address(std::move(self), reachable_address(settings.probe_advertise, socket_->address())),
+            std::random_device()())
 {}
 
 void membership_driver::tick()
--- a/src/apps/agent/membership_driver.h
+++ b/src/apps/agent/membership_driver.h
@@ -26,6 +26,8 @@
     /// Runs one change of the membership and carries out its actions.
     void apply(const std::function<membership_actions(membership&, instant)>& change);
     const membership& core() const { return core_; }
+    /// Where the probes arrive.
+    std::string probe_address() const { return socket_->address(); }
 
 private:
     void carry_out(const membership_actions& actions);
--- a/src/apps/common/daemon.cpp
+++ b/src/apps/common/daemon.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+std::string reachable_address(const std::string& advertised, const std::string& listening)
+{
+    return advertised.empty() ? listening : advertised;
+}
+
 void reject_settings(const std::string& problem)
 {
     log(log_level::error, log_event::settings_rejected, {{"problem", problem}});
--- a/src/apps/common/daemon.h
+++ b/src/apps/common/daemon.h
@@ -40,6 +40,9 @@
 template <typename Settings>
 Settings load_settings(const std::string& path, Settings (*read)(field_reader&));
 
+/// The address that others use: `advertised`, or `listening` when it is empty.
+std::string reachable_address(const std::string& advertised, const std::string& listening);
+
 [[noreturn]] void reject_settings(const std::string& problem);
 
 /// Number of this process start: milliseconds since the Unix epoch, so that a restart uses a higher one.
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -70,7 +70,7 @@
     schedulers_->set_generation_gate([this](config_generation generation, std::function<void()> task) {
         agent_->when_current(generation, std::move(task));
     });
-    agent_->report({"gateway", false, 0, server_->address(), links_->address()});
+    agent_->report({"gateway", false, 0, server_->address(), link_address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
 
@@ -91,6 +91,11 @@
     log(log_level::info, log_event::process_stopped, {});
 }
 
+std::string gateway_daemon::link_address() const
+{
+    return reachable_address(settings_.link_advertise, links_->address());
+}
+
 bool gateway_daemon::ready() const
 {
     return agent_->current()->configuration->generation > 0 && !leaving_;
@@ -258,7 +263,7 @@
         return;
     }
     log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(*context_->open_requests)}});
-    agent_->report({"gateway", true, 0, server_->address(), links_->address()});
+    agent_->report({"gateway", true, 0, server_->address(), link_address()});
     server_->drain();
     // Callers keep the address for the time to live of their last answer.
     pool_.timers().after(settings_.endpoints_ttl + settings_.shutdown_skew, [this] {
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -73,6 +73,7 @@
     out.common = read_common_settings(reader);
     out.listen = reader.text("listen");
     out.link_listen = reader.text("link_listen");
+    out.link_advertise = reader.text_or("link_advertise", "");
     out.agent = reader.text("agent");
     out.http = read_http_limits(reader);
     out.flow = read_flow_limits(reader);
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -16,6 +16,8 @@
     std::string listen;
     /// "address:port" for links of other gateways.
     std::string link_listen;
+    /// Address that other gateways use for links; empty for the one above.
+    std::string link_advertise;
     /// Link address of the agent on this host.
     std::string agent;
     http_limits http;
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -71,7 +71,7 @@
     });
     status_ = std::make_unique<status_server>(pool, settings_.http_listen, counters_,
                                               [this] { return agent_->current()->configuration->generation > 0; });
-    agent_->report({"scheduler", false, 0, "", server_->address()});
+    agent_->report({"scheduler", false, 0, "", reachable_address(settings_.advertise, server_->address())});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"http", status_->address()}});
 }
 
@@ -245,7 +245,7 @@
         return;
     }
     log(log_level::info, log_event::shutdown_began, {});
-    agent_->report({"scheduler", true, applied_, "", server_->address()});
+    agent_->report({"scheduler", true, applied_, "", reachable_address(settings_.advertise, server_->address())});
     pool_.timers().after(leave_time, [this] { pool_.stop(); });
 }
 
--- a/src/apps/scheduler/scheduler_settings.cpp
+++ b/src/apps/scheduler/scheduler_settings.cpp
@@ -13,6 +13,7 @@
     scheduler_settings out;
     out.common = read_common_settings(reader);
     out.listen = reader.text("listen");
+    out.advertise = reader.text_or("advertise", "");
     out.agent = reader.text("agent");
     out.http_listen = reader.text_or("http_listen", "");
     out.load_period = milliseconds(reader.number_or("load_period_ms", period_range, 200));
--- a/src/apps/scheduler/scheduler_settings.h
+++ b/src/apps/scheduler/scheduler_settings.h
@@ -9,6 +9,8 @@
     common_settings common;
     /// "address:port" for links of gateways; port 0 lets the kernel choose.
     std::string listen;
+    /// Address that gateways use; empty for the one above.
+    std::string advertise;
     /// Link address of the agent on this host.
     std::string agent;
     /// "address:port" for /metrics, /healthz and /readyz; empty for none.
--- a/standins/fault_proxy/connection.cpp
+++ b/standins/fault_proxy/connection.cpp
@@ -22,7 +22,7 @@
 void connection::start(const boost::asio::ip::tcp::endpoint& target)
 {
     // A frozen route accepts, but does not reach the target.
-    owner_.when_passing([self = shared_from_this(), target] {
+    owner_.when_passing(greeting_, [self = shared_from_this(), target] {
         self->target_.async_connect(target, [self](const error_code& ec) {
             if (ec) {
                 self->reset();
@@ -55,7 +55,10 @@
 {
     direction.from.async_read_some(boost::asio::buffer(direction.buffer),
                                    [self = shared_from_this(), &direction](const error_code& ec, std::size_t size) {
-                                       self->owner_.when_passing([self, &direction, ec, size] {
+                                       if (&direction == &self->requests_ && self->greeting_.empty() && !ec) {
+                                           self->greeting_.assign(direction.buffer.data(), size);
+                                       }
+                                       self->owner_.when_passing(self->greeting_, [self, &direction, ec, size] {
                                            if (!self->caller_.is_open()) {
                                                return;
                                            }
--- a/standins/fault_proxy/connection.h
+++ b/standins/fault_proxy/connection.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <memory>
+#include <string>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +48,8 @@
     pump requests_;
     pump answers_;
     std::array<char, chunk_bytes> discarded_{};
+    /// The first bytes that the caller sent.
+    std::string greeting_;
     bool answered_ = false;
 };
 
--- a/standins/fault_proxy/proxy_server.cpp
+++ b/standins/fault_proxy/proxy_server.cpp
@@ -11,6 +11,42 @@
 using namespace anvillead;
 using nlohmann::json;
 
+bool matches(const std::string& pattern, const std::string& name)
+{
+    if (!pattern.empty() && pattern.back() == '*') {
+        return name.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
+    }
+    return name == pattern;
+}
+
+/// Finds or opens the route; its address.
+template <typename Route>
+std::string open_route(std::map<std::string, std::unique_ptr<Route>>& routes, boost::asio::io_context& io,
+                       const json& body)
+{
+    auto& it = routes[body.value("name", "")];
+    const auto target = body.value("target", "");
+    if (!it) {
+        it = std::make_unique<Route>(io, target);
+    } else if (!target.empty()) {
+        it->set_target(target);
+    }
+    return it->address();
+}
+
+template <typename Route>
+int control_routes(std::map<std::string, std::unique_ptr<Route>>& routes, const json& body)
+{
+    int found = 0;
+    for (const auto& [name, it] : routes) {
+        if (matches(body.value("route", ""), name)) {
+            it->control(body);
+            ++found;
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 proxy_server::proxy_server(worker_pool& pool, const standin_options& options)
@@ -34,6 +70,11 @@
     thread_.join();
 }
 
+std::string proxy_server::open(const json& body)
+{
+    return body.value("datagrams", false) ? open_route(datagram_routes_, io_, body) : open_route(routes_, io_, body);
+}
+
 int proxy_server::handle(const http_request& request, json& answer)
 {
     const auto body = parse_bounded_json(request.body).value_or(json::object());
@@ -41,24 +82,16 @@
         for (const auto& [name, it] : routes_) {
             answer[name] = it->counts();
         }
+        for (const auto& [name, it] : datagram_routes_) {
+            answer[name] = it->counts();
+        }
         return 200;
     }
     if (request.path() == "/routes") {
-        auto& it = routes_[body.value("name", "")];
-        if (!it) {
-            it = std::make_unique<route>(io_, body.value("target", ""));
-        }
-        answer = {{"address", it->address()}};
+        answer = {{"address", open(body)}};
         return 200;
     }
-    const auto name = body.value("route", "");
-    int found = 0;
-    for (const auto& [key, it] : routes_) {
-        if (name == "*" || name == key) {
-            it->control(body);
-            ++found;
-        }
-    }
+    const int found = control_routes(routes_, body) + control_routes(datagram_routes_, body);
     answer = {{"routes", found}};
     return request.path() == "/control" && found > 0 ? 200 : 404;
 }
--- a/standins/fault_proxy/proxy_server.h
+++ b/standins/fault_proxy/proxy_server.h
@@ -9,14 +9,15 @@
 
 #include "core/metrics.h"
 #include "standins/common/standin_options.h"
+#include "standins/fault_proxy/datagram_route.h"
 #include "standins/fault_proxy/route.h"
 
 namespace standin {
 
 /// Control port of the proxy.
-/// `POST /routes` {"name", "target"} opens a route, or finds the one with this name, and answers
-/// {"address"}. `POST /control` {"route": NAME, faults...} changes the faults of a
-/// route ("*" for all). `GET /routes` answers the counts of each route.
+/// `POST /routes` {"name", "target", "datagrams"} opens a route, or finds the one with this name and changes its
+/// target, and answers {"address"}. `POST /control` {"route": NAME, faults...} changes the faults of a route; a name
+/// that ends with "*" stands for all names with this beginning. `GET /routes` answers the counts of each route.
 class proxy_server
 {
 public:
@@ -26,12 +27,15 @@
     std::string address() const { return server_->address(); }
 
 private:
+    /// Address of the route that a body of /routes names.
+    std::string open(const nlohmann::json& body);
     int handle(const anvillead::http_request& request, nlohmann::json& answer);
 
     /// Routes and their connections run on this context's single thread.
     boost::asio::io_context io_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{io_.get_executor()};
     std::map<std::string, std::unique_ptr<route>> routes_;
+    std::map<std::string, std::unique_ptr<datagram_route>> datagram_routes_;
     anvillead::metrics counters_;
     std::unique_ptr<anvillead::ihttp_server> server_;
     std::thread thread_;
--- a/standins/fault_proxy/route.cpp
+++ b/standins/fault_proxy/route.cpp
@@ -1,5 +1,7 @@
 #include "standins/fault_proxy/route.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "standins/fault_proxy/connection.h"
@@ -14,6 +16,9 @@
 
 tcp::endpoint parse_endpoint(const std::string& text)
 {
+    if (text.empty()) {
+        return {};
+    }
     const auto colon = text.rfind(':');
     const auto port = std::strtoul(text.c_str() + (colon == std::string::npos ? 0 : colon + 1), nullptr, 10);
     return {boost::asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
@@ -33,6 +38,11 @@
     return fmt::format("{}:{}", local.address().to_string(), local.port());
 }
 
+void route::set_target(const std::string& target)
+{
+    target_ = parse_endpoint(target);
+}
+
 void route::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
@@ -42,7 +52,7 @@
         if (!ec) {
             ++accepted_;
             auto it = std::make_shared<connection>(*this, std::move(socket));
-            if (faults_.cut) {
+            if (faults_.cut || target_.port() == 0) {
                 it->reset();
             } else {
                 connections_.push_back(it);
@@ -62,6 +72,7 @@
     faults_.duplicate = value.value("duplicate", faults_.duplicate);
     faults_.delay_ms = value.value("delay_ms", faults_.delay_ms);
     faults_.lose_answers = value.value("lose_answers", faults_.lose_answers);
+    faults_.freeze_callers = value.value("freeze_callers", faults_.freeze_callers);
     if (faults_.cut) {
         const auto open = std::move(connections_);
         connections_.clear();
@@ -69,12 +80,10 @@
             it->reset();
         }
     }
-    if (!faults_.freeze) {
-        const auto actions = std::move(waiting_);
-        waiting_.clear();
-        for (const auto& it : actions) {
-            it();
-        }
+    const auto actions = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& [greeting, action] : actions) {
+        when_passing(greeting, action);
     }
 }
 
@@ -83,10 +92,17 @@
     return {{"accepted", accepted_}, {"open", connections_.size()}, {"lost_answers", lost_answers_}};
 }
 
-void route::when_passing(std::function<void()> action)
+bool route::is_frozen(const std::string& greeting) const
+{
+    const auto& callers = faults_.freeze_callers;
+    return faults_.freeze || std::any_of(callers.begin(), callers.end(),
+                                         [&](const std::string& it) { return greeting.find(it) != std::string::npos; });
+}
+
+void route::when_passing(const std::string& greeting, std::function<void()> action)
 {
-    if (faults_.freeze) {
-        waiting_.push_back(std::move(action));
+    if (is_frozen(greeting)) {
+        waiting_.emplace_back(greeting, std::move(action));
     } else {
         action();
     }
--- a/standins/fault_proxy/route.h
+++ b/standins/fault_proxy/route.h
@@ -30,6 +30,9 @@
     std::int64_t delay_ms = 0;
     /// Number of connections that are reset when the target starts to answer, before any byte of the answer is passed.
     std::int64_t lose_answers = 0;
+    /// Freezes the connections whose first bytes contain one of these texts, for example a host's identity in the
+    /// handshake of a link.
+    std::vector<std::string> freeze_callers;
 };
 
 class connection;
@@ -38,31 +41,34 @@
 class route
 {
 public:
-    /// Listens on a port that the kernel chooses.
+    /// Listens on a port that the kernel chooses. Without a target, connections are reset.
     route(boost::asio::io_context& io, const std::string& target);
     ~route();
 
     std::string address() const;
+    void set_target(const std::string& target);
     const route_faults& faults() const { return faults_; }
     /// Changes the faults named in `value` and leaves the others.
     void control(const nlohmann::json& value);
     nlohmann::json counts() const;
 
-    /// Runs `action` at once, or when the route is no longer frozen.
-    void when_passing(std::function<void()> action);
+    /// Runs `action` at once, or when the connection that began with `greeting` is no longer frozen.
+    void when_passing(const std::string& greeting, std::function<void()> action);
     /// Takes one lost answer from the count; false when none is left.
     bool take_lost_answer();
     void forget(const connection* value);
 
 private:
     void accept();
+    bool is_frozen(const std::string& greeting) const;
 
     boost::asio::io_context& io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::endpoint target_;
     route_faults faults_;
     std::list<std::shared_ptr<connection>> connections_;
-    std::vector<std::function<void()>> waiting_;
+    /// First bytes of the connection, and what waits.
+    std::vector<std::pair<std::string, std::function<void()>>> waiting_;
     std::int64_t accepted_ = 0;
     std::int64_t lost_answers_ = 0;
 };
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -69,10 +69,62 @@
     if (!options_.proxied) {
         return address(name);
     }
-    const json wanted = {{"name", name}, {"target", address(name)}};
+    return open_route(name, address(name));
+}
+
+std::string cluster::open_route(const std::string& name, const std::string& target, bool datagrams)
+{
+    const json wanted = {{"name", name}, {"target", target}, {"datagrams", datagrams}};
     return caller_.call(address("proxy"), "POST", "/routes", wanted.dump()).json().value("address", "");
 }
 
+std::map<std::string, json> cluster::open_member_routes(int number)
+{
+    const auto agent = fmt::format("agent-{}", number);
+    const auto scheduler = fmt::format("scheduler-{}", number);
+    const auto gateway_name = fmt::format("gateway-{}", number);
+    if (!options_.proxied_members) {
+        return {};
+    }
+    return {{agent,
+             {{"link_advertise", open_route(agent, "")},
+              {"probe_advertise", open_route(fmt::format("probe-{}", number), "", true)}}},
+            {scheduler, {{"advertise", open_route(scheduler, "")}}},
+            {gateway_name, {{"link_advertise", open_route(gateway_name, "")}}}};
+}
+
+void cluster::set_member_targets(int number)
+{
+    if (!options_.proxied_members) {
+        return;
+    }
+    for (const auto* role : {"agent", "scheduler", "gateway"}) {
+        const auto name = fmt::format("{}-{}", role, number);
+        open_route(name, at(name).link_address.empty() ? address(name) : at(name).link_address);
+    }
+    open_route(fmt::format("probe-{}", number), at(fmt::format("agent-{}", number)).probe_address, true);
+}
+
+void cluster::separate(const std::vector<int>& one, const std::vector<int>& other, bool separated)
+{
+    for (const auto& [group, strangers] : {std::pair(one, other), std::pair(other, one)}) {
+        json identities = json::array();
+        json senders = json::array();
+        for (const int it : strangers) {
+            if (separated) {
+                identities.push_back(fmt::format("/entry-{}/", it));
+                senders.push_back(at(fmt::format("agent-{}", it)).probe_address);
+            }
+        }
+        for (const int it : group) {
+            fault(fmt::format("probe-{}", it), {{"drop_senders", senders}});
+            for (const auto* role : {"agent", "scheduler", "gateway"}) {
+                fault(fmt::format("{}-{}", role, it), {{"freeze_callers", identities}});
+            }
+        }
+    }
+}
+
 void cluster::start_standin(const std::string& name, const std::string& program_name, const json& control)
 {
     auto& it = nodes_[name];
@@ -87,26 +139,34 @@
 {
     const json common = {{"host", fmt::format("entry-{}", number)},
                          {"availability_zone", zone_of(number)},
-                         {"platform", route("platform")},
+                         {"platform", options_.proxied_members
+                                          ? open_route(fmt::format("platform-{}", number), address("platform"))
+                                          : route("platform")},
                          {"fleet_keys", {fleet_key}}};
-    const auto merged = [&](json own, const json& extra) {
+    const auto agent = fmt::format("agent-{}", number);
+    const auto scheduler = fmt::format("scheduler-{}", number);
+    const auto gateway_name = fmt::format("gateway-{}", number);
+    auto advertised = open_member_routes(number);
+    const auto merged = [&](const std::string& name, json own, const json& extra) {
         own.update(common);
+        own.update(advertised.emplace(name, json::object()).first->second);
         own.update(extra);
         return own;
     };
-    const auto agent = fmt::format("agent-{}", number);
-    const auto scheduler = fmt::format("scheduler-{}", number);
-    const auto gateway_name = fmt::format("gateway-{}", number);
-    start_daemon(agent, "anvillead-agent",
-                 merged({{"link_listen", "127.0.0.1:0"}, {"probe_listen", "127.0.0.1:0"}}, options_.agent_settings));
+    start_daemon(
+        agent, "anvillead-agent",
+        merged(agent, {{"link_listen", "127.0.0.1:0"}, {"probe_listen", "127.0.0.1:0"}}, options_.agent_settings));
     read_addresses(at(agent));
-    start_daemon(scheduler, "anvillead-scheduler",
-                 merged({{"listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}}, options_.scheduler_settings));
+    start_daemon(
+        scheduler, "anvillead-scheduler",
+        merged(scheduler, {{"listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}}, options_.scheduler_settings));
     start_daemon(gateway_name, "anvillead-gateway",
-                 merged({{"listen", "127.0.0.1:0"}, {"link_listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}},
+                 merged(gateway_name,
+                        {{"listen", "127.0.0.1:0"}, {"link_listen", "127.0.0.1:0"}, {"agent", at(agent).link_address}},
                         options_.gateway_settings));
     read_addresses(at(scheduler));
     read_addresses(at(gateway_name));
+    set_member_targets(number);
 }
 
 void cluster::start_daemon(const std::string& name, const std::string& program_name, json settings)
@@ -277,7 +337,8 @@
         hosts.push_back({{"id", name}, {"address", at}, {"availability_zone", zone_of(number)}, {"leaving", leaves}});
     };
     for (int i = 1; i <= options_.hosts; ++i) {
-        add(fmt::format("entry-{}", i), at(fmt::format("agent-{}", i)).link_address, i);
+        const auto agent = fmt::format("agent-{}", i);
+        add(fmt::format("entry-{}", i), options_.proxied_members ? open_route(agent, "") : at(agent).link_address, i);
     }
     for (int i = 1; i <= options_.engines; ++i) {
         add(fmt::format("engine-{}", i), route(fmt::format("engine-{}", i)), i);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -22,6 +22,9 @@
     bool apply_configuration = true;
     /// A fault proxy stands in front of the platform, the engines and the services; see cluster::fault().
     bool proxied = false;
+    /// The proxy also stands in front of the probes ("probe-1") and links ("agent-1", "scheduler-1", "gateway-1") of
+    /// each host, and each host has a route of its own to the platform ("platform-1").
+    bool proxied_members = false;
 };
 
 inline cluster_options sized(int hosts, int engines = 1, int services = 1)
@@ -93,6 +96,9 @@
     int count_ran(const std::string& input) const;
     /// Publishes the host list; hosts in `leaving` are listed as leaving.
     void publish_hosts(const std::vector<std::string>& leaving = {});
+    /// Cuts or repairs datagrams and links between two groups of hosts; needs proxied_members. Datagrams are lost,
+    /// links freeze.
+    void separate(const std::vector<int>& one, const std::vector<int>& other, bool separated);
 
 private:
     void start_standin(const std::string& name, const std::string& program_name, const nlohmann::json& control);
@@ -102,6 +108,11 @@
     void write_folder();
     /// Address at which others reach the process.
     std::string route(const std::string& name);
+    /// Opens a route, or changes its target; its address.
+    std::string open_route(const std::string& name, const std::string& target, bool datagrams = false);
+    /// Settings of the addresses that a host's processes advertise, by process name.
+    std::map<std::string, nlohmann::json> open_member_routes(int number);
+    void set_member_targets(int number);
 
     cluster_options options_;
     work_directory directory_;
