Repeat news of leaving in answers to members whose table differs

Cause: an update leaves the gossip queue after a bounded number of sends. With few members the urgent round and its answers use all of them within a few ms; an agent whose incoming probes are lost got none and had to wait for the repair of its table after 15 s. Change: a probe with another table digest is answered with what has become leaving in the last 5 s, at most 32 entries and within the datagram bound.

--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -15,6 +15,10 @@
 constexpr double spread_factor = 3;
 // At most 20 urgent rounds a second; later news waits for the next tick.
 constexpr milliseconds urgent_spacing{50};
+// News of leaving is repeated in the answers to members whose table differs for this time. An update of the gossip
+// queue is sent a bounded number of times, and all of them can be lost when one direction of a member's path is broken.
+constexpr milliseconds repeat_leaving{5000};
+constexpr std::size_t recent_leaving_limit = 32;
 // Array headers and keys around the records of one datagram.
 constexpr std::size_t array_overhead = 12;
 
@@ -166,7 +170,7 @@
         apply_member(now, it, known);
     }
     for (const auto& it : upstreams) {
-        apply_mark(it);
+        apply_mark(now, it);
     }
     last_match_ = now;
     if (pulls_.arrived(live_count() > 1)) {
@@ -209,7 +213,10 @@
     }
     apply_updates(now, value.updates);
     check_sender(now, value.from, generation, value.updates.digest);
-    std::vector<host_id> first;
+    std::vector<gossip_queue::key> first;
+    if (value.updates.digest != digest()) {
+        first = recent_leaving(now);
+    }
     const auto* known = table_.find(value.from);
     const bool sender_is_behind =
         known != nullptr &&
@@ -218,7 +225,7 @@
                                              known->state != it.state || known->leaving != it.leaving);
         });
     if (sender_is_behind) {
-        first.push_back(value.from);
+        first.insert(first.begin(), value.from);
     }
     send(from, probe_ack{value.number, self_.host, {}}, first);
 }
@@ -271,7 +278,7 @@
         apply_member(now, it);
     }
     for (const auto& it : updates.upstreams) {
-        apply_mark(it);
+        apply_mark(now, it);
     }
 }
 
@@ -294,6 +301,9 @@
     if (is_new || effective_state(before) != effective_state(after)) {
         actions_.emplace_back(member_changed{after, effective_state(before), is_new});
     }
+    if (after.leaving && !before.leaving) {
+        note_leaving(now, value.host);
+    }
     urgent_ = urgent_ || (after.leaving && !before.leaving) || (!is_new && roles_differ(before, after));
 }
 
@@ -319,7 +329,7 @@
     }
 }
 
-void membership::apply_mark(const upstream_mark& value)
+void membership::apply_mark(instant now, const upstream_mark& value)
 {
     const auto* found = upstreams_.find({value.id, value.source});
     const bool was_leaving = found != nullptr && found->leaving;
@@ -329,6 +339,7 @@
     queue_.push(upstream_marks::key{value.id, value.source}, true);
     urgent_ = urgent_ || value.leaving != was_leaving;
     if (value.leaving != was_leaving) {
+        note_leaving(now, upstream_marks::key{value.id, value.source});
         actions_.emplace_back(upstream_changed{value});
     }
 }
@@ -378,6 +389,7 @@
         return {};
     }
     queue_.push(id, true);
+    note_leaving(now, id);
     actions_.emplace_back(upstream_changed{*upstreams_.find(id)});
     spread_urgent(now);
     return take_actions();
@@ -394,14 +406,35 @@
 
 void membership::send_probe(const member& target, std::uint64_t number)
 {
-    std::vector<host_id> first = {self_.host};
+    std::vector<gossip_queue::key> first = {self_.host};
     if (target.state != member_state::alive) {
         first.push_back(target.host);
     }
     send(target.addresses.agent_udp, probe{number, self_.host, target.host, {}}, first);
 }
 
-void membership::add_updates(gossip& updates, std::size_t used, const std::vector<host_id>& first)
+void membership::note_leaving(instant now, gossip_queue::key id)
+{
+    recent_leaving_.emplace_back(now, std::move(id));
+    if (recent_leaving_.size() > recent_leaving_limit) {
+        recent_leaving_.pop_front();
+    }
+}
+
+std::vector<gossip_queue::key> membership::recent_leaving(instant now)
+{
+    while (!recent_leaving_.empty() && now - recent_leaving_.front().first > repeat_leaving) {
+        recent_leaving_.pop_front();
+    }
+    std::vector<gossip_queue::key> out;
+    out.reserve(recent_leaving_.size());
+    for (const auto& [at, id] : recent_leaving_) {
+        out.push_back(id);
+    }
+    return out;
+}
+
+void membership::add_updates(gossip& updates, std::size_t used, const std::vector<gossip_queue::key>& first)
 {
     const auto fits = [&](std::size_t size) {
         if (used + size > options_.datagram_bytes) {
@@ -421,10 +454,9 @@
         updates.members.push_back(*found);
         return true;
     };
-    std::for_each(first.begin(), first.end(), add_member);
-    queue_.fill(spread_limit(), [&](const gossip_queue::key& it) {
+    const auto add = [&](const gossip_queue::key& it) {
         if (const auto* host = std::get_if<host_id>(&it)) {
-            return std::find(first.begin(), first.end(), *host) != first.end() || add_member(*host);
+            return add_member(*host);
         }
         const auto* mark = upstreams_.find(std::get<upstream_marks::key>(it));
         if (mark == nullptr || !fits(encoded_size(*mark))) {
@@ -432,11 +464,15 @@
         }
         updates.upstreams.push_back(*mark);
         return true;
+    };
+    std::for_each(first.begin(), first.end(), add);
+    queue_.fill(spread_limit(), [&](const gossip_queue::key& it) {
+        return std::find(first.begin(), first.end(), it) != first.end() || add(it);
     });
 }
 
 template <typename Message>
-void membership::send(const std::string& address, Message value, const std::vector<host_id>& first)
+void membership::send(const std::string& address, Message value, const std::vector<gossip_queue::key>& first)
 {
     if (address.empty()) {
         return;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <random>
 #include <string>
@@ -66,7 +67,7 @@
     /// `spread` is false for the table that a joining agent gets: its sender has it already.
     void apply_member(instant now, const member& value, bool spread = true);
     void apply_self(instant now, const member& value);
-    void apply_mark(const upstream_mark& value);
+    void apply_mark(instant now, const upstream_mark& value);
     void self_changed(instant now, bool urgent);
     void spread_urgent(instant now);
     void check_sender(instant now, const host_id& host, config_generation generation, std::uint64_t digest);
@@ -74,9 +75,12 @@
     void handle(instant now, const std::string& from, config_generation generation, const probe_ack& value);
     void handle(instant now, const std::string& from, config_generation generation, const probe_request& value);
 
-    void add_updates(gossip& updates, std::size_t used, const std::vector<host_id>& first);
+    /// News of leaving members and upstreams from the last seconds.
+    std::vector<gossip_queue::key> recent_leaving(instant now);
+    void note_leaving(instant now, gossip_queue::key id);
+    void add_updates(gossip& updates, std::size_t used, const std::vector<gossip_queue::key>& first);
     template <typename Message>
-    void send(const std::string& address, Message value, const std::vector<host_id>& first);
+    void send(const std::string& address, Message value, const std::vector<gossip_queue::key>& first);
     void send_probe(const member& target, std::uint64_t number);
     /// Up to `count` random peers that are not dead, without `except`.
     std::vector<member> pick_peers(std::size_t count, const host_id& except);
@@ -91,6 +95,7 @@
     member_table table_;
     upstream_marks upstreams_;
     gossip_queue queue_;
+    std::deque<std::pair<instant, gossip_queue::key>> recent_leaving_;
     std::vector<host_id> probe_order_;
     probe_tracker probes_;
     pull_planner pulls_;
