Test regions that lose each other

Cause: no test cut the links and datagrams between two groups of hosts. Change: region_lost_test separates three hosts from three others, which also lose the platform, and repairs. Requests with bound keys that one gateway forwards to another over HTTP are not cut.

--- /dev/null
+++ b/tests/invariants/region_lost_test.cpp
@@ -0,0 +1,149 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/crypto.h"
+#include "tests/support/host_group.h"
+
+using namespace testing;
+
+namespace {
+
+constexpr milliseconds in_force_bound{6000};
+// Suspected after 1 s without an answer, dead after `suspicion`; five hosts are probed in a round of 100 ms each.
+constexpr milliseconds apart_bound{5000};
+const std::vector<int> west = {1, 2, 3};
+const std::vector<int> east = {4, 5, 6};
+const std::vector<int> everybody = {1, 2, 3, 4, 5, 6};
+
+cluster_options options()
+{
+    auto out = sized(6, 2);
+    out.proxied = true;
+    out.proxied_members = true;
+    out.agent_settings = {{"hosts_period_ms", 300}, {"probe_period_ms", 100}, {"suspicion_ms", 1000}};
+    out.gateway_settings = {{"endpoints_ttl_ms", 300}};
+    return out;
+}
+
+std::string key_of(int edit)
+{
+    return fmt::format("region-{}-key", edit);
+}
+
+std::string write_edit(cluster& it, int edit)
+{
+    const nlohmann::json organisation = {
+        {"name", fmt::format("region-{}", edit)}, {"weight", 1}, {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
+    return it.configure(fmt::format("40-region-{}.json", edit), {{"organisations", {organisation}}});
+}
+
+bool in_force(cluster& it, const std::vector<int>& group, int edit)
+{
+    return std::all_of(group.begin(), group.end(), [&](int host) {
+        return it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit))).status ==
+               200;
+    });
+}
+
+void check_serves(cluster& it, const std::vector<int>& group)
+{
+    for (const int host : group) {
+        for (const auto* workload : {"clearance-check", "appointment-sheet"}) {
+            const question value{new_input(), workload, 5};
+            const auto answer = it.client().ask(it.gateway(host), value);
+            CHECK_TEXT(answer->wait_end(), "no answer");
+            STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+        }
+    }
+}
+
+std::string bound_key(cluster& it, int host)
+{
+    const auto answer =
+        it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"));
+    return answer.json().value("bound_key_prefix", "") + "." + new_key();
+}
+
+/// Asks the same non-idempotent request at a gateway of each side, at once; the answers must agree with what ran.
+void check_claimed(cluster& it, const std::string& key)
+{
+    const question value{new_input(), "appointment", 5, key};
+    std::vector<stream::ptr> answers;
+    for (const int host : everybody) {
+        answers.push_back(it.client().ask(it.gateway(host), value));
+    }
+    int whole = 0;
+    for (const auto& answer : answers) {
+        CHECK_TEXT(answer->wait_end(milliseconds(15'000)), "no final answer");
+        whole += check_answer(answer->events(), value).empty() ? 1 : 0;
+    }
+    const int ran = it.count_ran(value.input);
+    fmt::print("  {} of {} gateways gave the whole answer, ran {} times\n", whole, answers.size(), ran);
+    CHECK_TEXT(ran <= 1, "ran more than once");
+    CHECK_TEXT(whole > 0, "no gateway served the request");
+}
+
+/// No process has ever applied a lower generation after a higher one; all end with the same.
+void check_generations(cluster& it)
+{
+    std::map<int, int> last;
+    for_each_daemon(everybody, [&](const std::string& name) {
+        const auto applied = applied_generations(it, name);
+        CHECK_TEXT(std::is_sorted(applied.begin(), applied.end()), (name + " applied a lower generation").c_str());
+        if (!applied.empty()) {
+            ++last[applied.back()];
+        }
+    });
+    for (const auto& [generation, count] : last) {
+        fmt::print("  generation {} is the last of {} processes\n", generation, count);
+    }
+    LONGS_EQUAL_TEXT(1, last.size(), "processes differ in their generation");
+}
+
+} // namespace
+
+/// Two regions that lose each other go on serving and agree again after the repair.
+TEST_GROUP(region_lost){};
+
+// Guards against a side that stops serving, a claimed request that runs on both sides, views that stay apart after the
+// repair and a side that reverts the other's configuration. The east also loses the platform.
+TEST(region_lost, regions_lose_each_other)
+{
+    cluster it(options());
+    CHECK(eventually([&] { return list_exactly(it, everybody, everybody); }));
+    STRCMP_EQUAL("", write_edit(it, 1).c_str());
+    CHECK(eventually([&] { return in_force(it, everybody, 1); }, in_force_bound));
+    const auto early_key = bound_key(it, 4);
+    it.separate(west, east, true);
+    for (const int host : east) {
+        it.fault(fmt::format("platform-{}", host), {{"cut", true}});
+    }
+    check_serves(it, everybody);
+    check_claimed(it, new_key());
+    check_claimed(it, early_key);
+    CHECK_TEXT(eventually([&] { return list_exactly(it, west, west) && list_exactly(it, east, east); }, apart_bound),
+               "the sides still list each other");
+    STRCMP_EQUAL("", write_edit(it, 2).c_str());
+    CHECK_TEXT(eventually([&] { return in_force(it, west, 2); }, in_force_bound), "the west lacks the new edit");
+    CHECK_TEXT(in_force(it, east, 1), "the east has lost its configuration");
+    check_serves(it, everybody);
+    check_claimed(it, new_key());
+    check_claimed(it, bound_key(it, 5));
+
+    it.separate(west, east, false);
+    for (const int host : east) {
+        it.fault(fmt::format("platform-{}", host), {{"cut", false}});
+    }
+    const auto repaired = clock::now();
+    CHECK_TEXT(eventually([&] { return in_force(it, everybody, 2); }, in_force_bound), "the edit is not everywhere");
+    CHECK_TEXT(eventually([&] { return list_exactly(it, everybody, everybody); }), "the views stay apart");
+    fmt::print("  one view {} ms after the repair\n",
+               std::chrono::duration_cast<milliseconds>(clock::now() - repaired).count());
+    check_serves(it, everybody);
+    check_claimed(it, new_key());
+    CHECK(in_force(it, everybody, 1));
+    check_generations(it);
+}
