Queue requests that arrive before the scheduler's own engines

Cause: a wait was predicted from the rate of a group without engines, which is zero, so a second request of an organisation was refused as overloaded. Change: no early refusal while the scheduler has no engine of the service; the queue's bounds and the refusal after an absence of 2 s still apply. Result: requests_that_arrive_before_the_engines_are_not_refused passes.

--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -51,6 +51,10 @@
         const double delay = static_cast<double>(wait->count()) / milliseconds_per_second;
         return refusal{value.id, error_kind::organisation_limit, group.drain.jittered(delay)};
     }
+    if (group.engines.empty()) {
+        // The gateways may know earlier than this scheduler that it takes over; it has no rate to predict a wait from.
+        return std::nullopt;
+    }
     auto longest = options_.longest_wait[static_cast<std::size_t>(value.urgency)];
     if (value.remaining.count() > 0) {
         longest = std::min(longest, value.remaining);
