--- a/tests/invariants/in_force_test.cpp
+++ b/tests/invariants/in_force_test.cpp
@@ -180,3 +180,17 @@
     CHECK(stream->wait_end());
     STRCMP_EQUAL("", check_answer(stream->events(), open).c_str());
 }
+
+// Guards against agents that connect to upstreams while, without a configuration, they cannot tell them from hosts.
+TEST(accepted_configuration_is_in_force, first_start_leaves_upstreams_alone)
+{
+    auto limits = options();
+    limits.apply_configuration = false;
+    cluster it(limits);
+    it.publish_hosts();
+    const auto touched = [&] { return !it.ran().empty(); };
+    CHECK(!eventually(touched, milliseconds(1500)));
+    STRCMP_EQUAL("", it.apply().c_str());
+    CHECK(it.wait_joined());
+    CHECK(!touched());
+}
