Join through the host list only once a configuration tells hosts from upstreams

Cause: before the first configuration every entry of the host list was a seed, upstreams included. Change: the host list gives no seeds until a configuration is in force, and an agent with a host list and no configuration does not take itself for the only one.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -223,7 +223,8 @@
             const auto source = is_upstream ? upstream_source::hosts : upstream_source::entry_host;
             auto more = core.report_upstream(now, {upstream_id(it.id), source}, it.leaving);
             std::move(more.begin(), more.end(), std::back_inserter(out));
-            if (!is_upstream && !it.leaving && it.id != settings_.common.host.str() && !it.address.empty()) {
+            // Without a configuration, upstreams cannot be told from entry hosts, and nothing may connect to them.
+            if (has_configuration() && !is_upstream && !it.leaving && it.id != settings_.common.host.str() && !it.address.empty()) {
                 seeds.push_back(it.address);
             }
         }
@@ -232,10 +233,15 @@
     });
 }
 
+bool agent_daemon::has_configuration() const
+{
+    return follower_->accepted().generation > 0;
+}
+
 bool agent_daemon::may_publish() const
 {
     const auto& core = membership_->core();
-    const bool alone = follower_->hosts_asked() && !core.has_seeds();
+    const bool alone = follower_->hosts_asked() && !core.has_seeds() && (hosts_.empty() || has_configuration());
     const auto now = pool_.timers().now();
     return core.can_serve_state(now) && (core.has_joined() || alone || now - started_ >= join_wait);
 }
--- a/src/apps/agent/agent_daemon.h
+++ b/src/apps/agent/agent_daemon.h
@@ -34,6 +34,7 @@
     void roles_changed();
     /// Takes seeds and leaving hosts from the platform's host list.
     void use_hosts();
+    bool has_configuration() const;
     bool may_publish() const;
     void stop_requested();
     void exit_when_drained();
