--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -309,3 +309,19 @@
     }
     LONGS_EQUAL(0, refusals().size());
 }
+
+// Guards against refusals by a new owner whose view is older than the gateway's: it has no engines yet.
+TEST(scheduler_core_test, requests_that_arrive_before_the_engines_wait_for_them)
+{
+    core.on_gateway_count(1);
+    core.on_configuration(now, configuration, {});
+    run(milliseconds(5000));
+    for (int i = 1; i <= 10; ++i) {
+        ask(i, 0, work_class::urgent, milliseconds(5000));
+    }
+    run(milliseconds(500));
+    LONGS_EQUAL(0, refusals().size());
+    start(true);
+    LONGS_EQUAL(0, refusals().size());
+    LONGS_EQUAL(10, grants().size());
+}
