Predict no wait for a scheduler without engines

Cause: a new owner that had not yet applied the view with its engines predicted waits at one token a second and refused urgent requests as overloaded. Change: such requests are queued until the engines arrive, the deadline passes or the absence bound is reached.

--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -43,7 +43,9 @@
 std::optional<refusal> scheduler_core::early_refusal(instant now, engine_group& group, const grant_request& value,
                                                      double expected)
 {
-    if (!group.engines.empty() && absent(now, group)) {
+    // Without own engines nothing can be predicted: the view that names this scheduler is probably on its way.
+    const bool owns = !group.engines.empty();
+    if (owns && absent(now, group)) {
         const auto delay = group.drain.jittered(predicted_absence_s(now, group));
         return refusal{value.id, error_kind::no_upstream, delay};
     }
@@ -58,7 +60,7 @@
     const double longest_s = static_cast<double>(longest.count()) / milliseconds_per_second;
     const double wait_s = group.predicted_wait_s(value.organisation, value.urgency, expected);
     // An organisation without a backlog is always queued: the prediction for its first request is not certain.
-    if (wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
+    if (owns && wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
         return refusal{value.id, error_kind::overloaded, group.drain.jittered(wait_s - longest_s / 2)};
     }
     return std::nullopt;
