Test that a configuration larger than one platform value comes into force

Shows: with 37,000 organisations in ten files anvilleadctl config apply gets no decision within the 10 s that the test allows; the accepted object of about 7 MB is refused by the platform, whose values hold 1 MB. The test then wants a change of one file in force at each gateway within 6 s, and a host that starts during a platform outage served by its peers.

--- a/tests/invariants/in_force_test.cpp
+++ b/tests/invariants/in_force_test.cpp
@@ -51,6 +51,22 @@
     return true;
 }
 
+/// Writes the organisations of the two-year target: about 7 MB when merged, in files of half a megabyte.
+void write_many_organisations(cluster& it)
+{
+    constexpr int files = 10;
+    constexpr int organisations = 3700;
+    for (int file = 0; file < files; ++file) {
+        nlohmann::json list = nlohmann::json::array();
+        for (int i = 0; i < organisations; ++i) {
+            const auto name = fmt::format("organisation-{}-{:04}", file, i);
+            list.push_back({{"name", name}, {"weight", 1}, {"key_hashes", {anvillead::sha256_hex(name)}}});
+        }
+        it.directory().write(fmt::format("config/50-many-{}.json", file),
+                             nlohmann::json({{"organisations", list}}).dump());
+    }
+}
+
 } // namespace
 
 /// An accepted configuration is in force everywhere within 6 s with the platform up, and never reverts.
@@ -152,6 +168,29 @@
     CHECK(in_force_everywhere(it, 1));
 }
 
+// Guards against an accepted configuration that has to fit into one platform value of 1 MB or one message of 4 MiB:
+// it must be stored, spread, changed in part and, during an outage, handed to new processes.
+TEST(accepted_configuration_is_in_force, with_more_organisations_than_one_value_or_message_holds)
+{
+    cluster it(options());
+    write_many_organisations(it);
+    STRCMP_EQUAL("", it.apply().c_str());
+    STRCMP_EQUAL("", write_edit(it, 1).c_str());
+    CHECK(in_force_everywhere(it, 1));
+    it.fault("platform", {{"cut", true}});
+    for (const auto* name : {"gateway-2", "scheduler-2", "agent-2"}) {
+        it.kill(name);
+    }
+    for (const auto* name : {"agent-2", "scheduler-2", "gateway-2"}) {
+        it.restart(name);
+    }
+    CHECK(in_force_everywhere(it, 1));
+    const question value{new_input(), "clearance-check", 5};
+    const auto answer = it.client().ask(it.gateway(2), value);
+    CHECK(answer->wait_end());
+    STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+}
+
 // Guards against an outage that stops streams, idempotent work, limits or work with a bound key.
 TEST(accepted_configuration_is_in_force, platform_outage_leaves_everything_else_running)
 {
