Store and send the accepted document in parts named by their digest

Cause: the accepted object held the whole merged document: 7 MB at 37,000 organisations, where the platform's values are limited to 1 MB and link messages to 4 MiB, and every process got and parsed all of it for each change.

Change: the document is divided into parts of at most 256 KB whose ends depend on the names in them. The parts are written as parts/{digest} before the conditional update of accepted, which now holds their digests and versions. Agents and processes collect the parts that they lack (state_pull and state_push carry them, about 1 MB a message); the next accepting agent removes unused ones at the recorded version. Watchers wait for their turn before they list the folder and merge only when no other agent has accepted. The digest of a document is that of its parts' digests.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "apps/agent/control_traffic.h"
+#include "configuration/parts.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -62,9 +63,11 @@
 
 void agent_daemon::make_parts()
 {
-    puller_ = std::make_unique<peer_puller>(
-        pool_, sequence_, link_options_, counters_, [this] { return follower_->accepted().generation; },
-        [this](const state_push& value) { pushed(value); });
+    peer_puller::hooks pulls;
+    pulls.own_generation = [this] { return follower_->accepted().generation; };
+    pulls.missing = [this] { return follower_->parts().missing(part_pull_limit); };
+    pulls.on_push = [this](const state_push& value) { pushed(value); };
+    puller_ = std::make_unique<peer_puller>(pool_, sequence_, link_options_, counters_, std::move(pulls));
     membership_ = std::make_unique<membership_driver>(
         pool_, sequence_, settings_, self_, counters_,
         [this](const pull_state& it) { puller_->pull(it.address, it.members); },
@@ -79,6 +82,7 @@
     follower_ = std::make_unique<platform_follower>(pool_, sequence_, settings_, counters_, std::move(platform));
     local_publisher::hooks local;
     local.accepted = [this]() -> const accepted_configuration& { return follower_->accepted(); };
+    local.changed_parts = [this] { return follower_->parts().changed_texts(); };
     local.members = [this]() -> const membership& { return membership_->core(); };
     local.ready = [this] { return may_publish(); };
     local.on_roles = [this] { roles_changed(); };
@@ -141,7 +145,11 @@
 {
     const auto& accepted = follower_->accepted();
     if (!is_agent(link)) {
-        if (accepted.generation > value.have) {
+        if (!value.parts.empty()) {
+            state_push parts;
+            parts.parts = follower_->parts().texts(value.parts);
+            send_counted(*link, {accepted.generation, std::move(parts)}, counters_);
+        } else if (accepted.generation > value.have) {
             publisher_->asked(pool_.timers().now(), link, value.have);
         } else {
             pull_newest();
@@ -149,8 +157,12 @@
         return;
     }
     state_push out;
+    out.parts = follower_->parts().texts(value.parts);
     if (accepted.generation > value.have) {
         out.configuration = accepted;
+        if (value.parts.empty()) {
+            out.parts = follower_->parts().changed_texts();
+        }
     }
     if (value.members && membership_->core().can_serve_state(pool_.timers().now())) {
         for (const auto& [host, it] : membership_->core().table().entries()) {
@@ -182,8 +194,18 @@
 
 void agent_daemon::pushed(const state_push& value)
 {
-    if (value.configuration) {
-        follower_->on_peer(*value.configuration);
+    std::vector<part_ptr> parts;
+    for (const auto& it : value.parts) {
+        auto part = parse_part(it);
+        if (part) {
+            parts.push_back(std::move(part.value()));
+        } else {
+            counters_.add("messages_rejected_total");
+            log(log_level::warning, log_event::message_rejected, {{"problem", part.error().message}});
+        }
+    }
+    if (value.configuration || !parts.empty()) {
+        follower_->on_peer(value.configuration, parts);
     }
     if (!value.members.empty()) {
         membership_->apply(
--- a/src/apps/agent/local_publisher.cpp
+++ b/src/apps/agent/local_publisher.cpp
@@ -127,6 +127,7 @@
     view out;
     if (state.generation < accepted.generation) {
         out.configuration = accepted;
+        out.parts = hooks_.changed_parts();
     }
     // Drains are part of the configuration and marks may be about hosts; both change members without a new record.
     const bool full =
--- a/src/apps/agent/local_publisher.h
+++ b/src/apps/agent/local_publisher.h
@@ -20,6 +20,8 @@
     struct hooks
     {
         std::function<const accepted_configuration&()> accepted;
+        /// Texts of parts that go along with the accepted header.
+        std::function<std::vector<std::string>()> changed_parts;
         std::function<const membership&()> members;
         /// The member table is complete enough to replace what the processes already have.
         std::function<bool()> ready;
--- a/src/apps/agent/peer_puller.cpp
+++ b/src/apps/agent/peer_puller.cpp
@@ -16,10 +16,9 @@
 } // namespace
 
 peer_puller::peer_puller(worker_pool& pool, std::shared_ptr<isequence> sequence, link_options options,
-                         metrics& counters, std::function<config_generation()> own_generation,
-                         std::function<void(state_push)> on_push)
+                         metrics& counters, hooks callbacks)
     : pool_(pool), sequence_(std::move(sequence)), options_(std::move(options)), counters_(counters),
-      own_generation_(std::move(own_generation)), on_push_(std::move(on_push))
+      hooks_(std::move(callbacks))
 {}
 
 peer_puller::~peer_puller()
@@ -37,16 +36,22 @@
     link_handlers handlers;
     handlers.on_open = [this, members](const link_ptr& link) {
         sequence_->post([this, link, members] {
-            const auto generation = own_generation_();
-            send_counted(*link, {generation, state_pull{generation, members}}, counters_);
+            const auto generation = hooks_.own_generation();
+            send_counted(*link, {generation, state_pull{generation, members, {}}}, counters_);
         });
     };
-    handlers.on_message = [this, address](const link_ptr&, const std::string& payload) {
-        sequence_->post([this, address, payload] { received(address, payload); });
+    handlers.on_message = [this, address](const link_ptr& link, const std::string& payload) {
+        sequence_->post([this, address, link, payload] { received(address, link, payload); });
     };
-    auto& it = open_[address];
-    it.client = make_link_client(pool_, address, options_, std::move(handlers), counters_);
-    it.timeout = pool_.timers().after(pull_timeout, [this, address] {
+    open_[address].client = make_link_client(pool_, address, options_, std::move(handlers), counters_);
+    start_timeout(address);
+}
+
+void peer_puller::start_timeout(const std::string& address)
+{
+    auto& timeout = open_.at(address).timeout;
+    pool_.timers().cancel(timeout);
+    timeout = pool_.timers().after(pull_timeout, [this, address] {
         sequence_->post([this, address] {
             if (open_.count(address) != 0) {
                 counters_.add("state_pulls_failed_total");
@@ -56,7 +61,7 @@
     });
 }
 
-void peer_puller::received(const std::string& address, const std::string& payload)
+void peer_puller::received(const std::string& address, const link_ptr& link, const std::string& payload)
 {
     auto decoded = decode(payload);
     if (!decoded) {
@@ -66,10 +71,30 @@
         return;
     }
     count_received(decoded.value(), payload.size(), counters_);
-    if (auto* push = std::get_if<state_push>(&decoded.value().body)) {
+    if (const auto* push = std::get_if<state_push>(&decoded.value().body)) {
+        pushed(address, link, *push);
+    }
+}
+
+void peer_puller::pushed(const std::string& address, const link_ptr& link, const state_push& value)
+{
+    hooks_.on_push(value);
+    const auto it = open_.find(address);
+    if (it == open_.end()) {
+        return;
+    }
+    auto missing = hooks_.missing();
+    const bool is_other = !parts_from_.empty() && parts_from_ != address;
+    // A peer that answers without any of the parts has replaced them by those of another configuration.
+    if (missing.empty() || missing == it->second.asked || is_other) {
         finish(address);
-        on_push_(std::move(*push));
+        return;
     }
+    parts_from_ = address;
+    it->second.asked = missing;
+    start_timeout(address);
+    const auto generation = hooks_.own_generation();
+    send_counted(*link, {generation, state_pull{generation, false, std::move(missing)}}, counters_);
 }
 
 void peer_puller::finish(const std::string& address)
@@ -78,6 +103,9 @@
     if (it == open_.end()) {
         return;
     }
+    if (parts_from_ == address) {
+        parts_from_.clear();
+    }
     pool_.timers().cancel(it->second.timeout);
     retire_link_client(pool_, std::move(it->second.client));
     open_.erase(it);
--- a/src/apps/agent/platform_follower.cpp
+++ b/src/apps/agent/platform_follower.cpp
@@ -131,6 +131,32 @@
     });
 }
 
+void platform_follower::carry_out(const read_part& action)
+{
+    count("read_part");
+    platform_->get(parts_prefix + action.digest, [this, action](const result<platform_object>& current) {
+        carry_out(core_.on_part_read(pool_.timers().now(), action, current));
+    });
+}
+
+void platform_follower::carry_out(const write_part& action)
+{
+    count("write_part");
+    platform_->put(parts_prefix + action.part->digest, nlohmann::json::parse(action.part->text), action.if_version,
+                   [this, action](const result<std::uint64_t>& written) {
+                       carry_out(core_.on_part_written(pool_.timers().now(), action, written));
+                   });
+}
+
+void platform_follower::carry_out(const remove_part& action)
+{
+    count("remove_part");
+    platform_->remove(parts_prefix + action.part.digest, action.part.version,
+                      [this, action](const result<void>& removed) {
+                          carry_out(core_.on_part_removed(pool_.timers().now(), action, removed));
+                      });
+}
+
 void platform_follower::carry_out(const write_accepted& action)
 {
     count("write_accepted");
--- a/src/apps/agent/platform_follower.h
+++ b/src/apps/agent/platform_follower.h
@@ -29,8 +29,13 @@
                       metrics& counters, hooks callbacks);
 
     void start();
-    void on_peer(const accepted_configuration& value) { carry_out(core_.on_peer(value)); }
+    void on_peer(const std::optional<accepted_header>& header, const std::vector<part_ptr>& parts)
+    {
+        carry_out(core_.on_peer(header, parts));
+    }
     const accepted_configuration& accepted() const { return core_.accepted(); }
+    /// Parts in force and missing ones.
+    const part_collector& parts() const { return core_.parts(); }
     /// The host list was read or the attempt failed.
     bool hosts_asked() const { return hosts_asked_; }
 
@@ -42,6 +47,9 @@
     void carry_out(const watch_collection& action);
     void carry_out(const list_collection& action);
     void carry_out(const read_accepted& action);
+    void carry_out(const read_part& action);
+    void carry_out(const write_part& action);
+    void carry_out(const remove_part& action);
     void carry_out(const write_accepted& action);
     void carry_out(const apply_configuration& action);
     void carry_out(const write_status& action);
--- a/src/apps/agent/tests/local_publisher_test.cpp
+++ b/src/apps/agent/tests/local_publisher_test.cpp
@@ -55,6 +55,7 @@
     {
         local_publisher::hooks hooks;
         hooks.accepted = [this]() -> const accepted_configuration& { return accepted; };
+        hooks.changed_parts = [] { return std::vector<std::string>(); };
         hooks.members = [this]() -> const membership& { return core; };
         hooks.ready = [this] { return ready; };
         hooks.on_roles = [this] { ++role_changes; };
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "configuration/parts.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
@@ -17,6 +18,7 @@
 // within its 3 s bound although the local agent is paused.
 constexpr milliseconds silence_limit{1000};
 constexpr milliseconds generation_wait{2000};
+constexpr milliseconds ask_again{250};
 // websocketpp's connect and close handlers refer to the client for up to 5 s.
 constexpr milliseconds client_lifetime{15000};
 constexpr std::size_t waiting_limit = 4096;
@@ -156,17 +158,80 @@
         const std::lock_guard lock(mutex_);
         heard_ = pool_.timers().now();
     }
-    const auto generation = decoded.value().generation;
+    bool parts_arrived = false;
     if (auto* value = std::get_if<view>(&decoded.value().body)) {
         apply(std::move(*value));
+    } else if (const auto* push = std::get_if<state_push>(&decoded.value().body)) {
+        apply(*push);
+        parts_arrived = true;
     }
+    ask_newer(link, decoded.value().generation, parts_arrived);
+}
+
+void agent_link::ask_newer(const link_ptr& link, config_generation generation, bool parts_arrived)
+{
     const auto have = current()->configuration->generation;
-    if (generation > have) {
-        link->send(encode({have, state_pull{have, false}}));
+    if (generation <= have) {
+        return;
+    }
+    std::vector<std::string> missing;
+    {
+        const auto now = pool_.timers().now();
+        const std::lock_guard lock(parts_mutex_);
+        missing = collector_.missing(part_pull_limit);
+        if (parts_arrived && missing == asked_parts_) {
+            // The agent has replaced these parts by those of another configuration.
+            collector_.give_up();
+            missing.clear();
+        }
+        // Views arrive while parts are under way, and each would ask for the same parts again.
+        if (!parts_arrived && missing == asked_parts_ && now - asked_ < ask_again) {
+            return;
+        }
+        asked_ = now;
+        asked_parts_ = missing;
+    }
+    link->send(encode({have, state_pull{have, false, std::move(missing)}}));
+}
+
+std::optional<accepted_configuration> agent_link::collect(const std::optional<accepted_header>& header,
+                                                          const std::vector<std::string>& texts)
+{
+    std::vector<part_ptr> parts;
+    for (const auto& it : texts) {
+        const auto part = parse_part(it);
+        if (part) {
+            parts.push_back(part.value());
+        } else {
+            counters_.add("messages_rejected_total");
+            log(log_level::warning, log_event::message_rejected, {{"problem", part.error().message}});
+        }
+    }
+    const std::lock_guard lock(parts_mutex_);
+    if (header) {
+        collector_.offer(*header);
     }
+    for (const auto& it : parts) {
+        collector_.add(it);
+    }
+    return collector_.take();
 }
 
 void agent_link::apply(view value)
+{
+    auto complete = collect(value.configuration, value.parts);
+    replace(std::move(complete), std::move(value));
+}
+
+void agent_link::apply(const state_push& value)
+{
+    auto complete = collect(value.configuration, value.parts);
+    if (complete) {
+        replace(std::move(complete), std::nullopt);
+    }
+}
+
+void agent_link::replace(std::optional<accepted_configuration> configuration, std::optional<view> value)
 {
     auto next = std::make_shared<view_snapshot>();
     bool generation_changed = false;
@@ -174,14 +239,17 @@
     {
         const std::lock_guard lock(mutex_);
         *next = *current_;
-        if (value.configuration && value.configuration->generation > current_->configuration->generation) {
-            next->configuration = std::make_shared<accepted_configuration>(std::move(*value.configuration));
+        if (configuration && configuration->generation > current_->configuration->generation) {
+            next->configuration = std::make_shared<accepted_configuration>(std::move(*configuration));
             generation_changed = true;
         }
-        changed = generation_changed || !value.partial || !value.members.empty() ||
-                  value.leaving_upstreams != current_->leaving_upstreams;
-        next->leaving_upstreams = value.leaving_upstreams;
-        next->members = merge_members(current_->members, std::move(value));
+        changed = generation_changed;
+        if (value) {
+            changed = changed || !value->partial || !value->members.empty() ||
+                      value->leaving_upstreams != current_->leaving_upstreams;
+            next->leaving_upstreams = value->leaving_upstreams;
+            next->members = merge_members(current_->members, std::move(*value));
+        }
         if (changed) {
             current_ = next;
         }
@@ -214,7 +282,7 @@
         return;
     }
     counters_.add("generation_waits_total");
-    send_to_agents(state_pull{current()->configuration->generation, false});
+    send_to_agents(state_pull{current()->configuration->generation, false, {}});
     // The view may have arrived between the two steps above.
     for (const auto& it : take_ready_tasks(pool_.timers().now())) {
         it();
--- a/src/apps/common/agent_link.h
+++ b/src/apps/common/agent_link.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
+#include "configuration/part_collector.h"
 #include "messages/types/messages.h"
 #include "transport/ilink.h"
 
@@ -55,7 +57,14 @@
 
     link_handlers make_handlers(bool is_backup);
     void received(const link_ptr& link, const std::string& payload, bool is_backup);
+    /// Takes over a header and parts; the configuration, once it is complete.
+    std::optional<accepted_configuration> collect(const std::optional<accepted_header>& header,
+                                                  const std::vector<std::string>& texts);
     void apply(view value);
+    void apply(const state_push& value);
+    /// Replaces the view. The configuration is used only when its generation is above the present one.
+    void replace(std::optional<accepted_configuration> configuration, std::optional<view> value);
+    void ask_newer(const link_ptr& link, config_generation generation, bool parts_arrived);
     void send_report(const link_ptr& link);
     void send_to_agents(const message& value);
     void tick();
@@ -67,6 +76,11 @@
     std::string address_;
     link_options options_;
     metrics& counters_;
+    ranked_mutex parts_mutex_{lock_rank::configuration_parts};
+    part_collector collector_;
+    /// When a configuration or its parts were last asked for, and the parts.
+    instant asked_{};
+    std::vector<std::string> asked_parts_;
     mutable ranked_mutex mutex_{lock_rank::configuration};
     view_ptr current_ = std::make_shared<view_snapshot>();
     process_report report_;
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -7,6 +7,9 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include "configuration/parts.h"
+#include "core/crypto.h"
+
 namespace anvillead {
 
 namespace {
@@ -17,6 +20,7 @@
 constexpr milliseconds turn_length{500};
 // A set that stays incomplete longer than one upload takes is reported to the operators.
 constexpr milliseconds incomplete_after{3000};
+constexpr std::size_t reads_limit = 8;
 
 json problems_to_json(const std::vector<field_problem>& problems)
 {
@@ -60,8 +64,19 @@
     if (step_ == step::waiting && now >= not_before_) {
         take_turn();
     } else if (step_ == step::idle && role_.watches && now >= not_before_) {
+        if (has_waited_ && accepted_.collection_revision >= watched_revision_) {
+            // Another agent accepted this revision, and a peer sent the result.
+            listed_revision_ = watched_revision_;
+            list_needed_ = false;
+            incomplete_reported_ = true;
+            has_waited_ = false;
+        }
+        if (list_needed_ && now < list_after_) {
+            return take_actions();
+        }
         step_ = step::calling;
         if (list_needed_) {
+            list_asked_ = now;
             actions_.emplace_back(list_collection{});
         } else {
             actions_.emplace_back(watch_collection{listed_revision_});
@@ -84,8 +99,13 @@
     if (!revision) {
         retry_later(now);
     } else if (revision.value() > listed_revision_) {
+        // A listing holds all files, so agents that come later in turn wait before they ask for it.
         list_needed_ = true;
+        has_waited_ = true;
+        watched_revision_ = revision.value();
+        not_before_ = has_waited_ ? now : now + turn_length * static_cast<int>(role_.rank);
     }
+    has_waited_ = false;
     return take_actions();
 }
 
@@ -105,9 +125,12 @@
     list_needed_ = false;
     listed_revision_ = listing.value().revision;
     listed_at_ = now;
-    candidate_ = read_collection(listing.value());
+    // While files are being written, listings take at most half of the time whatever their size.
+    list_after_ = now + (now - list_asked_);
+    candidate_ = check_collection(listing.value());
     incomplete_reported_ = candidate_.state != collection_state::incomplete;
-    if (candidate_.state == collection_state::valid || candidate_.state == collection_state::rejected) {
+    if (candidate_.state == collection_state::unmerged) {
+        listing_ = listing.value();
         step_ = step::waiting;
         not_before_ = now + turn_length * static_cast<int>(role_.rank);
     }
@@ -116,13 +139,6 @@
 
 void acceptance::take_turn()
 {
-    if (candidate_.state == collection_state::rejected) {
-        actions_.emplace_back(write_status{status(candidate_, "rejected", accepted_.generation)});
-        const auto entry = audit_entry(accepted_, nullptr);
-        actions_.emplace_back(write_audit{audit_name(entry), entry});
-        step_ = step::idle;
-        return;
-    }
     if (accepted_.collection_revision >= candidate_.revision) {
         finish();
         return;
@@ -131,6 +147,21 @@
     actions_.emplace_back(read_accepted{});
 }
 
+void acceptance::merge_candidate()
+{
+    if (candidate_.state == collection_state::unmerged) {
+        merge_collection(candidate_, std::exchange(listing_, {}));
+    }
+}
+
+void acceptance::reject()
+{
+    actions_.emplace_back(write_status{status(candidate_, "rejected", accepted_.generation)});
+    const auto entry = audit_entry(accepted_, nullptr);
+    actions_.emplace_back(write_audit{audit_name(entry), entry});
+    step_ = step::idle;
+}
+
 acceptance_actions acceptance::on_accepted(instant now, const result<platform_object>& current)
 {
     if (!current && current.error().kind != error_kind::not_found) {
@@ -139,40 +170,142 @@
         retry_later(now);
         return take_actions();
     }
-    accepted_configuration before;
+    accepted_header before;
     if (current) {
         const auto parsed = parse_accepted(current.value().value);
-        before = parsed ? parsed.value() : accepted_configuration();
+        before = parsed ? parsed.value() : accepted_header();
         before.generation = std::max(before.generation, raw_generation(current.value().value));
     }
     if (before.collection_revision >= candidate_.revision) {
-        apply(std::move(before));
+        follow(before);
+        return take_actions();
+    }
+    // Merging is the largest cost of a change; the agents that come later in turn mostly have no need to.
+    merge_candidate();
+    if (candidate_.state == collection_state::rejected) {
+        reject();
+    } else {
+        propose(now, before, current ? current.value().version : 0);
+    }
+    return take_actions();
+}
+
+void acceptance::follow(const accepted_header& header)
+{
+    collector_.offer(header);
+    ++attempt_;
+    reading_.clear();
+    fetch();
+}
+
+void acceptance::fetch()
+{
+    apply_collected();
+    if (collector_.pending() == 0) {
         finish();
+        return;
+    }
+    step_ = step::fetching;
+    for (const auto& it : collector_.missing(reads_limit)) {
+        if (reading_.size() < reads_limit && reading_.insert(it).second) {
+            actions_.emplace_back(read_part{attempt_, it});
+        }
+    }
+}
+
+acceptance_actions acceptance::on_part_read(instant now, const read_part& call, const result<platform_object>& current)
+{
+    if (step_ == step::storing) {
+        writer_.on_read(call.attempt, call.digest, current);
+        store(now);
+    }
+    if (step_ != step::fetching || call.attempt != attempt_) {
         return take_actions();
     }
-    propose(before, current ? current.value().version : 0);
+    reading_.erase(call.digest);
+    const auto part = current ? parse_part(current.value().value.dump()) : result<part_ptr>(current.error());
+    if (!part || part.value()->digest != call.digest) {
+        // A part that is gone belongs to a configuration that was replaced meanwhile.
+        collector_.give_up();
+        list_needed_ = true;
+        retry_later(now);
+        return take_actions();
+    }
+    collector_.add(part.value());
+    fetch();
     return take_actions();
 }
 
-void acceptance::propose(const accepted_configuration& current, std::uint64_t version)
+acceptance_actions acceptance::on_part_written(instant now, const write_part& call,
+                                               const result<std::uint64_t>& written)
 {
+    if (step_ == step::storing) {
+        writer_.on_written(call.attempt, call.part->digest, written);
+        store(now);
+    }
+    return take_actions();
+}
+
+acceptance_actions acceptance::on_part_removed(instant now, const remove_part& call, const result<void>& removed)
+{
+    if (step_ == step::storing) {
+        writer_.on_removed(call.attempt, call.part, removed);
+        store(now);
+    }
+    return take_actions();
+}
+
+void acceptance::store(instant now)
+{
+    for (auto& it : writer_.next()) {
+        actions_.push_back(std::move(it));
+    }
+    if (writer_.current() == part_writer::state::failed) {
+        writer_.abandon();
+        list_needed_ = true;
+        retry_later(now);
+    } else if (writer_.current() == part_writer::state::done) {
+        proposed_.parts = writer_.parts();
+        proposed_.unused = writer_.unused();
+        step_ = step::calling;
+        actions_.emplace_back(write_accepted{proposed_, base_version_});
+    }
+}
+
+void acceptance::propose(instant now, const accepted_header& current, std::uint64_t version)
+{
+    std::vector<part_ptr> parts;
+    for (const auto& text : candidate_.parts) {
+        auto part = collector_.find(sha256_hex(text));
+        if (!part) {
+            const auto parsed = parse_part(text);
+            if (!parsed) {
+                // The merged files were valid, so this is a fault of the program; nothing may be accepted.
+                retry_later(now);
+                return;
+            }
+            part = parsed.value();
+            collector_.keep(part);
+        }
+        parts.push_back(std::move(part));
+    }
     proposed_ = {};
     proposed_.generation = std::max(current.generation, accepted_.generation) + 1;
     proposed_.collection_revision = candidate_.revision;
     proposed_.digest = candidate_.digest;
     proposed_.files = candidate_.files;
-    proposed_.merged = candidate_.merged;
     proposed_.audit = audit_entry(current, &proposed_).dump();
-    step_ = step::calling;
-    actions_.emplace_back(write_accepted{proposed_, version});
+    base_version_ = version;
+    writer_.begin(++attempt_, current, version, parts);
+    step_ = step::storing;
+    store(now);
 }
 
 acceptance_actions acceptance::on_written(instant now, const result<std::uint64_t>& written)
 {
     if (written) {
         actions_.emplace_back(write_status{status(candidate_, "accepted", proposed_.generation)});
-        apply(proposed_);
-        finish();
+        follow(proposed_);
     } else if (written.error().kind == error_kind::conflict) {
         actions_.emplace_back(read_accepted{});
     } else {
@@ -193,22 +326,32 @@
     }
 }
 
-acceptance_actions acceptance::on_peer(const accepted_configuration& value)
+acceptance_actions acceptance::on_peer(const std::optional<accepted_header>& header, const std::vector<part_ptr>& parts)
 {
-    apply(value);
+    if (header) {
+        collector_.offer(*header);
+    }
+    for (const auto& it : parts) {
+        collector_.add(it);
+    }
+    if (step_ == step::fetching) {
+        fetch();
+    } else {
+        apply_collected();
+    }
     return take_actions();
 }
 
-void acceptance::apply(accepted_configuration value)
+void acceptance::apply_collected()
 {
-    if (value.generation <= accepted_.generation) {
-        return;
+    auto next = collector_.take();
+    if (next) {
+        accepted_ = std::move(*next);
+        actions_.emplace_back(apply_configuration{accepted_});
     }
-    accepted_ = std::move(value);
-    actions_.emplace_back(apply_configuration{accepted_});
 }
 
-json acceptance::audit_entry(const accepted_configuration& before, const accepted_configuration* next) const
+json acceptance::audit_entry(const accepted_header& before, const accepted_header* next) const
 {
     return {{"number", candidate_.revision},
             {"outcome", next == nullptr ? "rejected" : "accepted"},
--- a/src/configuration/internal/manifest.cpp
+++ b/src/configuration/internal/manifest.cpp
@@ -1,5 +1,6 @@
 #include "configuration/manifest.h"
 
+#include "configuration/parts.h"
 #include "core/crypto.h"
 
 namespace anvillead {
@@ -25,6 +26,21 @@
     }
 }
 
+std::string file_name(const platform_object& value)
+{
+    return value.name.substr(std::string_view(config_prefix).size());
+}
+
+/// Digest of a document that is divided into these parts.
+std::string digest_of(const std::vector<std::string>& parts)
+{
+    std::string digests;
+    for (const auto& it : parts) {
+        digests += sha256_hex(it);
+    }
+    return sha256_hex(digests);
+}
+
 } // namespace
 
 json to_json(const config_manifest& value)
@@ -87,11 +103,10 @@
     return out;
 }
 
-collection_view read_collection(const platform_listing& listing)
+collection_view check_collection(const platform_listing& listing)
 {
     collection_view out;
     out.revision = listing.revision;
-    config_files texts;
     bool has_manifest = false;
     for (const auto& it : listing.objects) {
         if (it.name == manifest_object) {
@@ -104,9 +119,8 @@
             }
             continue;
         }
-        const auto name = it.name.substr(std::string_view(config_prefix).size());
+        const auto name = file_name(it);
         if (is_file(name)) {
-            texts[name] = it.value.dump();
             out.files[name] = content_digest(it.value);
         }
     }
@@ -115,16 +129,37 @@
     }
     if (!out.problems.empty()) {
         out.state = collection_state::incomplete;
-        return out;
+    } else if (!out.files.empty()) {
+        out.state = collection_state::unmerged;
+    }
+    return out;
+}
+
+void merge_collection(collection_view& value, const platform_listing& listing)
+{
+    std::map<std::string, const json*> files;
+    for (const auto& it : listing.objects) {
+        const auto name = file_name(it);
+        if (value.files.count(name) != 0) {
+            files[name] = &it.value;
+        }
     }
-    if (texts.empty()) {
-        return out;
+    auto merged = merge_values(files);
+    value.problems = std::move(merged.problems);
+    value.state = value.problems.empty() ? collection_state::valid : collection_state::rejected;
+    if (value.problems.empty()) {
+        value.parts = split_document(merged.merged);
+        value.digest = digest_of(value.parts);
+    }
+    value.merged = std::move(merged.merged);
+}
+
+collection_view read_collection(const platform_listing& listing)
+{
+    auto out = check_collection(listing);
+    if (out.state == collection_state::unmerged) {
+        merge_collection(out, listing);
     }
-    auto merged = merge_files(texts);
-    out.problems = std::move(merged.problems);
-    out.state = out.problems.empty() ? collection_state::valid : collection_state::rejected;
-    out.digest = out.problems.empty() ? content_digest(to_json(merged.merged)) : std::string();
-    out.merged = std::move(merged.merged);
     return out;
 }
 
--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -251,6 +251,11 @@
             {"key_hashes", value.key_hashes}};
 }
 
+json to_json(const model& value)
+{
+    return {{"name", value.name.str()}, {"context_tokens", value.context.count}};
+}
+
 json to_json(const workload& value)
 {
     return {{"name", value.name.str()},
@@ -290,58 +295,58 @@
     return out;
 }
 
-json to_json(const document& value)
+merge_result merge_values(const std::map<std::string, const json*>& files)
 {
-    json out = {{"services", json::array()},
-                {"organisations", json::array()},
-                {"workloads", json::array()},
-                {"models", json::array()},
-                {"drains", {{"hosts", id_array(value.drains.hosts)}, {"upstreams", id_array(value.drains.upstreams)}}}};
-    for (const auto& it : value.services) {
-        out["services"].push_back(to_json(it));
+    merge_result out;
+    file_merger merger(out);
+    for (const auto& [name, value] : files) {
+        merger.merge(*value, name);
     }
-    for (const auto& it : value.organisations) {
-        out["organisations"].push_back(to_json(it));
+    merger.check_references();
+    out.merged.index_keys();
+    return out;
+}
+
+merge_result parse_items(const json& value, const std::string& source)
+{
+    merge_result out;
+    file_merger(out).merge(value, source);
+    return out;
+}
+
+std::vector<document_item> items_of(const document& value)
+{
+    std::vector<document_item> out;
+    for (const auto& it : value.services) {
+        out.push_back({"services", it.name.str(), to_json(it)});
     }
     for (const auto& it : value.workloads) {
-        out["workloads"].push_back(to_json(it));
+        out.push_back({"workloads", it.name.str(), to_json(it)});
     }
     for (const auto& it : value.models) {
-        out["models"].push_back({{"name", it.name.str()}, {"context_tokens", it.context.count}});
+        out.push_back({"models", it.name.str(), to_json(it)});
+    }
+    for (const auto& it : value.organisations) {
+        out.push_back({"organisations", it.id.str(), to_json(it)});
     }
     return out;
 }
 
-json to_json(const accepted_configuration& value)
+json to_json(const drain_list& value)
 {
-    return {{"generation", value.generation}, {"collection_revision", value.collection_revision},
-            {"digest", value.digest},         {"files", value.files},
-            {"audit", value.audit},           {"document", to_json(value.merged)}};
+    return {{"hosts", id_array(value.hosts)}, {"upstreams", id_array(value.upstreams)}};
 }
 
-result<accepted_configuration> parse_accepted(const json& value)
+json to_json(const document& value)
 {
-    std::vector<field_problem> problems;
-    accepted_configuration out;
-    field_reader reader(value, "accepted", "", problems);
-    out.generation = static_cast<config_generation>(reader.number("generation", {0, INT64_MAX}));
-    out.collection_revision = static_cast<std::uint64_t>(reader.number("collection_revision", {0, INT64_MAX}));
-    out.digest = reader.text_or("digest", "");
-    for (const auto& it : reader.object_or_empty("files").items()) {
-        if (it.value().is_string()) {
-            out.files[it.key()] = it.value().get<std::string>();
-        }
-    }
-    const auto& audit = reader.any_or_null("audit");
-    out.audit = audit.is_string() ? audit.get<std::string>() : std::string();
-    auto merged = parse_document(reader.object_or_empty("document"), "accepted");
-    reader.reject_unknown();
-    problems.insert(problems.end(), merged.problems.begin(), merged.problems.end());
-    const auto checked = problems_to_result(problems);
-    if (!checked) {
-        return checked.error();
+    json out = {{"services", json::array()},
+                {"organisations", json::array()},
+                {"workloads", json::array()},
+                {"models", json::array()},
+                {"drains", to_json(value.drains)}};
+    for (auto& it : items_of(value)) {
+        out[it.section].push_back(std::move(it.value));
     }
-    out.merged = std::move(merged.merged);
     return out;
 }
 
--- a/src/configuration/manifest.h
+++ b/src/configuration/manifest.h
@@ -15,6 +15,7 @@
 inline constexpr const char* config_prefix = "config/";
 inline constexpr const char* manifest_object = "config/manifest";
 inline constexpr const char* accepted_object = "accepted";
+inline constexpr const char* parts_prefix = "parts/";
 inline constexpr const char* status_object = "status/configuration";
 inline constexpr const char* audit_prefix = "audit/";
 
@@ -46,7 +47,9 @@
     /// The files do not match the manifest: an operator's change is under way or was interrupted.
     incomplete,
     rejected,
-    valid
+    valid,
+    /// The files match the manifest and are not merged yet.
+    unmerged
 };
 
 /// What the `config/` collection contains at one revision.
@@ -55,12 +58,19 @@
     collection_state state = collection_state::empty;
     std::uint64_t revision = 0;
     document merged;
+    /// Texts of the parts of a valid collection.
+    std::vector<std::string> parts;
+    /// Digest of the parts.
     std::string digest;
     std::map<std::string, std::string> files;
     config_manifest manifest;
     std::vector<field_problem> problems;
 };
 
+/// Checks a listing against its manifest: `empty`, `incomplete` or `unmerged`.
+collection_view check_collection(const platform_listing& listing);
+/// Merges the files of an unmerged collection: `rejected` or `valid`.
+void merge_collection(collection_view& value, const platform_listing& listing);
 /// Checks a listing against its manifest and merges the files. A collection without a manifest counts as complete.
 collection_view read_collection(const platform_listing& listing);
 
--- a/src/configuration/types/acceptance_action.h
+++ b/src/configuration/types/acceptance_action.h
@@ -22,10 +22,32 @@
 struct read_accepted
 {};
 
+/// Reads the platform object of a part. The answer names the same attempt.
+struct read_part
+{
+    std::uint64_t attempt = 0;
+    std::string digest;
+};
+
+/// Conditional write of the platform object of a part.
+struct write_part
+{
+    std::uint64_t attempt = 0;
+    part_ptr part;
+    std::uint64_t if_version = 0;
+};
+
+/// Conditional removal of a part that no header in force names.
+struct remove_part
+{
+    std::uint64_t attempt = 0;
+    part_reference part;
+};
+
 /// Conditional update of the `accepted` object.
 struct write_accepted
 {
-    accepted_configuration value;
+    accepted_header value;
     std::uint64_t if_version = 0;
 };
 
@@ -48,8 +70,8 @@
     nlohmann::json value;
 };
 
-using acceptance_action = std::variant<watch_collection, list_collection, read_accepted, write_accepted,
-                                       apply_configuration, write_status, write_audit>;
+using acceptance_action = std::variant<watch_collection, list_collection, read_accepted, read_part, write_part,
+                                       remove_part, write_accepted, apply_configuration, write_status, write_audit>;
 using acceptance_actions = std::vector<acceptance_action>;
 
 /// This agent's part in following the platform, from the live members in rendezvous order.
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -104,17 +106,47 @@
     const organisation* authenticate(const std::string& bearer_key) const;
 };
 
-/// An accepted document. `generation` 0 means that none was accepted yet.
-struct accepted_configuration
+/// A section of the document's canonical JSON that is stored and sent on its own, named by the digest of its text.
+struct configuration_part
+{
+    std::string digest;
+    std::string text;
+    /// The items of this part only; references to items of other parts are not checked.
+    document content;
+};
+
+using part_ptr = std::shared_ptr<const configuration_part>;
+
+/// Names a part and the version of its platform object.
+struct part_reference
+{
+    std::string digest;
+    std::uint64_t version = 0;
+};
+
+/// The `accepted` object: everything about an accepted document except its content. `generation` 0 means that none was
+/// accepted yet.
+struct accepted_header
 {
     config_generation generation = 0;
     std::uint64_t collection_revision = 0;
     std::string digest;
-    document merged;
     /// Digest of each file that was merged.
     std::map<std::string, std::string> files;
     /// The audit entry of this change as JSON text. It travels with the object, so that any agent can record it.
     std::string audit;
+    /// The parts of the document in merge order.
+    std::vector<part_reference> parts;
+    /// Parts that only earlier headers name. The agent that accepts the next change removes them.
+    std::vector<part_reference> unused;
+};
+
+/// An accepted document with its content.
+struct accepted_configuration : accepted_header
+{
+    document merged;
+    /// In the order of `parts`.
+    std::vector<part_ptr> contents;
 };
 
 } // namespace anvillead
--- a/src/core/ranked_mutex.h
+++ b/src/core/ranked_mutex.h
@@ -7,6 +7,7 @@
 /// Order in which one thread may take mutexes: strictly rising. docs/design.md section 5.8 lists the tables.
 enum class lock_rank
 {
+    configuration_parts = 5,
     configuration = 10,
     members = 20,
     grants = 30,
--- a/src/messages/internal/codec.cpp
+++ b/src/messages/internal/codec.cpp
@@ -66,8 +66,7 @@
     out.link_address = optional_text(reader, "link");
 }
 
-void read_configuration(field_reader& reader, std::vector<field_problem>& problems,
-                        std::optional<accepted_configuration>& out)
+void read_configuration(field_reader& reader, std::vector<field_problem>& problems, std::optional<accepted_header>& out)
 {
     const auto& value = reader.any_or_null("configuration");
     if (value.is_null()) {
@@ -85,7 +84,8 @@
 {
     json out = {{"members", items_to_json(value.members)},
                 {"partial", value.partial},
-                {"leaving_upstreams", ids_to_json(value.leaving_upstreams)}};
+                {"leaving_upstreams", ids_to_json(value.leaving_upstreams)},
+                {"parts", value.parts}};
     if (value.configuration) {
         out["configuration"] = to_json(*value.configuration);
     }
@@ -98,6 +98,7 @@
     out.members = read_items<member>(reader, "members", problems, read_member);
     out.partial = reader.flag_or("partial", false);
     out.leaving_upstreams = read_ids<upstream_id>(reader, "leaving_upstreams");
+    out.parts = reader.texts_or_empty("parts");
 }
 
 json to_json(const upstream_report& value)
@@ -313,18 +314,21 @@
 
 json to_json(const state_pull& value)
 {
-    return {{"have", value.have}, {"members", value.members}};
+    return {{"have", value.have}, {"members", value.members}, {"parts", value.parts}};
 }
 
 void read(field_reader& reader, std::vector<field_problem>&, state_pull& out)
 {
     out.have = static_cast<config_generation>(reader.number("have", any_number));
     out.members = reader.flag_or("members", false);
+    out.parts = reader.texts_or_empty("parts");
 }
 
 json to_json(const state_push& value)
 {
-    json out = {{"members", items_to_json(value.members)}, {"upstreams", items_to_json(value.upstreams)}};
+    json out = {{"members", items_to_json(value.members)},
+                {"upstreams", items_to_json(value.upstreams)},
+                {"parts", value.parts}};
     if (value.configuration) {
         out["configuration"] = to_json(*value.configuration);
     }
@@ -336,6 +340,7 @@
     read_configuration(reader, problems, out.configuration);
     out.members = read_items<member>(reader, "members", problems, read_member);
     out.upstreams = read_items<upstream_mark>(reader, "upstreams", problems, read_mark);
+    out.parts = reader.texts_or_empty("parts");
 }
 
 // Wire names in the order of the variant's alternatives.
--- a/src/messages/types/messages.h
+++ b/src/messages/types/messages.h
@@ -31,12 +31,14 @@
 struct view
 {
     /// Absent when the receiver already has the generation in the envelope.
-    std::optional<accepted_configuration> configuration;
+    std::optional<accepted_header> configuration;
     /// All members, or with `partial` those that changed since the previous view on the same link.
     std::vector<member> members;
     bool partial = false;
     /// Upstreams that get no new work: the union of all reports.
     std::vector<upstream_id> leaving_upstreams;
+    /// Texts of configuration parts that the receiver probably lacks.
+    std::vector<std::string> parts;
 };
 
 /// Gateway or scheduler to its local agent: an upstream said that it is leaving, or that a leaving one is back.
@@ -155,18 +157,22 @@
 };
 
 /// Asks an agent for the accepted configuration when it is newer than `have`. Agents also ask each other for the
-/// member table; gateways and schedulers get a `view` as answer.
+/// member table; gateways and schedulers get a `view` as answer. Parts that are asked for come in a `state_push`.
 struct state_pull
 {
     config_generation have = 0;
     bool members = false;
+    /// Digests of configuration parts.
+    std::vector<std::string> parts;
 };
 
 struct state_push
 {
-    std::optional<accepted_configuration> configuration;
+    std::optional<accepted_header> configuration;
     std::vector<member> members;
     std::vector<upstream_mark> upstreams;
+    /// Texts of configuration parts: as many of those asked for as one message holds.
+    std::vector<std::string> parts;
 };
 
 /// Part of each membership datagram: what its sender spreads.
