Separate finding a caller's response from serving it

Cause: gateway_daemon::existing_response authenticated, decoded, checked the owner and served in one function of 45 lines. Change: find_response does the first three; no change of behaviour.

--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -29,6 +29,11 @@
     return text.substr(0, prefix.size()) == prefix;
 }
 
+bool ends_with(std::string_view text, std::string_view suffix)
+{
+    return text.size() >= suffix.size() && text.substr(text.size() - suffix.size()) == suffix;
+}
+
 /// A refusal before anything was looked up. An earlier arrival of the request's key may have run.
 error refused_unread(const http_request& request, error_kind kind, const char* message)
 {
@@ -154,25 +159,33 @@
     context_->keyed->start(std::move(parsed.value()), view, exchange);
 }
 
-void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+result<response_location> gateway_daemon::find_response(const http_request& request, std::string_view id,
+                                                        const document& configuration) const
 {
-    const auto view = agent_->current();
-    const auto& configuration = view->configuration->merged;
     const auto owner = authenticate_caller(request, configuration);
     if (!owner) {
-        reply_error(*exchange, owner.error());
-        return;
+        return owner.error();
     }
+    auto location = ids_.decode(id);
+    // An id of another organisation gets the same answer as an unknown one.
+    if (!location || location.value().organisation != owner.value()->id) {
+        return make_error(error_kind::not_found, "no response with this id");
+    }
+    return location;
+}
+
+void gateway_daemon::existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto view = agent_->current();
+    const auto& configuration = view->configuration->merged;
     auto id = request.path().substr(responses_path.size());
-    const bool cancel =
-        id.size() > cancel_suffix.size() && id.substr(id.size() - cancel_suffix.size()) == cancel_suffix;
+    const bool cancel = ends_with(id, cancel_suffix);
     if (cancel) {
         id.remove_suffix(cancel_suffix.size());
     }
-    const auto location = ids_.decode(id);
-    // An id of another organisation gets the same answer as an unknown one.
-    if (!location || location.value().organisation != owner.value()->id) {
-        reply_error(*exchange, make_error(error_kind::not_found, "no response with this id"));
+    const auto location = find_response(request, id, configuration);
+    if (!location) {
+        reply_error(*exchange, location.error());
         return;
     }
     const auto* engine = configuration.find_upstream(location.value().engine);
@@ -180,7 +193,7 @@
         reply_error(*exchange, make_error(error_kind::generation_lost, "the engine is no longer part of the service"));
         return;
     }
-    if ((cancel && request.method != "POST") || (!cancel && request.method != "GET")) {
+    if (request.method != (cancel ? "POST" : "GET")) {
         reply_error(*exchange, make_error(error_kind::invalid_request, "the method is not allowed for this path"));
         return;
     }
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -28,6 +28,9 @@
 private:
     void handle(http_request request, const std::shared_ptr<ihttp_exchange>& exchange);
     void create_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
+    /// The response with this id when it belongs to the caller.
+    result<response_location> find_response(const http_request& request, std::string_view id,
+                                            const document& configuration) const;
     void existing_response(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
     void fetch_response(const response_location& location, const std::string& address, bool cancel,
                         const std::shared_ptr<ihttp_exchange>& exchange);
