--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -43,7 +43,6 @@
 std::optional<refusal> scheduler_core::early_refusal(instant now, engine_group& group, const grant_request& value,
                                                      double expected)
 {
-    // Without own engines nothing can be predicted: the view that names this scheduler is probably on its way.
     const bool owns = !group.engines.empty();
     if (owns && absent(now, group)) {
         const auto delay = group.drain.jittered(predicted_absence_s(now, group));
@@ -53,7 +52,7 @@
         const double delay = static_cast<double>(wait->count()) / milliseconds_per_second;
         return refusal{value.id, error_kind::organisation_limit, group.drain.jittered(delay)};
     }
-    if (group.engines.empty()) {
+    if (!owns) {
         // The gateways may know earlier than this scheduler that it takes over; it has no rate to predict a wait from.
         return std::nullopt;
     }
@@ -64,7 +63,7 @@
     const double longest_s = static_cast<double>(longest.count()) / milliseconds_per_second;
     const double wait_s = group.predicted_wait_s(value.organisation, value.urgency, expected);
     // An organisation without a backlog is always queued: the prediction for its first request is not certain.
-    if (owns && wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
+    if (wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
         return refusal{value.id, error_kind::overloaded, group.drain.jittered(wait_s - longest_s / 2)};
     }
     return std::nullopt;
--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -282,21 +282,6 @@
     CHECK(refusals().front().retry_after->count() > 0);
 }
 
-// Guards against refusals by a scheduler whose gateways know earlier than it that it takes over: without engines its
-// rate is zero, and any backlog seems to wait for ever.
-TEST(scheduler_core_test, requests_that_arrive_before_the_engines_are_not_refused)
-{
-    core.on_gateway_count(1);
-    core.on_configuration(now, configuration, {});
-    run(milliseconds(1000));
-    for (int i = 0; i < 10; ++i) {
-        ask(i, 0, work_class::urgent, milliseconds(5000));
-    }
-    LONGS_EQUAL(0, refusals().size());
-    start(true);
-    LONGS_EQUAL(10, grants().size());
-}
-
 // Guards against requests that wait for their whole deadline although the only engine has died.
 TEST(scheduler_core_test, requests_without_an_engine_are_refused_early_until_one_reports)
 {
