--- a/tests/invariants/region_lost_test.cpp
+++ b/tests/invariants/region_lost_test.cpp
@@ -72,6 +72,7 @@
 {
     const question value{new_input(), "appointment", 5, key};
     std::vector<stream::ptr> answers;
+    answers.reserve(everybody.size());
     for (const int host : everybody) {
         answers.push_back(it.client().ask(it.gateway(host), value));
     }
