--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -246,7 +246,8 @@
             auto more = core.report_upstream(now, {upstream_id(it.id), source}, it.leaving);
             std::move(more.begin(), more.end(), std::back_inserter(out));
             // Without a configuration, upstreams cannot be told from entry hosts, and nothing may connect to them.
-            if (has_configuration() && !is_upstream && !it.leaving && it.id != settings_.common.host.str() && !it.address.empty()) {
+            if (has_configuration() && !is_upstream && !it.leaving && it.id != settings_.common.host.str() &&
+                !it.address.empty()) {
                 seeds.push_back(it.address);
             }
         }
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -51,9 +51,7 @@
 {
     const auto options = make_link_options(settings_.common, "scheduler", new_incarnation());
     link_handlers handlers;
-    handlers.on_open = [this](const link_ptr& link) {
-        sequence_->post([this, link] { gateways_.opened(link); });
-    };
+    handlers.on_open = [this](const link_ptr& link) { sequence_->post([this, link] { gateways_.opened(link); }); };
     handlers.on_message = [this](const link_ptr& link, const std::string& payload) { received(link, payload); };
     handlers.on_closed = [this](const link_ptr& link) {
         sequence_->post([this, link] {
--- a/src/transport/internal/link_server.cpp
+++ b/src/transport/internal/link_server.cpp
@@ -31,8 +31,7 @@
         server_.listen(parse_endpoint(address), ec);
         if (ec) {
             // websocketpp does not tell the cause; this is the usual one.
-            throw std::system_error(std::make_error_code(std::errc::address_in_use),
-                                    "cannot listen on " + address);
+            throw std::system_error(std::make_error_code(std::errc::address_in_use), "cannot listen on " + address);
         }
         server_.start_accept();
     }
