Count control traffic by kind in every daemon

Cause: only the agent counted bytes and messages by kind; the gateway counted messages sent, the scheduler nothing. Change: control_traffic is in apps/common and every link of gateway, scheduler and agent goes through it; the metric messages_sent_total, which control_sent_messages_total repeats, is gone. Result: gateway, agent and scheduler tests pass.

--- a/src/apps/agent/agent_daemon.cpp
+++ b/src/apps/agent/agent_daemon.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "apps/agent/control_traffic.h"
+#include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
 #include "configuration/parts.h"
 #include "core/log.h"
@@ -115,7 +115,6 @@
     if (!decoded) {
         return;
     }
-    count_received(*decoded, payload.size(), counters_);
     sequence_->post([this, link, value = std::move(*decoded)] { handle(link, value); });
 }
 
--- a/src/apps/agent/local_publisher.cpp
+++ b/src/apps/agent/local_publisher.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "apps/agent/control_traffic.h"
+#include "apps/common/control_traffic.h"
 
 namespace anvillead {
 
--- a/src/apps/agent/membership_driver.cpp
+++ b/src/apps/agent/membership_driver.cpp
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "apps/agent/control_traffic.h"
+#include "apps/common/control_traffic.h"
 #include "core/log.h"
 
 namespace anvillead {
--- a/src/apps/agent/peer_puller.cpp
+++ b/src/apps/agent/peer_puller.cpp
@@ -1,7 +1,7 @@
 #include "apps/agent/peer_puller.h"
 
-#include "apps/agent/control_traffic.h"
 #include "apps/common/agent_link.h"
+#include "apps/common/control_traffic.h"
 #include "core/log.h"
 #include "messages/codec.h"
 
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <map>
 
+#include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
 #include "configuration/parts.h"
 #include "core/log.h"
-#include "messages/codec.h"
 
 namespace anvillead {
 
@@ -121,11 +121,11 @@
         const std::lock_guard lock(mutex_);
         backup = backup_;
     }
-    const auto payload = encode({current()->configuration->generation, value});
+    const envelope out{current()->configuration->generation, value};
     for (const auto& it : {client_, backup}) {
         const auto link = it ? it->current() : nullptr;
         if (link) {
-            link->send(payload);
+            send_counted(*link, out, counters_);
         }
     }
 }
@@ -142,7 +142,7 @@
         copy.generation = current_->configuration->generation;
     }
     if (!copy.role.empty()) {
-        link->send(encode({copy.generation, copy}));
+        send_counted(*link, {copy.generation, copy}, counters_);
     }
 }
 
@@ -189,7 +189,7 @@
         asked_ = now;
         asked_parts_ = missing;
     }
-    link->send(encode({have, state_pull{have, false, std::move(missing)}}));
+    send_counted(*link, {have, state_pull{have, false, std::move(missing)}}, counters_);
 }
 
 std::optional<accepted_configuration> agent_link::collect(const std::optional<accepted_header>& header,
--- a/src/apps/agent/control_traffic.cpp
+++ b/src/apps/common/control_traffic.cpp
@@ -1,4 +1,4 @@
-#include "apps/agent/control_traffic.h"
+#include "apps/common/control_traffic.h"
 
 #include <fmt/format.h>
 
--- a/src/apps/common/message_intake.cpp
+++ b/src/apps/common/message_intake.cpp
@@ -1,5 +1,6 @@
 #include "apps/common/message_intake.h"
 
+#include "apps/common/control_traffic.h"
 #include "core/log.h"
 
 namespace anvillead {
@@ -18,6 +19,7 @@
         reject_message(link, decoded.error().message, counters);
         return std::nullopt;
     }
+    count_received(decoded.value(), payload.size(), counters);
     return std::move(decoded.value());
 }
 
--- a/src/apps/common/message_intake.h
+++ b/src/apps/common/message_intake.h
@@ -10,7 +10,7 @@
 
 /// Counts and logs a message that cannot be handled, and closes its link.
 void reject_message(const link_ptr& link, const std::string& problem, metrics& counters);
-/// The decoded message. A malformed one is rejected with `reject_message`.
+/// The decoded message, counted as control traffic. A malformed one is rejected with `reject_message`.
 std::optional<envelope> decode_or_reject(const link_ptr& link, const std::string& payload, metrics& counters);
 
 } // namespace anvillead
--- a/src/apps/gateway/registry_links.cpp
+++ b/src/apps/gateway/registry_links.cpp
@@ -1,5 +1,6 @@
 #include "apps/gateway/registry_links.h"
 
+#include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
 #include "messages/codec.h"
 #include "routing/rendezvous.h"
@@ -137,12 +138,13 @@
 
 void registry_links::send(const std::string& address, message value)
 {
-    counters_.add("messages_sent_total{kind=\"" + std::string(message_type(value)) + "\"}");
+    const auto kind = message_type(value);
     link_ptr link;
     std::string payload;
     {
         const std::lock_guard lock(mutex_);
         payload = encode({view_->configuration->generation, std::move(value)});
+        count_sent(kind, payload.size(), counters_);
         auto& to = peers_[address];
         if (!to.client) {
             link_handlers handlers;
@@ -216,7 +218,7 @@
             answer.response_id = registry_.find(pool_.timers().now(), question->key_hash).value_or(std::string());
             generation = view_->configuration->generation;
         }
-        link->send(encode({generation, std::move(answer)}));
+        send_counted(*link, {generation, std::move(answer)}, counters_);
     } else {
         reject_message(link, "unexpected message", counters_);
     }
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
 #include "core/crypto.h"
-#include "messages/codec.h"
 #include "routing/rendezvous.h"
 
 namespace anvillead {
@@ -195,9 +195,9 @@
         }
         generation = view_->configuration->generation;
     }
-    link->send(encode({generation, progress_.takeover_report(engines, address, pool_.timers().now())}));
+    send_counted(*link, {generation, progress_.takeover_report(engines, address, pool_.timers().now())}, counters_);
     for (const auto& it : pending) {
-        link->send(encode({generation, it}));
+        send_counted(*link, {generation, it}, counters_);
     }
 }
 
@@ -263,8 +263,7 @@
         const std::lock_guard lock(mutex_);
         generation = view_->configuration->generation;
     }
-    counters_.add("messages_sent_total{kind=\"" + std::string(message_type(value)) + "\"}");
-    link->send(encode({generation, std::move(value)}));
+    send_counted(*link, {generation, std::move(value)}, counters_);
 }
 
 } // namespace anvillead
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 
 #include "admission/scheduler_core.h"
+#include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
 #include "core/crypto.h"
 #include "core/log.h"
-#include "messages/codec.h"
 #include "routing/rendezvous.h"
 
 namespace anvillead {
@@ -191,7 +191,7 @@
 void scheduler_daemon::send(const gateway_identity& gateway, message value)
 {
     if (const auto link = gateways_.find(gateway)) {
-        link->send(encode({applied_, std::move(value)}));
+        send_counted(*link, {applied_, std::move(value)}, counters_);
     }
 }
 
