--- a/src/admission/tests/placement_test.cpp
+++ b/src/admission/tests/placement_test.cpp
@@ -11,7 +11,7 @@
     engine_state short_engine = make_engine("e0");
     engine_state long_engine = make_engine("e1");
     length_model lengths;
-    placement placement_{placement_settings()};
+    placement chooser{placement_settings()};
     instant now = instant(seconds(1000));
 
     void setup() override
@@ -34,7 +34,7 @@
         auto request = make_test_request(1, 0, served);
         request.excluded = excluded;
         const auto& curve = lengths.curve({request.organisation, request.workload, request.model});
-        return placement_.choose(now, {&short_engine, &long_engine}, request, served, curve, false);
+        return chooser.choose(now, {&short_engine, &long_engine}, request, served, curve, false);
     }
 };
 
