--- a/src/membership/tests/membership_network_test.cpp
+++ b/src/membership/tests/membership_network_test.cpp
@@ -291,6 +291,7 @@
         net.run(seconds(2));
         CHECK(net.live_counts_are(4));
         std::vector<std::string> all;
+        all.reserve(8);
         for (int i = 0; i < 8; ++i) {
             all.push_back("linkh" + std::to_string(i));
         }
