--- a/src/apps/bench/slopes/configuration_slopes.cpp
+++ b/src/apps/bench/slopes/configuration_slopes.cpp
@@ -32,7 +32,7 @@
 {
     slope out{"gateway.processor per authentication", "gateway", "organisations", "us", {}};
     constexpr int lookups = 500;
-    for (const int count : {1000, 10'000, 37'000}) {
+    for (const int count : {1000, 4000, 10'000, 37'000}) {
         const auto merged = merge_files(organisation_files(count)).merged;
         const auto begin = thread_processor_us();
         for (int i = 0; i < lookups; ++i) {
