--- a/src/apps/bench/main.cpp
+++ b/src/apps/bench/main.cpp
@@ -26,13 +26,13 @@
     {"slopes", "growth of costs with size, for docs/CAPACITY.md", run_slopes},
 };
 
-int usage()
+int usage(std::FILE* out, int status)
 {
-    fmt::print(stderr, "usage: anvillead-bench SUBCOMMAND [options]; --help after a subcommand lists its options\n");
+    fmt::print(out, "usage: anvillead-bench SUBCOMMAND [options]; --help after a subcommand lists its options\n");
     for (const auto& it : subcommands) {
-        fmt::print(stderr, "  {:<12} {}\n", it.name, it.purpose);
+        fmt::print(out, "  {:<12} {}\n", it.name, it.purpose);
     }
-    return usage_status;
+    return status;
 }
 
 } // namespace
@@ -47,5 +47,12 @@
             return it.run(argc - 1, argv + 1);
         }
     }
-    return usage();
+    if (argc > 1 && argv[1] == std::string_view("--help")) {
+        return usage(stdout, 0);
+    }
+    if (argc > 1 && argv[1] == std::string_view("--version")) {
+        fmt::print("anvillead-bench {}\n", ANVILLEAD_VERSION);
+        return 0;
+    }
+    return usage(stderr, usage_status);
 }
