Index keys once per configuration and remove turn keeping without effect

Cause: merging built the key index, which only callers' gateways use and which joining the parts builds again; the accepting agent paid for it on each change. parse_document was left with a test as its only user. In acceptance, a flag for agents that wait for their turn before listing was cleared in the function that set it, so the wait and the skipped listing never happened, although the page said so. Behaviour is unchanged.

--- a/src/apps/bench/slopes/configuration_slopes.cpp
+++ b/src/apps/bench/slopes/configuration_slopes.cpp
@@ -33,7 +33,8 @@
     slope out{"gateway.processor per authentication", "gateway", "organisations", "us", {}};
     constexpr int lookups = 500;
     for (const int count : {1000, 4000, 10'000, 37'000}) {
-        const auto merged = merge_files(organisation_files(count)).merged;
+        auto merged = merge_files(organisation_files(count)).merged;
+        merged.index_keys();
         const auto begin = thread_processor_us();
         for (int i = 0; i < lookups; ++i) {
             const int chosen = static_cast<int>(static_cast<std::int64_t>(i) * count / lookups);
--- a/src/configuration/acceptance.h
+++ b/src/configuration/acceptance.h
@@ -78,10 +78,6 @@
     bool list_needed_ = true;
     bool incomplete_reported_ = true;
     std::uint64_t listed_revision_ = 0;
-    /// Revision that the watch reported last.
-    std::uint64_t watched_revision_ = 0;
-    /// The delay of this agent's turn has passed before the listing.
-    bool has_waited_ = false;
     instant list_asked_{};
     /// Earliest time of the next listing.
     instant list_after_{};
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -64,13 +64,6 @@
     if (step_ == step::waiting && now >= not_before_) {
         take_turn();
     } else if (step_ == step::idle && role_.watches && now >= not_before_) {
-        if (has_waited_ && accepted_.collection_revision >= watched_revision_) {
-            // Another agent accepted this revision, and a peer sent the result.
-            listed_revision_ = watched_revision_;
-            list_needed_ = false;
-            incomplete_reported_ = true;
-            has_waited_ = false;
-        }
         if (list_needed_ && now < list_after_) {
             return take_actions();
         }
@@ -99,13 +92,8 @@
     if (!revision) {
         retry_later(now);
     } else if (revision.value() > listed_revision_) {
-        // A listing holds all files, so agents that come later in turn wait before they ask for it.
         list_needed_ = true;
-        has_waited_ = true;
-        watched_revision_ = revision.value();
-        not_before_ = has_waited_ ? now : now + turn_length * static_cast<int>(role_.rank);
     }
-    has_waited_ = false;
     return take_actions();
 }
 
--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -289,17 +289,6 @@
         }
     }
     merger.check_references();
-    out.merged.index_keys();
-    return out;
-}
-
-merge_result parse_document(const json& value, const std::string& source)
-{
-    merge_result out;
-    file_merger merger(out);
-    merger.merge(value, source);
-    merger.check_references();
-    out.merged.index_keys();
     return out;
 }
 
@@ -311,7 +300,6 @@
         merger.merge(*value, name);
     }
     merger.check_references();
-    out.merged.index_keys();
     return out;
 }
 
--- a/src/configuration/parse.h
+++ b/src/configuration/parse.h
@@ -26,9 +26,6 @@
 nlohmann::json to_json(const drain_list& value);
 /// Canonical JSON of a document; equal documents give equal text.
 nlohmann::json to_json(const document& value);
-/// Parses the canonical JSON again. `source` names it in problems.
-merge_result parse_document(const nlohmann::json& value, const std::string& source);
-
 /// Merges files that are already parsed, in the order of their names.
 merge_result merge_values(const std::map<std::string, const nlohmann::json*>& files);
 /// Parses some items of a document. Duplicates in other parts and references to them are not checked.
--- a/src/configuration/tests/parse_test.cpp
+++ b/src/configuration/tests/parse_test.cpp
@@ -23,7 +23,8 @@
 {
     const auto merged = merge_files(files);
     LONGS_EQUAL(0, merged.problems.size());
-    const auto again = parse_document(to_json(merged.merged), "x");
+    const auto value = to_json(merged.merged);
+    const auto again = merge_values({{"x", &value}});
     LONGS_EQUAL(0, again.problems.size());
     CHECK(to_json(again.merged) == to_json(merged.merged));
 }
