Use the shared message intake in peer pulls and encode reports once

Cause: peer_puller repeated decode, count and log; agent_link encoded a report again for the backup agent; the scheduler worked out its advertised address in two places. Change: decode_or_reject, one encoding, scheduler_daemon::link_address.

--- a/src/apps/agent/peer_puller.cpp
+++ b/src/apps/agent/peer_puller.cpp
@@ -2,8 +2,7 @@
 
 #include "apps/common/agent_link.h"
 #include "apps/common/control_traffic.h"
-#include "core/log.h"
-#include "messages/codec.h"
+#include "apps/common/message_intake.h"
 
 namespace anvillead {
 
@@ -63,15 +62,12 @@
 
 void peer_puller::received(const std::string& address, const link_ptr& link, const std::string& payload)
 {
-    auto decoded = decode(payload);
+    const auto decoded = decode_or_reject(link, payload, counters_);
     if (!decoded) {
-        counters_.add("messages_rejected_total");
-        log(log_level::warning, log_event::message_rejected, {{"peer", address}, {"problem", decoded.error().message}});
         finish(address);
         return;
     }
-    count_received(decoded.value(), payload.size(), counters_);
-    if (const auto* push = std::get_if<state_push>(&decoded.value().body)) {
+    if (const auto* push = std::get_if<state_push>(&decoded->body)) {
         pushed(address, link, *push);
     }
 }
--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -7,6 +7,7 @@
 #include "apps/common/message_intake.h"
 #include "configuration/parts.h"
 #include "core/log.h"
+#include "messages/codec.h"
 
 namespace anvillead {
 
@@ -121,11 +122,12 @@
         const std::lock_guard lock(mutex_);
         backup = backup_;
     }
-    const envelope out{current()->configuration->generation, value};
+    const auto payload = encode({current()->configuration->generation, value});
     for (const auto& it : {client_, backup}) {
         const auto link = it ? it->current() : nullptr;
         if (link) {
-            send_counted(*link, out, counters_);
+            count_sent(message_type(value), payload.size(), counters_);
+            link->send(payload);
         }
     }
 }
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -68,7 +68,7 @@
     });
     status_ = std::make_unique<status_server>(pool, settings_.http_listen, counters_,
                                               [this] { return agent_->current()->configuration->generation > 0; });
-    agent_->report({"scheduler", false, 0, "", reachable_address(settings_.advertise, server_->address())});
+    agent_->report({"scheduler", false, 0, "", link_address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"http", status_->address()}});
 }
 
@@ -85,6 +85,11 @@
     log(log_level::info, log_event::process_stopped, {});
 }
 
+std::string scheduler_daemon::link_address() const
+{
+    return reachable_address(settings_.advertise, server_->address());
+}
+
 void scheduler_daemon::count_gateways(const std::vector<member>& members)
 {
     std::size_t count = 0;
@@ -237,7 +242,7 @@
         return;
     }
     log(log_level::info, log_event::shutdown_began, {});
-    agent_->report({"scheduler", true, applied_, "", reachable_address(settings_.advertise, server_->address())});
+    agent_->report({"scheduler", true, applied_, "", link_address()});
     pool_.timers().after(leave_time, [this] { pool_.stop(); });
 }
 
--- a/src/apps/scheduler/scheduler_daemon.h
+++ b/src/apps/scheduler/scheduler_daemon.h
@@ -25,6 +25,8 @@
     void run();
 
 private:
+    /// Address of the links as gateways reach it.
+    std::string link_address() const;
     void apply_view(const view_ptr& view);
     void count_gateways(const std::vector<member>& members);
     void export_figures();
