Share edits, endpoint lists and error objects between the process tests

Assertions and bounds are the same; region_lost_test gives up a single call after 1 s instead of 10 s, inside the same bounds.

--- a/tests/invariants/chaos_main.cpp
+++ b/tests/invariants/chaos_main.cpp
@@ -5,9 +5,9 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
-#include "core/crypto.h"
 #include "tests/invariants/leaving_check.h"
 #include "tests/support/background_load.h"
+#include "tests/support/configuration_edit.h"
 
 using namespace testing;
 
@@ -17,7 +17,6 @@
 constexpr int engines = 4;
 constexpr int services = 2;
 constexpr int callers = 12;
-constexpr milliseconds in_force_bound{6000};
 constexpr const char* invariant_names[] = {"each token once, in order, from one generation",
                                            "whole answer to its own request",
                                            "a refusal that says not_run was not run",
@@ -158,16 +157,10 @@
         }
     }
 
-    std::string key_of(int edit) const { return fmt::format("chaos-{}-key", edit); }
-
     void edit_configuration()
     {
         const int edit = ++edits_;
-        const nlohmann::json organisation = {{"name", fmt::format("chaos-{}", edit)},
-                                             {"weight", 1},
-                                             {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
-        const auto refused =
-            cluster_.configure(fmt::format("40-chaos-{}.json", edit), {{"organisations", {organisation}}});
+        const auto refused = write_edit(cluster_, edit);
         if (!refused.empty()) {
             problems_[7] += fmt::format("edit {}: {}\n", edit, refused);
         }
@@ -180,14 +173,8 @@
         const auto end = clock::now() + in_force_bound;
         for (int edit = 1; edit <= edits_; ++edit) {
             for (int host = 1; host <= hosts; ++host) {
-                const auto served = [&] {
-                    return cluster_.client()
-                               .call(cluster_.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit)),
-                                     milliseconds(1000))
-                               .status == 200;
-                };
                 const auto left = std::chrono::duration_cast<milliseconds>(end - clock::now());
-                if (!eventually(served, left)) {
+                if (!eventually([&] { return in_force(cluster_, host, edit); }, left)) {
                     problems_[7] += fmt::format("edit {} is not in force at gateway {}\n", edit, host);
                 }
             }
--- a/tests/invariants/idempotency_hosts_test.cpp
+++ b/tests/invariants/idempotency_hosts_test.cpp
@@ -1,40 +1,17 @@
-#include <thread>
-
 #include <CppUTest/TestHarness.h>
 
 #include "tests/invariants/keyed_requests.h"
 
 using namespace testing;
 
-namespace {
-
-/// Waits until every gateway lists `hosts` endpoints.
-bool knows_members(cluster& it, int hosts)
-{
-    for (int i = 0; i < 100; ++i) {
-        bool all = true;
-        for (int host = 1; host <= hosts; ++host) {
-            const auto listed = endpoints_of(it, host).value("endpoints", nlohmann::json::array()).size();
-            all = all && static_cast<int>(listed) == hosts;
-        }
-        if (all) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(100));
-    }
-    return false;
-}
-
-} // namespace
-
 TEST_GROUP(idempotency_hosts){};
 
 // Guards against a bound key that runs at two gateways, or at none while its own gateway is reachable.
 TEST(idempotency_hosts, a_bound_key_is_forwarded_to_its_gateway)
 {
     cluster it(sized(2));
-    const auto value = appointment(bound_prefix(it, 1) + "." + new_key(), 60);
-    if (!knows_members(it, 2)) {
+    const auto value = appointment(it.bound_prefix(1) + "." + new_key(), 60);
+    if (!it.wait_joined()) {
         FAIL("the agents do not know each other");
     }
     it.client().control(it.address("platform"), {{"outage", true}});
@@ -57,7 +34,7 @@
 TEST(idempotency_hosts, a_draft_resubmitted_to_another_gateway_attaches)
 {
     cluster it(sized(3));
-    if (!knows_members(it, 3)) {
+    if (!it.wait_joined()) {
         FAIL("the agents do not know each other");
     }
     for (int i = 0; i < 6; ++i) {
--- a/tests/invariants/idempotency_test.cpp
+++ b/tests/invariants/idempotency_test.cpp
@@ -77,7 +77,7 @@
 TEST(idempotency, an_outage_serves_bound_keys_only)
 {
     cluster it;
-    const auto prefix = bound_prefix(it, 1);
+    const auto prefix = it.bound_prefix(1);
     CHECK(!prefix.empty());
     it.client().control(it.address("platform"), {{"outage", true}});
     const auto plain = appointment(new_key());
@@ -98,7 +98,7 @@
 TEST(idempotency, a_bound_key_of_an_earlier_incarnation_is_not_run)
 {
     cluster it;
-    const auto value = appointment(bound_prefix(it, 1) + "." + new_key());
+    const auto value = appointment(it.bound_prefix(1) + "." + new_key());
     it.kill("gateway-1");
     it.restart("gateway-1");
     CHECK(it.wait_ready());
--- a/tests/invariants/in_force_test.cpp
+++ b/tests/invariants/in_force_test.cpp
@@ -3,14 +3,12 @@
 #include <fmt/format.h>
 
 #include "core/crypto.h"
-#include "tests/support/cluster.h"
+#include "tests/support/configuration_edit.h"
 
 using namespace testing;
 
 namespace {
 
-constexpr milliseconds in_force_bound{6000};
-
 cluster_options options()
 {
     auto out = sized(3);
@@ -18,44 +16,6 @@
     return out;
 }
 
-/// An edit adds one organisation; a gateway has the edit in force once it accepts the organisation's key.
-std::string key_of(int edit)
-{
-    return fmt::format("edit-{}-key", edit);
-}
-
-std::string edit_file(int edit)
-{
-    const nlohmann::json organisation = {
-        {"name", fmt::format("edit-{}", edit)}, {"weight", 1}, {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
-    return nlohmann::json{{"organisations", {organisation}}}.dump();
-}
-
-std::string write_edit(cluster& it, int edit)
-{
-    return it.configure(fmt::format("40-edit-{}.json", edit), nlohmann::json::parse(edit_file(edit)));
-}
-
-bool in_force(cluster& it, int host, int edit)
-{
-    return it.client()
-               .call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit)), milliseconds(1000))
-               .status == 200;
-}
-
-bool in_force_everywhere(cluster& it, int edit, milliseconds bound = in_force_bound)
-{
-    const auto end = clock::now() + bound;
-    for (int host = 1; host <= it.options().hosts; ++host) {
-        const auto left = std::chrono::duration_cast<milliseconds>(end - clock::now());
-        if (!eventually([&] { return in_force(it, host, edit); }, left)) {
-            fmt::print("edit {} is not in force at gateway {}\n", edit, host);
-            return false;
-        }
-    }
-    return true;
-}
-
 /// Writes the organisations of the two-year target: about 7 MB when merged, in files of half a megabyte.
 void write_many_organisations(cluster& it)
 {
@@ -73,6 +33,22 @@
     }
 }
 
+/// Replaces the processes of host 2 while the platform is down; they must have the edit in force and serve.
+void check_host_restarted_in_outage(cluster& it, int edit)
+{
+    for (const auto* name : {"gateway-2", "scheduler-2", "agent-2"}) {
+        it.kill(name);
+    }
+    for (const auto* name : {"agent-2", "scheduler-2", "gateway-2"}) {
+        it.restart(name);
+    }
+    CHECK(in_force_everywhere(it, edit));
+    const question value{new_input(), "clearance-check", 5};
+    const auto answer = it.client().ask(it.gateway(2), value);
+    CHECK(answer->wait_end());
+    STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+}
+
 } // namespace
 
 /// An accepted configuration is in force everywhere within 6 s with the platform up, and never reverts.
@@ -136,7 +112,7 @@
         const int old_edit = 2 * host;
         const int new_edit = 2 * host + 1;
         platform({{"delay_ms", 200}});
-        it.directory().write(fmt::format("config/40-edit-{}.json", old_edit), edit_file(old_edit));
+        it.directory().write(fmt::format("config/40-edit-{}.json", old_edit), edit_file(old_edit).dump());
         std::string output;
         LONGS_EQUAL(0, it.ctl({"config", "apply", it.folder(), it.address("platform"), "--wait", "0"}, output));
         // Each of the three agents lists the files, then the first reads and writes the accepted object.
@@ -173,17 +149,7 @@
     CHECK(eventually([&] { return in_force(it, 1, 1) || in_force(it, 2, 1) || in_force(it, 3, 1); }));
     it.fault("platform", {{"cut", true}});
     CHECK(in_force_everywhere(it, 1));
-    for (const auto* name : {"gateway-2", "scheduler-2", "agent-2"}) {
-        it.kill(name);
-    }
-    for (const auto* name : {"agent-2", "scheduler-2", "gateway-2"}) {
-        it.restart(name);
-    }
-    CHECK(in_force_everywhere(it, 1));
-    const question value{new_input(), "clearance-check", 5};
-    const auto answer = it.client().ask(it.gateway(2), value);
-    CHECK(answer->wait_end());
-    STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+    check_host_restarted_in_outage(it, 1);
 }
 
 // Guards against an edit that is lost when two operators write at the same time, or when answers to writes are lost.
@@ -197,7 +163,7 @@
     // Two operators with folders of their own that differ in one file.
     process first(it.directory().file("first.log"),
                   {program("anvilleadctl"), "config", "apply", it.folder(), it.address("platform")});
-    it.directory().write("config/40-edit-2.json", edit_file(2));
+    it.directory().write("config/40-edit-2.json", edit_file(2).dump());
     process second(it.directory().file("second.log"),
                    {program("anvilleadctl"), "config", "apply", it.folder(), it.address("platform")});
     CHECK(first.wait_exit().has_value());
@@ -221,17 +187,7 @@
     STRCMP_EQUAL("", write_edit(it, 1).c_str());
     CHECK(in_force_everywhere(it, 1));
     it.fault("platform", {{"cut", true}});
-    for (const auto* name : {"gateway-2", "scheduler-2", "agent-2"}) {
-        it.kill(name);
-    }
-    for (const auto* name : {"agent-2", "scheduler-2", "gateway-2"}) {
-        it.restart(name);
-    }
-    CHECK(in_force_everywhere(it, 1));
-    const question value{new_input(), "clearance-check", 5};
-    const auto answer = it.client().ask(it.gateway(2), value);
-    CHECK(answer->wait_end());
-    STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+    check_host_restarted_in_outage(it, 1);
 }
 
 // Guards against an outage that stops streams, idempotent work, limits or work with a bound key.
@@ -240,10 +196,7 @@
     cluster it(options());
     const question open{new_input(), "appointment-sheet", 400};
     const auto stream = it.client().ask(it.gateway(1), open);
-    const auto prefix = it.client()
-                            .call(it.gateway(1), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"))
-                            .json()
-                            .value("bound_key_prefix", "");
+    const auto prefix = it.bound_prefix(1);
     CHECK(stream->wait_events(3));
     it.fault("platform", {{"cut", true}});
     for (int i = 0; i < 12; ++i) {
--- a/tests/invariants/keyed_requests.h
+++ b/tests/invariants/keyed_requests.h
@@ -34,23 +34,9 @@
 {
     const auto answer = it.client().ask(it.gateway(host), value);
     CHECK(answer->wait_end(refusal_bound));
-    const auto events = answer->events();
-    if (!events.empty() && events.back().type == "error") {
-        // The head of the stream was sent with a keep-alive comment before the refusal.
-        const auto reason = events.back().data.value("error", nlohmann::json::object());
-        return reason.value("kind", "") + "/" + reason.value("outcome", "");
-    }
-    return answer->head().error_kind() + "/" + answer->head().outcome();
-}
-
-inline nlohmann::json endpoints_of(cluster& it, int host)
-{
-    return it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key")).json();
-}
-
-inline std::string bound_prefix(cluster& it, int host)
-{
-    return endpoints_of(it, host).value("bound_key_prefix", "");
+    // With a keep-alive comment before the refusal, the error is the last event of a stream.
+    const auto reason = error_of(answer->events(), answer->head());
+    return reason.value("kind", "") + "/" + reason.value("outcome", "");
 }
 
 } // namespace testing
--- a/tests/invariants/lost_datagrams_test.cpp
+++ b/tests/invariants/lost_datagrams_test.cpp
@@ -38,24 +38,6 @@
     it.fault(route, std::move(faults));
 }
 
-std::size_t listed(cluster& it, int host)
-{
-    return it.client()
-        .call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"))
-        .json()["endpoints"]
-        .size();
-}
-
-bool all_list_all(cluster& it)
-{
-    for (int host = 1; host <= hosts; ++host) {
-        if (listed(it, host) != hosts) {
-            return false;
-        }
-    }
-    return true;
-}
-
 int count_lines(cluster& it, const std::string& name, const std::string& text)
 {
     const auto output = it.running(name).output();
@@ -83,7 +65,7 @@
     eventually(
         [&] {
             for (int host = 1; host <= hosts; ++host) {
-                if (listed(it, host) == hosts) {
+                if (it.listed_endpoints(host).size() == hosts) {
                     absent_since.erase(host);
                     continue;
                 }
@@ -127,7 +109,7 @@
 TEST(lost_datagrams, live_members_stay_listed)
 {
     cluster it(options());
-    CHECK(eventually([&] { return all_list_all(it); }));
+    CHECK(it.wait_joined());
     fault_probes(it, "probe-*", {{"drop_share", lost_part}});
     const auto longest = longest_absence(it, watch_time);
     const auto counts = it.route_counts("probe-1");
@@ -142,7 +124,7 @@
 TEST(lost_datagrams, leaving_upstreams_reach_all_agents)
 {
     cluster it(options());
-    CHECK(eventually([&] { return all_list_all(it); }));
+    CHECK(it.wait_joined());
     fault_probes(it, "probe-*", {{"drop_share", lost_part}});
     it.fault("platform-*", {{"cut", true}});
     for (int i = 1; i <= it.options().engines; ++i) {
@@ -158,7 +140,7 @@
 TEST(lost_datagrams, slow_links)
 {
     cluster it(options());
-    CHECK(eventually([&] { return all_list_all(it); }));
+    CHECK(it.wait_joined());
     fault_probes(it, "probe-*", {{"delay_ms", 100}});
     const auto longest = longest_absence(it, 4 * (suspected_after + suspicion));
     LONGS_EQUAL_TEXT(0, longest.count(), "a member on a slow link was out of a view");
@@ -170,7 +152,7 @@
 TEST(lost_datagrams, one_direction)
 {
     cluster it(options());
-    CHECK(eventually([&] { return all_list_all(it); }));
+    CHECK(it.wait_joined());
     fault_probes(it, "probe-2", {{"drop_requests", true}});
     for (int i = 1; i <= it.options().engines; ++i) {
         const auto engine = fmt::format("engine-{}", i);
@@ -182,5 +164,5 @@
                count_all(it, "name=member_lost"), longest.count());
     CHECK_TEXT(longest <= dead_bound, "a live member was out of a view for too long");
     fault_probes(it, "probe-2", {{"drop_requests", false}});
-    CHECK(eventually([&] { return all_list_all(it); }, dead_bound));
+    CHECK(it.wait_joined(dead_bound));
 }
--- a/tests/invariants/not_run_test.cpp
+++ b/tests/invariants/not_run_test.cpp
@@ -19,15 +19,6 @@
     return out;
 }
 
-std::string error_of(const stream& answer, const char* field)
-{
-    const auto events = answer.events();
-    if (!events.empty() && events.back().type == "error") {
-        return events.back().data.value("error", nlohmann::json::object()).value(field, "");
-    }
-    return answer.head().json().value("error", nlohmann::json::object()).value(field, "");
-}
-
 /// Sends requests of all kinds around faults and collects what is wrong with their answers.
 class outcome_check
 {
@@ -90,9 +81,10 @@
             problems_ += fmt::format("{}: {} lost its connection: {}\n", name, input, head.end.detail);
             return "connection lost";
         }
-        const auto outcome = error_of(answer, "outcome");
+        const auto reason = error_of(answer.events(), head);
+        const auto outcome = reason.value("outcome", "");
         if (outcome == "not_run" && cluster_.count_ran(input) != 0) {
-            problems_ += fmt::format("{}: {} said not_run ({}) and ran\n", name, input, error_of(answer, "kind"));
+            problems_ += fmt::format("{}: {} said not_run ({}) and ran\n", name, input, reason.value("kind", ""));
         }
         return outcome.empty() ? std::to_string(head.status) : outcome;
     }
--- a/tests/invariants/region_lost_test.cpp
+++ b/tests/invariants/region_lost_test.cpp
@@ -4,14 +4,13 @@
 
 #include <fmt/format.h>
 
-#include "core/crypto.h"
+#include "tests/support/configuration_edit.h"
 #include "tests/support/host_group.h"
 
 using namespace testing;
 
 namespace {
 
-constexpr milliseconds in_force_bound{6000};
 // Suspected after 1 s without an answer, dead after `suspicion`; five hosts are probed in a round of 100 ms each.
 constexpr milliseconds apart_bound{5000};
 const std::vector<int> west = {1, 2, 3};
@@ -28,24 +27,9 @@
     return out;
 }
 
-std::string key_of(int edit)
+bool in_force_at(cluster& it, const std::vector<int>& group, int edit)
 {
-    return fmt::format("region-{}-key", edit);
-}
-
-std::string write_edit(cluster& it, int edit)
-{
-    const nlohmann::json organisation = {
-        {"name", fmt::format("region-{}", edit)}, {"weight", 1}, {"key_hashes", {anvillead::sha256_hex(key_of(edit))}}};
-    return it.configure(fmt::format("40-region-{}.json", edit), {{"organisations", {organisation}}});
-}
-
-bool in_force(cluster& it, const std::vector<int>& group, int edit)
-{
-    return std::all_of(group.begin(), group.end(), [&](int host) {
-        return it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers(key_of(edit))).status ==
-               200;
-    });
+    return std::all_of(group.begin(), group.end(), [&](int host) { return in_force(it, host, edit); });
 }
 
 void check_serves(cluster& it, const std::vector<int>& group)
@@ -62,9 +46,7 @@
 
 std::string bound_key(cluster& it, int host)
 {
-    const auto answer =
-        it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"));
-    return answer.json().value("bound_key_prefix", "") + "." + new_key();
+    return it.bound_prefix(host) + "." + new_key();
 }
 
 /// Asks the same non-idempotent request at a gateway of each side, at once; the answers must agree with what ran.
@@ -116,7 +98,7 @@
     cluster it(options());
     CHECK(eventually([&] { return list_exactly(it, everybody, everybody); }));
     STRCMP_EQUAL("", write_edit(it, 1).c_str());
-    CHECK(eventually([&] { return in_force(it, everybody, 1); }, in_force_bound));
+    CHECK(eventually([&] { return in_force_at(it, everybody, 1); }, in_force_bound));
     const auto early_key = bound_key(it, 4);
     it.separate(west, east, true);
     for (const int host : east) {
@@ -128,8 +110,8 @@
     CHECK_TEXT(eventually([&] { return list_exactly(it, west, west) && list_exactly(it, east, east); }, apart_bound),
                "the sides still list each other");
     STRCMP_EQUAL("", write_edit(it, 2).c_str());
-    CHECK_TEXT(eventually([&] { return in_force(it, west, 2); }, in_force_bound), "the west lacks the new edit");
-    CHECK_TEXT(in_force(it, east, 1), "the east has lost its configuration");
+    CHECK_TEXT(eventually([&] { return in_force_at(it, west, 2); }, in_force_bound), "the west lacks the new edit");
+    CHECK_TEXT(in_force_at(it, east, 1), "the east has lost its configuration");
     check_serves(it, everybody);
     check_claimed(it, new_key());
     check_claimed(it, bound_key(it, 5));
@@ -139,12 +121,12 @@
         it.fault(fmt::format("platform-{}", host), {{"cut", false}});
     }
     const auto repaired = clock::now();
-    CHECK_TEXT(eventually([&] { return in_force(it, everybody, 2); }, in_force_bound), "the edit is not everywhere");
+    CHECK_TEXT(eventually([&] { return in_force_at(it, everybody, 2); }, in_force_bound), "the edit is not everywhere");
     CHECK_TEXT(eventually([&] { return list_exactly(it, everybody, everybody); }), "the views stay apart");
     fmt::print("  one view {} ms after the repair\n",
                std::chrono::duration_cast<milliseconds>(clock::now() - repaired).count());
     check_serves(it, everybody);
     check_claimed(it, new_key());
-    CHECK(in_force(it, everybody, 1));
+    CHECK(in_force_at(it, everybody, 1));
     check_generations(it);
 }
--- a/tests/invariants/scenario_test.cpp
+++ b/tests/invariants/scenario_test.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "tests/support/background_load.h"
+#include "tests/support/host_group.h"
 
 using namespace testing;
 
@@ -21,10 +22,7 @@
 int owner_of_engines(cluster& it)
 {
     for (int i = 1; i <= it.options().hosts; ++i) {
-        const auto name = fmt::format("scheduler-{}", i);
-        const auto log = it.running(name).output();
-        const auto last = log.rfind("scheduler_takeover engines=");
-        if (it.running(name).running() && last != std::string::npos && log[log.find('=', last) + 1] != '0') {
+        if (it.running(fmt::format("scheduler-{}", i)).running() && engines_of_scheduler(it, i) > 0) {
             return i;
         }
     }
@@ -49,14 +47,6 @@
     return {new_input(), number % 2 == 0 ? "clearance-check" : "appointment-sheet", 10, {}, "demo-kandy-key"};
 }
 
-/// Error object of an answer, from its body or its last event.
-nlohmann::json error_of(const stream& answer)
-{
-    const auto events = answer.events();
-    const auto none = nlohmann::json::object();
-    return events.empty() ? answer.head().json().value("error", none) : events.back().data.value("error", none);
-}
-
 /// Callers that repeat a refused request at once, while no engine runs. Returns what was wrong.
 std::string storm(cluster& it)
 {
@@ -71,7 +61,7 @@
             if (!answer->wait_end()) {
                 return problems + fmt::format("{}: no final answer without engines\n", value.input);
             }
-            const auto error = error_of(*answer);
+            const auto error = error_of(answer->events(), answer->head());
             if (error.value("outcome", "") != "not_run" || error.value("retry_after_ms", 0) <= 0) {
                 problems += fmt::format("{} ({}): {}\n", value.input, value.workload, error.dump());
             }
--- a/tests/support/background_load.cpp
+++ b/tests/support/background_load.cpp
@@ -123,9 +123,7 @@
         }
     }
     out.wrong_tokens = check_beginning(events, out.value);
-    const auto error = !events.empty() && events.back().type == "error"
-                           ? events.back().data.value("error", nlohmann::json::object())
-                           : parts.back()->head().json().value("error", nlohmann::json::object());
+    const auto error = error_of(events, parts.back()->head());
     out.kind = error.value("kind", "");
     out.outcome = error.value("outcome", "");
     if (out.kind.empty()) {
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -60,11 +60,17 @@
     return parse(body);
 }
 
-std::string reply::error_field(const char* name) const
+nlohmann::json reply::error() const
 {
     const auto value = json();
     const auto found = value.find("error");
-    return found != value.end() && found->is_object() ? found->value(name, "") : "";
+    return found != value.end() && found->is_object() ? *found : nlohmann::json::object();
+}
+
+nlohmann::json error_of(const std::vector<received_event>& events, const reply& head)
+{
+    const bool in_stream = !events.empty() && events.back().type == "error";
+    return in_stream ? events.back().data.value("error", nlohmann::json::object()) : head.error();
 }
 
 bool stream::wait_events(std::size_t count, milliseconds bound)
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -29,11 +29,10 @@
     /// The body as JSON; an empty object when it is none.
     nlohmann::json json() const;
     /// Fields of the error object; empty when the answer carries none.
-    std::string error_kind() const { return error_field("kind"); }
-    std::string outcome() const { return error_field("outcome"); }
-
-private:
-    std::string error_field(const char* name) const;
+    std::string error_kind() const { return error().value("kind", ""); }
+    std::string outcome() const { return error().value("outcome", ""); }
+    /// The error object; empty when the answer carries none.
+    nlohmann::json error() const;
 };
 
 /// One event as the caller received it.
@@ -126,6 +125,9 @@
 std::string new_key(milliseconds offset = milliseconds(0));
 /// Events of the parts joined, as a caller that resumed its answer has them.
 std::vector<received_event> join(const std::vector<stream::ptr>& parts);
+/// Error object of an answer, from its last event or, when no stream has begun, from its body; empty when there is
+/// none.
+nlohmann::json error_of(const std::vector<received_event>& events, const reply& head);
 /// Empty when `events` are one whole answer to `value`: numbers without gap or repetition from 0, each token once, in
 /// order, of one generation and with the input's tag, and a final event with the same text; otherwise what is wrong.
 std::string check_answer(const std::vector<received_event>& events, const question& value);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -315,20 +315,31 @@
         bound);
 }
 
+json cluster::endpoints(int host)
+{
+    return caller_.call(gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key")).json();
+}
+
+std::vector<std::string> cluster::listed_endpoints(int host)
+{
+    std::vector<std::string> out;
+    for (const auto& entry : endpoints(host).value("endpoints", json::array())) {
+        out.push_back(entry.value("address", ""));
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 bool cluster::wait_joined(milliseconds bound)
 {
-    const auto lists_all = [this](int host) {
-        const auto answer = caller_.call(gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key"));
-        const auto listed = answer.json().value("endpoints", json::array()).size();
-        return listed == static_cast<std::size_t>(options_.hosts);
-    };
-    int joined = 0;
     return eventually(
-        [&] {
-            while (joined < options_.hosts && lists_all(joined + 1)) {
-                ++joined;
+        [this] {
+            for (int host = 1; host <= options_.hosts; ++host) {
+                if (listed_endpoints(host).size() != static_cast<std::size_t>(options_.hosts)) {
+                    return false;
+                }
             }
-            return joined == options_.hosts;
+            return true;
         },
         bound);
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -91,6 +91,12 @@
     std::string folder() const { return directory_.file("config"); }
     /// Waits until all gateways answer /readyz with 200.
     bool wait_ready(milliseconds bound = default_bound);
+    /// The answer of /v1/endpoints of a host's gateway.
+    nlohmann::json endpoints(int host);
+    /// Prefix of idempotency keys that the host's gateway serves also while the platform is down.
+    std::string bound_prefix(int host) { return endpoints(host).value("bound_key_prefix", ""); }
+    /// Gateway addresses that the gateway of a host lists, sorted.
+    std::vector<std::string> listed_endpoints(int host);
     /// Waits until /v1/endpoints of all gateways lists all hosts.
     bool wait_joined(milliseconds bound = default_bound);
     /// Everything that ever ran on the engines and services, killed ones included.
--- a/tests/support/host_group.cpp
+++ b/tests/support/host_group.cpp
@@ -54,25 +54,13 @@
     }
 }
 
-std::vector<std::string> listed_endpoints(cluster& it, int host)
-{
-    std::vector<std::string> out;
-    const auto body =
-        it.client().call(it.gateway(host), "GET", "/v1/endpoints", "", bearer_headers("demo-galle-key")).json();
-    for (const auto& entry : body.value("endpoints", nlohmann::json::array())) {
-        out.push_back(entry.value("address", ""));
-    }
-    std::sort(out.begin(), out.end());
-    return out;
-}
-
 bool list_exactly(cluster& it, const std::vector<int>& viewers, const std::vector<int>& listed)
 {
     std::vector<std::string> wanted;
     std::transform(listed.begin(), listed.end(), std::back_inserter(wanted),
                    [&](int host) { return it.gateway(host); });
     std::sort(wanted.begin(), wanted.end());
-    return std::all_of(viewers.begin(), viewers.end(), [&](int host) { return listed_endpoints(it, host) == wanted; });
+    return std::all_of(viewers.begin(), viewers.end(), [&](int host) { return it.listed_endpoints(host) == wanted; });
 }
 
 int engines_of_scheduler(cluster& it, int host)
--- a/tests/support/host_group.h
+++ b/tests/support/host_group.h
@@ -10,8 +10,6 @@
 std::vector<int> other_hosts(const cluster& it, const std::vector<int>& group);
 /// Runs `action` for agent, scheduler and gateway of each host of the group.
 void for_each_daemon(const std::vector<int>& group, const std::function<void(const std::string& name)>& action);
-/// Gateway addresses that the gateway of `host` lists.
-std::vector<std::string> listed_endpoints(cluster& it, int host);
 /// Whether the gateways of `viewers` list exactly the gateways of `listed`.
 bool list_exactly(cluster& it, const std::vector<int>& viewers, const std::vector<int>& listed);
 /// Number of engines of the last takeover that the scheduler of `host` has logged; 0 when it has none.
