Share the start of the daemons between demo.sh and overhead.sh

Cause: both wrote the same settings files and waited for readiness alike. Change: start_daemons and await_ready in processes.sh.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,21 +19,10 @@
 sed -i "s/127.0.0.1:9101/$engine/; s/127.0.0.1:9201/$service/" "$work/config/20-services.json"
 "$bin/anvilleadctl" config validate "$work/config"
 
-common="\"host\": \"entry-1\", \"availability_zone\": \"colombo-a\", \"platform\": \"$platform\", \"fleet_keys\": [\"demo-fleet-key\"]"
-echo "{$common, \"link_listen\": \"127.0.0.1:0\", \"probe_listen\": \"127.0.0.1:0\"}" >"$work/agent.json"
-start agent "$bin/anvillead-agent" --settings "$work/agent.json"
-agent=$(await agent 'process_started link=([0-9.:]+)')
-echo "{$common, \"listen\": \"127.0.0.1:0\", \"agent\": \"$agent\"}" >"$work/scheduler.json"
-start scheduler "$bin/anvillead-scheduler" --settings "$work/scheduler.json"
-echo "{$common, \"listen\": \"127.0.0.1:0\", \"link_listen\": \"127.0.0.1:0\", \"agent\": \"$agent\"}" >"$work/gateway.json"
-start gateway "$bin/anvillead-gateway" --settings "$work/gateway.json"
-gateway=$(await gateway 'process_started listen=([0-9.:]+)')
+start_daemons
 
 "$bin/anvilleadctl" config apply "$work/config" --platform "$platform" --operator demo
-for _ in $(seq 200); do
-    curl -fs "http://$gateway/readyz" >/dev/null && break
-    sleep 0.05
-done
+await_ready
 
 curl -fsSN --max-time 30 "http://$gateway/v1/responses" \
     -H 'Authorization: Bearer demo-galle-key' -H 'Anvillead-Workload: clearance-check' \
