Report the end of a generation to the scheduler at once

Gateways reported ends with the periodic progress, every 100 ms, and the scheduler granted waiting drafts only at its next tick, so a free slot stayed empty for 60 ms on average.

Change: a gateway sends the last state of a grant when it ends, and the scheduler admits waiting requests then. The simulation of anvillead-bench decisions reports ends in the same way, for all policies.

--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -157,7 +157,9 @@
         update(now, gateway, it);
     }
     if (!value.complete) {
-        return {};
+        const bool ended = std::any_of(value.grants.begin(), value.grants.end(),
+                                       [](const grant_progress& it) { return it.state != grant_state::running; });
+        return ended ? on_tick(now) : scheduler_actions();
     }
     std::set<grant_id> listed;
     for (const auto& it : value.grants) {
--- a/src/apps/bench/decisions/simulation.cpp
+++ b/src/apps/bench/decisions/simulation.cpp
@@ -173,7 +173,7 @@
         token(index_of(id));
     }
     for (const auto& id : done.finished) {
-        requests_[index_of(id)].state = request_state::finished;
+        finish(index_of(id));
     }
     step(index);
 }
@@ -250,39 +250,58 @@
     }
 }
 
+grant_progress simulation::progress_of(std::size_t index) const
+{
+    const auto& it = requests_[index];
+    const auto& from = scenario_.arrivals[index];
+    grant_progress out;
+    out.id = it.grant;
+    out.request = request_id(std::to_string(index));
+    out.engine = upstream_id(fmt::format("e{:02}", it.engine));
+    out.organisation = organisation_id(fmt::format("o{}", from.organisation));
+    out.workload = workload_name(from.workload);
+    out.model = model_name("model");
+    out.urgency = from.urgency;
+    out.input = {from.input};
+    out.output = {it.produced};
+    out.state = it.state == request_state::running    ? grant_state::running
+                : it.state == request_state::finished ? grant_state::finished
+                                                      : grant_state::lost;
+    out.silent = milliseconds(static_cast<std::int64_t>(clock_ - std::max(it.dispatched, it.heard)));
+    out.preemptions = it.preemptions;
+    return out;
+}
+
+void simulation::send_report(std::size_t gateway, progress_report report)
+{
+    at(clock_ + scenario_.site.zone_ms, [this, gateway, report = std::move(report)] {
+        carry_out(policy_.on_progress(now(), gateway_of(gateway), report));
+    });
+}
+
+void simulation::finish(std::size_t index)
+{
+    requests_[index].state = request_state::finished;
+    auto& list = open_[index % gateways];
+    list.erase(std::remove(list.begin(), list.end(), index), list.end());
+    // A gateway reports an end at once.
+    send_report(index % gateways, {{progress_of(index)}, {}, false});
+}
+
 void simulation::report_progress(std::size_t gateway)
 {
     progress_report report;
     auto& list = open_[gateway];
     std::vector<std::size_t> kept;
     for (const auto index : list) {
-        const auto& it = requests_[index];
-        const auto& from = scenario_.arrivals[index];
-        grant_progress entry;
-        entry.id = it.grant;
-        entry.request = request_id(std::to_string(index));
-        entry.engine = upstream_id(fmt::format("e{:02}", it.engine));
-        entry.organisation = organisation_id(fmt::format("o{}", from.organisation));
-        entry.workload = workload_name(from.workload);
-        entry.model = model_name("model");
-        entry.urgency = from.urgency;
-        entry.input = {from.input};
-        entry.output = {it.produced};
-        entry.state = it.state == request_state::running    ? grant_state::running
-                      : it.state == request_state::finished ? grant_state::finished
-                                                            : grant_state::lost;
-        entry.silent = milliseconds(static_cast<std::int64_t>(clock_ - std::max(it.dispatched, it.heard)));
-        entry.preemptions = it.preemptions;
-        report.grants.push_back(std::move(entry));
-        if (it.state == request_state::running) {
+        report.grants.push_back(progress_of(index));
+        if (requests_[index].state == request_state::running) {
             kept.push_back(index);
         }
     }
     list = std::move(kept);
     if (!report.grants.empty()) {
-        at(clock_ + scenario_.site.zone_ms, [this, gateway, report = std::move(report)] {
-            carry_out(policy_.on_progress(now(), gateway_of(gateway), report));
-        });
+        send_report(gateway, std::move(report));
     }
     at(clock_ + progress_ms, [this, gateway] { report_progress(gateway); });
 }
--- a/src/apps/bench/decisions/simulation.h
+++ b/src/apps/bench/decisions/simulation.h
@@ -79,6 +79,9 @@
     void hear(std::size_t index, double ms);
     void lose(std::size_t index);
     void apply(const engine_fault& fault);
+    grant_progress progress_of(std::size_t index) const;
+    void send_report(std::size_t gateway, progress_report report);
+    void finish(std::size_t index);
     void report_progress(std::size_t gateway);
     void report_load(std::size_t index);
     void tick();
--- a/src/apps/gateway/progress_table.cpp
+++ b/src/apps/gateway/progress_table.cpp
@@ -46,35 +46,33 @@
     }
 }
 
-void progress_table::end(const grant_id& id, grant_state state)
+std::optional<std::pair<std::string, grant_progress>> progress_table::end(const grant_id& id, grant_state state,
+                                                                          instant now)
 {
     const std::lock_guard lock(mutex_);
     const auto it = entries_.find(id);
-    if (it != entries_.end()) {
-        it->second.value.state = state;
+    if (it == entries_.end()) {
+        return std::nullopt;
     }
+    it->second.value.state = state;
+    auto out = std::make_pair(it->second.scheduler, it->second.report(now));
+    entries_.erase(it);
+    return out;
 }
 
 std::map<std::string, progress_report> progress_table::take_reports(instant now)
 {
     std::map<std::string, progress_report> out;
     const std::lock_guard lock(mutex_);
-    for (auto it = entries_.begin(); it != entries_.end();) {
-        auto& [id, item] = *it;
+    for (auto& [id, item] : entries_) {
         auto& report = out[item.scheduler];
         const auto full = item.report(now);
-        if (item.value.state != grant_state::running) {
-            report.grants.push_back(full);
-            it = entries_.erase(it);
-            continue;
-        }
         if (item.short_reports-- > 0) {
             report.updates.push_back({full.number, full.output, full.silent});
         } else {
             report.grants.push_back(full);
             item.short_reports = short_reports_between;
         }
-        ++it;
     }
     return out;
 }
--- a/src/apps/gateway/progress_table.h
+++ b/src/apps/gateway/progress_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/ranked_mutex.h"
@@ -17,9 +18,9 @@
     void advance(const grant_id& id, std::int64_t output, instant now);
     /// While the gateway does not read the engine link on purpose, silence is not reported.
     void hold(const grant_id& id, bool held);
-    void end(const grant_id& id, grant_state state);
-    /// Reports by scheduler. Running grants are listed in short form, but for the first report and now and then;
-    /// ended ones are listed once in full and then removed.
+    /// Removes the grant. Returns its scheduler and last state, which the scheduler has to learn.
+    std::optional<std::pair<std::string, grant_progress>> end(const grant_id& id, grant_state state, instant now);
+    /// Reports by scheduler. Grants are listed in short form, but for the first report and now and then.
     std::map<std::string, progress_report> take_reports(instant now);
     /// Running grants on the given engines, for a scheduler that has just taken over.
     progress_report takeover_report(const std::vector<upstream_id>& engines, const std::string& scheduler, instant now);
--- a/src/apps/gateway/response_stream.cpp
+++ b/src/apps/gateway/response_stream.cpp
@@ -420,7 +420,7 @@
 void response_stream::release_grant(grant_state state)
 {
     if (active_grant_) {
-        context_.progress.end(*active_grant_, state);
+        context_.schedulers.report_end(*active_grant_, state);
         active_grant_.reset();
     }
 }
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -145,21 +145,30 @@
 void scheduler_links::report_progress()
 {
     for (auto& [address, report] : progress_.take_reports(pool_.timers().now())) {
-        for (const auto& it : report.grants) {
-            if (it.state == grant_state::running) {
-                continue;
-            }
-            const std::lock_guard lock(mutex_);
-            // The request may already wait for another grant.
-            const auto entry = waiting_.find(it.request);
-            if (entry != waiting_.end() && entry->second.granted == it.id) {
-                waiting_.erase(entry);
-            }
-        }
         send(address, std::move(report));
     }
 }
 
+void scheduler_links::report_end(const grant_id& id, grant_state state)
+{
+    auto ended = progress_.end(id, state, pool_.timers().now());
+    if (!ended) {
+        return;
+    }
+    auto& [address, last] = *ended;
+    {
+        const std::lock_guard lock(mutex_);
+        // The request may already wait for another grant.
+        const auto entry = waiting_.find(last.request);
+        if (entry != waiting_.end() && entry->second.granted == id) {
+            waiting_.erase(entry);
+        }
+    }
+    progress_report report;
+    report.grants.push_back(std::move(last));
+    send(address, std::move(report));
+}
+
 std::shared_ptr<ilink_client> scheduler_links::client_for(const std::string& address)
 {
     const std::lock_guard lock(mutex_);
--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -33,6 +33,8 @@
     void ask(const grant_request& request, grant_callbacks callbacks);
     void cancel(const request_id& request);
     void report_progress();
+    /// Tells the scheduler at once that a grant has ended, so that it gives the engine's slot to the next request.
+    void report_end(const grant_id& id, grant_state state);
 
 private:
     struct waiting
