Limit prompt tokens instead of grants per engine, and leave slots to others

Cause: grants of normal and draft work on one engine were at least 20 ms apart, whatever their prompts. An engine with 32 slots and answers of 320 ms stood half empty, and an organisation within its share waited behind that pause. With the engine full, the same organisation finds its slot taken between two requests and waits for another generation to end.

Change: a rate of prompt tokens per engine with a window for short prompts. Organisations over their share of the slots leave one sixteenth of them to the others while those are active.

--- a/src/admission/engine_group.h
+++ b/src/admission/engine_group.h
@@ -23,6 +23,13 @@
     /// Running urgent grants per organisation.
     std::map<organisation_id, int> urgent;
     int urgent_total = 0;
+    /// Running grants per organisation.
+    std::map<organisation_id, int> running;
+    /// Last request of each organisation that is or was recently active.
+    std::map<organisation_id, instant> active;
+    /// Sum of the weights of `active`, and the slots of usable engines, when last observed.
+    double recent_weight = 0;
+    double slots = 0;
     double delivered = 0;
     /// Since when every engine is gone.
     std::optional<instant> absent_since;
@@ -32,6 +39,9 @@
     int urgent_limit(const organisation_id& id, const organisation* settings) const;
     /// The organisation has got clearly more than its share while others are active: it must leave room for them.
     bool ahead(const organisation_id& id) const;
+    /// The organisation runs more generations than its share of the slots, while others are or were recently active.
+    bool over_slots(const organisation_id& id) const;
+    void observe_slots(instant now);
     void observe_absence(instant now);
     /// For how long the group has had no engine that takes work, in seconds; 0 while there is one.
     double absent_s(instant now) const;
--- a/src/admission/internal/engine_group.cpp
+++ b/src/admission/internal/engine_group.cpp
@@ -13,6 +13,8 @@
 // Lead over the virtual time, in seconds of the group's rate, from which an organisation is ahead. Organisations that
 // all have a backlog stay close to the virtual time.
 constexpr double lead_s = 10;
+// An organisation between two requests still counts as active for this time.
+constexpr seconds activity_time{5};
 
 } // namespace
 
@@ -21,12 +23,32 @@
     if (settings != nullptr && settings->limits.concurrent_urgent > 0) {
         return settings->limits.concurrent_urgent;
     }
-    double slots = 0;
+    const double part = share.weight(id) / std::max(share.active_weight(), share.weight(id));
+    return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
+}
+
+bool engine_group::over_slots(const organisation_id& id) const
+{
+    const auto it = running.find(id);
+    const double own = share.weight(id);
+    return it != running.end() && recent_weight > own && it->second * recent_weight >= slots * own;
+}
+
+void engine_group::observe_slots(instant now)
+{
+    slots = 0;
     for (const auto* it : engines) {
         slots += it->usable ? it->settings.batch_limit : 0;
     }
-    const double part = share.weight(id) / std::max(share.active_weight(), share.weight(id));
-    return std::max(smallest_urgent_limit, static_cast<int>(slots * urgent_part * part));
+    recent_weight = 0;
+    for (auto it = active.begin(); it != active.end();) {
+        if (now - it->second > activity_time && running.count(it->first) == 0 && queue.size(it->first) == 0) {
+            it = active.erase(it);
+            continue;
+        }
+        recent_weight += share.weight(it->first);
+        ++it;
+    }
 }
 
 void engine_group::observe_absence(instant now)
--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -11,6 +11,7 @@
 constexpr double urgent_z = 1;
 // Part of the capacity that a new scheduler fills before it knows the grants of its predecessor.
 constexpr double cautious_fill = 0.5;
+constexpr double microseconds_per_ms = 1000;
 
 } // namespace
 
@@ -55,15 +56,24 @@
     }
 }
 
+microseconds placement::prompt_time(const grant_request& request) const
+{
+    const double ms = static_cast<double>(request.input.count) / settings_.bulk_prompt_rate;
+    return microseconds(static_cast<std::int64_t>(ms * microseconds_per_ms));
+}
+
 bool placement::takes_class(const engine_state& target, work_class served) const
 {
     const bool bulk = !target.short_batch || settings_.short_batch_bulk > 0;
     return target.usable && (served == work_class::urgent || bulk);
 }
 
-bool placement::open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const
+bool placement::open_to(instant now, const engine_state& target, const grant_request& request, work_class served,
+                        room_for_others room) const
 {
-    if (!takes_class(target, served) || target.batch() >= target.settings.batch_limit) {
+    const int limit = target.settings.batch_limit;
+    const int kept = room.slots && served != work_class::urgent ? static_cast<int>(limit * settings_.slot_room) : 0;
+    if (!takes_class(target, served) || target.batch() >= limit - kept) {
         return false;
     }
     const auto& excluded = request.excluded;
@@ -73,14 +83,15 @@
     if (served == work_class::urgent) {
         return true;
     }
-    if (now - target.last_bulk < settings_.bulk_spacing) {
+    if (now < target.next_bulk &&
+        target.next_bulk + prompt_time(request) > now + microseconds(settings_.bulk_prompt_window)) {
         return false;
     }
     return !target.short_batch || target.batch() - target.urgent < settings_.short_batch_bulk;
 }
 
 bool placement::fits(instant now, const engine_state& target, const grant_request& request, work_class served,
-                     const length_curve& curve, bool ahead) const
+                     const length_curve& curve, room_for_others room) const
 {
     const double capacity = target.capacity();
     const memory_footprint added{static_cast<double>(request.input.count), 0,
@@ -90,13 +101,13 @@
     sum.add(added, curve);
     const bool urgent = served == work_class::urgent;
     const double z = urgent ? urgent_z : settings_.z;
-    const double bulk_fill = ahead ? settings_.ahead_fill : settings_.fill;
+    const double bulk_fill = room.memory ? settings_.ahead_fill : settings_.fill;
     const double fill = target.cautious ? cautious_fill : (urgent ? settings_.fill : bulk_fill);
     return sum.peak(z) + unknown <= capacity * fill;
 }
 
 engine_state* placement::choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
-                                work_class served, const length_curve& curve, bool ahead) const
+                                work_class served, const length_curve& curve, room_for_others room) const
 {
     const auto& excluded = request.excluded;
     const bool none_left = std::none_of(engines.begin(), engines.end(), [&](const engine_state* it) {
@@ -107,18 +118,18 @@
         // An engine that failed the request before is better than a wait for one that does not exist.
         auto any = request;
         any.excluded.clear();
-        return choose(now, engines, any, served, curve, ahead);
+        return choose(now, engines, any, served, curve, room);
     }
     std::vector<engine_state*> open;
     for (auto* it : engines) {
-        if (open_to(now, *it, request, served)) {
+        if (open_to(now, *it, request, served, room)) {
             open.push_back(it);
         }
     }
     std::stable_sort(open.begin(), open.end(),
                      [&](const engine_state* a, const engine_state* b) { return better(now, *a, *b, served); });
     for (auto* it : open) {
-        if (fits(now, *it, request, served, curve, ahead)) {
+        if (fits(now, *it, request, served, curve, room)) {
             return it;
         }
     }
@@ -133,7 +144,7 @@
     target.recent_prompt += static_cast<double>(request.input.count);
     target.last_grant = now;
     if (served != work_class::urgent) {
-        target.last_bulk = now;
+        target.next_bulk = std::max(now, target.next_bulk) + prompt_time(request);
     }
 }
 
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -25,6 +25,7 @@
         ++group.urgent[value.length.organisation];
         ++group.urgent_total;
     }
+    ++group.running[value.length.organisation];
     group.share.expect(value.length.organisation, value.expected);
     grants_.add(std::move(value));
 }
@@ -50,6 +51,9 @@
             group.urgent.erase(organisation);
         }
     }
+    if (--group.running[organisation] <= 0) {
+        group.running.erase(organisation);
+    }
     group.share.expect(organisation, -known->expected);
     group.share.leave(organisation);
     grants_.remove(id);
@@ -189,6 +193,7 @@
     }
     for (auto& [name, group] : groups_) {
         group.observe_absence(now);
+        group.observe_slots(now);
         const auto waiting = static_cast<int>(group.queue.size(work_class::urgent));
         group.reserve.observe(now, group.urgent_total + std::min(waiting, group.urgent_total));
         group.drain.delivered(now, group.delivered, group.queue.size() > 0, group.assumed_rate());
--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -85,6 +85,7 @@
     entry.expires = now + (has_deadline ? value.remaining : longest);
     entry.expiry = has_deadline ? error_kind::deadline_exceeded : error_kind::overloaded;
     group.share.enter(value.organisation, group.queue.size(value.organisation) > 0);
+    group.active[value.organisation] = now;
     group.queue.push(std::move(entry));
     make_room(group, actions);
 }
@@ -166,7 +167,8 @@
     const auto& first = group.queue.waiting(lane).at(id).front();
     const length_key key{id, first.request.workload, first.request.model};
     const auto& curve = lengths_.curve(key);
-    engine_state* target = placement_.choose(now, group.engines, first.request, served, curve, group.ahead(id));
+    const room_for_others room{group.ahead(id), group.over_slots(id)};
+    engine_state* target = placement_.choose(now, group.engines, first.request, served, curve, room);
     if (target == nullptr) {
         return false;
     }
--- a/src/admission/placement.h
+++ b/src/admission/placement.h
@@ -16,6 +16,9 @@
     double fill = 0.98;
     /// The same for organisations that are ahead of their share, so that the others find room at once.
     double ahead_fill = 0.75;
+    /// Part of an engine's slots that organisations with more than their share of the slots leave to the others, so
+    /// that those need not wait for a generation to end. Engines with few slots leave none.
+    double slot_room = 0.0625;
     /// Urgent generations per engine for which engines are kept short.
     int urgent_per_engine = 16;
     /// The number of short engines falls only when this part of the urgent work would still fit.
@@ -28,15 +31,26 @@
     double generations_per_prompt_token = 0.04;
     /// Largest part of a group's engines that are kept short.
     double largest_short_part = 0.5;
-    /// Least time between grants of normal and draft work on one engine, so that their prompts do not stall the batch
-    /// together.
-    milliseconds bulk_spacing{20};
+    /// Prompt tokens per millisecond that normal and draft work may bring to one engine, so that their prompts do not
+    /// stall the batch together, and the time over which several prompts share that rate. A longer prompt waits for an
+    /// engine without others.
+    double bulk_prompt_rate = 30;
+    milliseconds bulk_prompt_window{20};
     /// A new draft gets a priority below all others from this fill on.
     double low_priority_fill = 0.8;
     /// Drafts go to the fullest engine with room instead of the emptiest.
     bool pack = false;
 };
 
+/// What a request's organisation has to leave to the others.
+struct room_for_others
+{
+    /// Part of the memory, as in `ahead_fill`.
+    bool memory = false;
+    /// Part of the slots, as in `slot_room`.
+    bool slots = false;
+};
+
 /// Chooses the engine of one request among the engines of its group.
 class placement
 {
@@ -47,7 +61,7 @@
     void assign_short(const std::vector<engine_state*>& engines, int urgent_slots) const;
     /// The engine for a request that is served in class `served`, or null when none may take it now.
     engine_state* choose(instant now, const std::vector<engine_state*>& engines, const grant_request& request,
-                         work_class served, const length_curve& curve, bool ahead) const;
+                         work_class served, const length_curve& curve, room_for_others room) const;
     /// Notes that the engine got the request.
     void granted(instant now, engine_state& target, const grant_request& request, work_class served) const;
     /// Engine priority of a grant.
@@ -58,10 +72,13 @@
     double cost(instant now, const engine_state& target) const;
     bool better(instant now, const engine_state& a, const engine_state& b, work_class served) const;
     bool fits(instant now, const engine_state& target, const grant_request& request, work_class served,
-              const length_curve& curve, bool ahead) const;
+              const length_curve& curve, room_for_others room) const;
+    /// Time for which the request's prompt takes up the engine's rate of prompt tokens.
+    microseconds prompt_time(const grant_request& request) const;
     /// Whether the engine takes requests of the class at all, now or when others have ended.
     bool takes_class(const engine_state& target, work_class served) const;
-    bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served) const;
+    bool open_to(instant now, const engine_state& target, const grant_request& request, work_class served,
+                 room_for_others room) const;
 
     placement_settings settings_;
 };
--- a/src/admission/tests/placement_test.cpp
+++ b/src/admission/tests/placement_test.cpp
@@ -29,12 +29,20 @@
         return out;
     }
 
-    const engine_state* choose(work_class served, const std::vector<upstream_id>& excluded)
+    void take(engine_state & target, tokens input)
+    {
+        auto request = make_test_request(1, 0, work_class::draft);
+        request.input = input;
+        chooser.granted(now, target, request, work_class::draft);
+        ++target.running;
+    }
+
+    const engine_state* choose(work_class served, const std::vector<upstream_id>& excluded, room_for_others room = {})
     {
         auto request = make_test_request(1, 0, served);
         request.excluded = excluded;
         const auto& curve = lengths.curve({request.organisation, request.workload, request.model});
-        return chooser.choose(now, {&short_engine, &long_engine}, request, served, curve, false);
+        return chooser.choose(now, {&short_engine, &long_engine}, request, served, curve, room);
     }
 };
 
@@ -60,3 +68,30 @@
     short_engine.running = test_batch_limit;
     POINTERS_EQUAL(nullptr, choose(work_class::urgent, {upstream_id("e1")}));
 }
+
+// Guards against a fixed pause after each grant: 50 short answers a second would leave most slots of an engine empty.
+TEST(placement_test, short_prompts_follow_each_other_at_once)
+{
+    for (int i = 0; i < test_batch_limit; ++i) {
+        POINTERS_EQUAL(&long_engine, choose(work_class::draft, {}));
+        take(long_engine, {10});
+    }
+}
+
+// Guards against the prompts of several drafts in one step of the engine.
+TEST(placement_test, a_long_prompt_is_alone_in_its_window)
+{
+    take(long_engine, {600});
+    POINTERS_EQUAL(nullptr, choose(work_class::draft, {}));
+    now += milliseconds(21);
+    POINTERS_EQUAL(&long_engine, choose(work_class::draft, {}));
+}
+
+// Guards against an organisation that fills every slot, so that the others wait for its generations to end.
+TEST(placement_test, slots_are_left_to_the_others)
+{
+    long_engine.settings.batch_limit = 32;
+    long_engine.running = 30;
+    POINTERS_EQUAL(&long_engine, choose(work_class::draft, {}));
+    POINTERS_EQUAL(nullptr, choose(work_class::draft, {}, {false, true}));
+}
--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -347,3 +347,38 @@
     LONGS_EQUAL(0, refusals().size());
     LONGS_EQUAL(10, grants().size());
 }
+
+// Guards against an engine slot that stays empty until the next tick after its generation has ended.
+TEST(scheduler_core_test, an_end_frees_the_slot_for_the_next_request_at_once)
+{
+    configuration = make_test_document(1, 1);
+    start(true);
+    for (int i = 0; i <= test_batch_limit; ++i) {
+        ask(i, 0, work_class::normal);
+        run(milliseconds(20));
+    }
+    LONGS_EQUAL(test_batch_limit, grants().size());
+    auto ended = progress_of(grants().front(), 10, work_class::normal);
+    ended.state = grant_state::finished;
+    keep(core.on_progress(now, gateway, {{ended}, {}, false}));
+    LONGS_EQUAL(test_batch_limit + 1, grants().size());
+}
+
+// Guards against the wait of an organisation that asks for little while another one fills the engines.
+TEST(scheduler_core_test, an_organisation_over_its_share_leaves_slots_to_one_between_its_requests)
+{
+    configuration = make_test_document(1, 2);
+    configuration.services.front().upstreams.front().batch_limit = 32;
+    configuration.services.front().upstreams.front().capacity = {1'000'000};
+    start(true);
+    ask(0, 1, work_class::normal);
+    keep(core.on_cancel(now, gateway, request_id("r0")));
+    for (int i = 1; i <= 40; ++i) {
+        ask(i, 0, work_class::normal);
+    }
+    run(milliseconds(1000));
+    const auto granted = grants().size();
+    CHECK(granted < 33);
+    ask(41, 1, work_class::normal);
+    LONGS_EQUAL(granted + 1, grants().size());
+}
--- a/src/admission/types/engine_state.h
+++ b/src/admission/types/engine_state.h
@@ -33,7 +33,8 @@
     bool usable = false;
     /// Takes no work until it reports again: not reported yet, lost since its newest report, or leaving.
     bool gone = true;
-    instant last_bulk{};
+    /// No normal or draft work is granted before.
+    instant next_bulk{};
     instant last_grant{};
     /// Prompt tokens of the grants around `last_grant`.
     double recent_prompt = 0;
