Print the errors of a status or audit entry in one place

Cause: three commands of anvilleadctl had the same loop over the field errors of an object.

Change: print_errors() with the stream and the indent; the output is as before.

--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -60,6 +60,15 @@
     return it == value.end() ? std::string() : it->is_string() ? it->get<std::string>() : it->dump();
 }
 
+/// Prints the errors of a status object or audit entry, one line each.
+void print_errors(std::FILE* stream, std::string_view indent, const json& owner)
+{
+    for (const auto& it : owner.value("errors", json::array())) {
+        fmt::print(stream, "{}{}: {}: expected {}\n", indent, text_field(it, "file"), text_field(it, "field"),
+                   text_field(it, "expected"));
+    }
+}
+
 int validate(const ctl_options& options, const config_files& files)
 {
     const auto code = report_problems(options, merge_files(files).problems);
@@ -138,10 +147,7 @@
     } else {
         fmt::print(stderr, "{}\n",
                    state == "undecided" ? "undecided: no agent has accepted or rejected the files yet" : state);
-        for (const auto& it : decision.value("errors", json::array())) {
-            fmt::print(stderr, "{}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
-                       text_field(it, "expected"));
-        }
+        print_errors(stderr, "", decision);
     }
     return state == "accepted" ? exit_ok : state == "rejected" ? exit_usage : exit_failure;
 }
@@ -192,10 +198,7 @@
         const auto& value = status.value().value;
         fmt::print("last change: {} (revision {})\n", text_field(value, "state"),
                    text_field(value, "collection_revision"));
-        for (const auto& it : value.value("errors", json::array())) {
-            fmt::print("{}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
-                       text_field(it, "expected"));
-        }
+        print_errors(stdout, "", value);
     }
     return exit_ok;
 }
@@ -210,10 +213,7 @@
     fmt::print("{:%Y-%m-%dT%H:%M:%SZ} {} {} generation={} operator={} files={} {:.8} -> {:.8}\n", fmt::gmtime(time),
                text_field(entry, "number"), text_field(entry, "outcome"), text_field(entry, "generation"),
                text_field(entry, "operator"), files, text_field(entry, "old_digest"), text_field(entry, "new_digest"));
-    for (const auto& it : entry.value("errors", json::array())) {
-        fmt::print("    {}: {}: expected {}\n", text_field(it, "file"), text_field(it, "field"),
-                   text_field(it, "expected"));
-    }
+    print_errors(stdout, "    ", entry);
 }
 
 int audit(const ctl_options& options)
