Refuse what waits in a gateway while no scheduler is alive

Cause: a gateway keeps a request until a scheduler answers. With no scheduler alive, a draft without a deadline had no answer at all.

Change: routing/scheduler_absence.h notes since when a service has had no link to a scheduler; after scheduler_absence_ms (8 s) its requests get no_upstream with the outcome not_run and Retry-After. The bound exceeds the 5 s in which a lost host is replaced.

--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr milliseconds absence_check_period{100};
 constexpr milliseconds drain_check_period{50};
 // Time for the last progress reports to leave before the process ends.
 constexpr milliseconds last_report_time{100};
@@ -52,7 +53,7 @@
 {
     const auto number = new_incarnation();
     const auto options = make_link_options(settings_.common, "gateway", number);
-    schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_);
+    schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_, settings_.scheduler_absence);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
                                        [this] { return agent_->current(); }, retries_, gaps_});
     keys_ = std::make_unique<gateway_keys>(*context_, options, number);
@@ -85,6 +86,7 @@
 {
     pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
     pool_.timers().every(settings_.load_period, [this] { services_->poll_loads(); });
+    pool_.timers().every(absence_check_period, [this] { schedulers_->refuse_unserved(); });
     keys_->start_pruning();
 }
 
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -84,6 +84,8 @@
     out.claims = read_claim_settings(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
+    out.scheduler_absence =
+        milliseconds(reader.number_or("scheduler_absence_ms", period_range, out.scheduler_absence.count()));
     out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
     out.service_timeout = milliseconds(reader.number_or("service_timeout_ms", period_range, 30'000));
     out.shutdown_skew = milliseconds(reader.number_or("shutdown_skew_ms", period_range, 1000));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -30,6 +30,9 @@
     claim_settings claims;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
+    /// Requests are refused after a service has had no scheduler for this long. A lost host is replaced after about 5
+    /// s: it is suspected after a few probes and taken for dead 3 s later.
+    milliseconds scheduler_absence{8'000};
     /// How long callers may keep an answer of /v1/endpoints.
     milliseconds endpoints_ttl{5000};
     /// Longest time for the answer of a plain service.
--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -15,8 +15,10 @@
 
 } // namespace
 
-scheduler_links::scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress)
-    : pool_(pool), options_(std::move(options)), counters_(counters), progress_(progress)
+scheduler_links::scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress,
+                                 milliseconds absence)
+    : pool_(pool), options_(std::move(options)), counters_(counters), progress_(progress),
+      absence_(absence, placement_hash(options_.identity))
 {}
 
 void scheduler_links::apply_view(const view_ptr& view)
@@ -142,6 +144,44 @@
     }
 }
 
+void scheduler_links::refuse_unserved()
+{
+    std::map<service_name, std::vector<std::string>> services;
+    {
+        const std::lock_guard lock(mutex_);
+        services = owners_;
+        for (const auto& [id, it] : waiting_) {
+            services.try_emplace(it.request.service);
+        }
+    }
+    std::map<service_name, bool> reachable;
+    for (const auto& [name, addresses] : services) {
+        reachable[name] = std::any_of(addresses.begin(), addresses.end(),
+                                      [&](const auto& address) { return client_for(address)->current() != nullptr; });
+    }
+    std::vector<std::pair<refusal, grant_callbacks>> refused;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto now = pool_.timers().now();
+        for (const auto& [name, open] : reachable) {
+            absence_.observe(now, name, open);
+        }
+        for (auto it = waiting_.begin(); it != waiting_.end();) {
+            const auto delay =
+                it->second.granted ? std::nullopt : absence_.refuse_after(now, it->second.request.service);
+            if (!delay) {
+                ++it;
+                continue;
+            }
+            refused.emplace_back(refusal{it->first, error_kind::no_upstream, delay}, std::move(it->second.callbacks));
+            it = waiting_.erase(it);
+        }
+    }
+    for (const auto& [value, callbacks] : refused) {
+        callbacks.on_refusal(value);
+    }
+}
+
 void scheduler_links::report_progress()
 {
     for (auto& [address, report] : progress_.take_reports(pool_.timers().now())) {
--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -6,6 +6,7 @@
 
 #include "apps/common/agent_link.h"
 #include "apps/gateway/progress_table.h"
+#include "routing/scheduler_absence.h"
 
 namespace anvillead {
 
@@ -20,7 +21,8 @@
         std::function<void(const refusal& value)> on_refusal;
     };
 
-    scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress);
+    scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress,
+                    milliseconds absence);
 
     /// Follows the view: opens links to new cell owners and moves waiting requests to them.
     void apply_view(const view_ptr& view);
@@ -32,6 +34,8 @@
     /// Asks the scheduler of a cell of the request's service. Callbacks run on a transport thread.
     void ask(const grant_request& request, grant_callbacks callbacks);
     void cancel(const request_id& request);
+    /// Refuses what waits for a service that has had no scheduler for `absence`. Must be called regularly.
+    void refuse_unserved();
     void report_progress();
     /// Tells the scheduler at once that a grant has ended, so that it gives the engine's slot to the next request.
     void report_end(const grant_id& id, grant_state state);
@@ -68,6 +72,7 @@
     std::map<std::string, std::vector<upstream_id>> owned_;
     /// Link address of each cell's owner by service.
     std::map<service_name, std::vector<std::string>> owners_;
+    scheduler_absence absence_;
 };
 
 } // namespace anvillead
--- a/tests/invariants/not_run_test.cpp
+++ b/tests/invariants/not_run_test.cpp
@@ -140,3 +140,23 @@
     }
     STRCMP_EQUAL("", check.problems().c_str());
 }
+
+// Guards against a draft without a deadline that waits without bound while no scheduler is alive.
+TEST(refusal_that_says_not_run, no_scheduler_is_alive)
+{
+    // `scheduler_absence_ms`, its check period, and a margin for a busy machine.
+    constexpr milliseconds bound{8'000 + 100 + 2'000};
+    cluster it(sized(2));
+    it.kill("scheduler-1");
+    it.kill("scheduler-2");
+    for (int host = 1; host <= 2; ++host) {
+        const question value{new_input(), "appointment-sheet", 10};
+        const auto answer = it.client().ask(it.gateway(host), value);
+        CHECK_TEXT(answer->wait_end(bound), "no final answer");
+        const auto reason = error_of(answer->events(), answer->head());
+        STRCMP_EQUAL("no_upstream", reason.value("kind", "").c_str());
+        STRCMP_EQUAL("not_run", reason.value("outcome", "").c_str());
+        CHECK_TEXT(reason.value("retry_after_ms", 0) > 0, "no Retry-After");
+        LONGS_EQUAL(0, it.count_ran(value.input));
+    }
+}
