--- a/src/apps/common/agent_link.cpp
+++ b/src/apps/common/agent_link.cpp
@@ -357,7 +357,10 @@
     std::vector<std::string> candidates;
     for (const auto& it : current_->members) {
         const auto& address = it.addresses.agent_link;
-        if (!address.empty() && address != address_ && it.state == member_state::alive) {
+        // The own agent may advertise another address than the one that this process uses.
+        const bool is_own =
+            address == address_ || options_.identity.find('/' + it.host.str() + '/') != std::string::npos;
+        if (!address.empty() && !is_own && it.state == member_state::alive) {
             candidates.push_back(address);
         }
     }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -17,7 +17,6 @@
 
 constexpr const char* zones[] = {"colombo-a", "colombo-b", "negombo"};
 constexpr std::string_view ran_prefix = "ran ";
-constexpr const char* fleet_key = "test-fleet-key";
 
 std::string zone_of(int number)
 {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -7,6 +7,9 @@
 
 namespace testing {
 
+/// Fleet key of all processes of a cluster.
+inline constexpr const char* fleet_key = "test-fleet-key";
+
 /// Size and settings of a cluster.
 struct cluster_options
 {
