End a forwarded stream at the deadline when the key's gateway is silent

Cause: a stream whose key is bound to another gateway waited up to 120 s for the head of that gateway's answer when the link between them froze or lost the answers, long after its deadline.

Change: the head must come within the workload's deadline plus 1 s. Gateways can advertise an HTTP address of their own, so that the tests route the forwarding through the fault proxy.

--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -76,7 +76,7 @@
     schedulers_->set_generation_gate([this](config_generation generation, std::function<void()> task) {
         agent_->when_current(generation, std::move(task));
     });
-    agent_->report({"gateway", false, 0, server_->address(), link_address()});
+    agent_->report({"gateway", false, 0, http_address(), link_address()});
     log(log_level::info, log_event::process_started, {{"listen", server_->address()}, {"link", links_->address()}});
 }
 
@@ -97,6 +97,11 @@
     log(log_level::info, log_event::process_stopped, {});
 }
 
+std::string gateway_daemon::http_address() const
+{
+    return reachable_address(settings_.advertise, server_->address());
+}
+
 std::string gateway_daemon::link_address() const
 {
     return reachable_address(settings_.link_advertise, links_->address());
@@ -256,7 +261,7 @@
     nlohmann::json list = nlohmann::json::array();
     for (const auto& it : select_endpoints(view->members, query)) {
         // This host may be leaving before its own agent says so.
-        if (leaving_ && it.address == server_->address()) {
+        if (leaving_ && it.address == http_address()) {
             continue;
         }
         list.push_back({{"address", it.address}, {"availability_zone", it.availability_zone.str()}});
@@ -277,7 +282,7 @@
         return;
     }
     log(log_level::info, log_event::shutdown_began, {{"open_requests", std::to_string(*context_->open_requests)}});
-    agent_->report({"gateway", true, 0, server_->address(), link_address()});
+    agent_->report({"gateway", true, 0, http_address(), link_address()});
     server_->drain();
     const auto stop_accepting = [this] {
         server_->stop_accepting();
@@ -296,7 +301,7 @@
     const auto view = agent_->current();
     const auto listed = select_endpoints(view->members, {{}, {}, view->members.size()});
     return listed.size() > 1 && std::any_of(listed.begin(), listed.end(),
-                                            [this](const endpoint& it) { return it.address == server_->address(); });
+                                            [this](const endpoint& it) { return it.address == http_address(); });
 }
 
 void gateway_daemon::exit_when_drained()
--- a/src/apps/gateway/gateway_daemon.h
+++ b/src/apps/gateway/gateway_daemon.h
@@ -36,6 +36,8 @@
                         const std::shared_ptr<ihttp_exchange>& exchange);
     void endpoints(const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange);
     bool ready() const;
+    /// Address as callers and other gateways reach it.
+    std::string http_address() const;
     /// Address of the links as other gateways reach it.
     std::string link_address() const;
     /// Answers `overloaded` when the bound on open requests is reached.
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -72,6 +72,7 @@
     gateway_settings out;
     out.common = read_common_settings(reader);
     out.listen = reader.text("listen");
+    out.advertise = reader.text_or("advertise", "");
     out.link_listen = reader.text("link_listen");
     out.link_advertise = reader.text_or("link_advertise", "");
     out.agent = reader.text("agent");
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -14,6 +14,8 @@
     common_settings common;
     /// "address:port" for callers; port 0 lets the kernel choose.
     std::string listen;
+    /// Address that callers and other gateways use for HTTP; empty for the one above.
+    std::string advertise;
     /// "address:port" for links of other gateways.
     std::string link_listen;
     /// Address that other gateways use for links; empty for the one above.
--- a/src/apps/gateway/key_forwarder.cpp
+++ b/src/apps/gateway/key_forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "apps/gateway/response_request.h"
 #include "claims/idempotency_key.h"
 
 namespace anvillead {
@@ -16,6 +17,8 @@
 // The other gateway sends a keep-alive comment every 5 s while a stream is silent.
 constexpr milliseconds idle_timeout{20'000};
 constexpr milliseconds retry_hint{1000};
+// Added to the workload's deadline, at which the other gateway refuses a stream that has not begun.
+constexpr milliseconds refusal_margin{1000};
 // Headers of the answer that matter to a caller; the others describe the connection between the gateways.
 constexpr std::array<std::string_view, 4> answer_headers = {"Content-Type", "Cache-Control", "Retry-After", "Location"};
 constexpr std::array<std::string_view, 7> request_headers = {
@@ -34,6 +37,18 @@
     return out;
 }
 
+/// Time for the head of the answer. A stream begins by the workload's deadline, so that a silent link ends with a
+/// refusal and not with a caller that waits for an answer that cannot come.
+milliseconds head_timeout_of(const http_request& request, const document& configuration)
+{
+    if (request.method != "POST" || request.path() != "/v1/responses") {
+        return head_timeout;
+    }
+    const auto parsed = parse_response_request(request, configuration);
+    const bool bounded = parsed && parsed.value().stream && parsed.value().work->deadline.count() > 0;
+    return bounded ? parsed.value().work->deadline + refusal_margin : head_timeout;
+}
+
 /// One forwarded request. Everything runs on the exchange's sequence.
 struct relay : std::enable_shared_from_this<relay>
 {
@@ -130,7 +145,7 @@
     out.headers = copy_headers(request_headers, [&](std::string_view it) { return request.header(it); });
     out.headers.emplace_back(std::string(mark_header), keys_.forwarding_mark(std::string(request.header(key_header))));
     out.body = request.body;
-    out.head_timeout = head_timeout;
+    out.head_timeout = head_timeout_of(request, context_.view()->configuration->merged);
     out.idle_timeout = idle_timeout;
     const auto state = std::make_shared<relay>();
     state->exchange = exchange;
--- a/tests/invariants/idempotency_hosts_test.cpp
+++ b/tests/invariants/idempotency_hosts_test.cpp
@@ -1,9 +1,33 @@
+#include <fstream>
+
 #include <CppUTest/TestHarness.h>
 
+#include <fmt/format.h>
+
 #include "tests/invariants/keyed_requests.h"
 
 using namespace testing;
 
+namespace {
+
+// The workload's deadline in this test, and how much later than that the refusal may come.
+constexpr int deadline_ms = 1500;
+constexpr milliseconds refusal_margin{1500};
+
+void set_deadline(cluster& it, const std::string& workload)
+{
+    std::ifstream in(it.folder() + "/40-workloads.json");
+    auto file = nlohmann::json::parse(in);
+    for (auto& entry : file["workloads"]) {
+        if (entry["name"] == workload) {
+            entry["deadline_ms"] = deadline_ms;
+        }
+    }
+    STRCMP_EQUAL("", it.configure("40-workloads.json", file).c_str());
+}
+
+} // namespace
+
 TEST_GROUP(idempotency_hosts){};
 
 // Guards against a bound key that runs at two gateways, or at none while its own gateway is reachable.
@@ -30,6 +54,37 @@
     LONGS_EQUAL(1, it.count_ran(value.input));
 }
 
+// Guards against a second run of a bound key, a wrong not_run and a caller that waits beyond its deadline, when the
+// link to the gateway that the key is bound to fails before, while or after the request passes.
+TEST(idempotency_hosts, the_gateway_of_a_bound_key_cannot_be_reached)
+{
+    auto limits = sized(2);
+    limits.proxied = true;
+    limits.proxied_gateways = true;
+    cluster it(limits);
+    set_deadline(it, "appointment");
+    const auto prefix = it.bound_prefix(1);
+    it.fault("platform", {{"cut", true}});
+    const nlohmann::json healed = {{"cut", false}, {"freeze", false}, {"drop_answers", false}, {"lose_answers", 0}};
+    const nlohmann::json faults[] = {
+        {{"cut", true}}, {{"freeze", true}}, {{"drop_answers", true}}, {{"lose_answers", 1}}};
+    for (const auto& fault : faults) {
+        const auto value = appointment(prefix + "." + new_key(), 10);
+        it.fault("http-1", fault);
+        const auto asked = clock::now();
+        const auto refused = refusal_of(it, 2, value);
+        const auto passed = std::chrono::duration_cast<milliseconds>(clock::now() - asked);
+        fmt::print("  {}: {} after {} ms\n", fault.dump(), refused, passed.count());
+        CHECK_TEXT(refused == "no_upstream/may_have_run" || refused == "upstream_failed/may_have_run", refused.c_str());
+        CHECK_TEXT(passed < milliseconds(deadline_ms) + refusal_margin, fault.dump().c_str());
+        it.fault("http-1", healed);
+        const auto again = it.client().ask(it.gateway(2), value);
+        CHECK(again->wait_end());
+        STRCMP_EQUAL_TEXT("", check_answer(again->events(), value).c_str(), fault.dump().c_str());
+        LONGS_EQUAL_TEXT(1, it.count_ran(value.input), fault.dump().c_str());
+    }
+}
+
 // Guards against a draft that runs twice because its caller resubmits it to another gateway.
 TEST(idempotency_hosts, a_draft_resubmitted_to_another_gateway_attaches)
 {
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -92,6 +92,9 @@
     const auto agent = fmt::format("agent-{}", number);
     const auto scheduler = fmt::format("scheduler-{}", number);
     const auto gateway_name = fmt::format("gateway-{}", number);
+    if (options_.proxied_gateways) {
+        return {{gateway_name, {{"advertise", open_route(fmt::format("http-{}", number), "")}}}};
+    }
     if (!options_.proxied_members) {
         return {};
     }
@@ -104,6 +107,9 @@
 
 void cluster::set_member_targets(int number)
 {
+    if (options_.proxied_gateways) {
+        open_route(fmt::format("http-{}", number), gateway(number));
+    }
     if (!options_.proxied_members) {
         return;
     }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -29,6 +29,9 @@
     /// The proxy also stands in front of the probes ("probe-1") and links ("agent-1", "scheduler-1", "gateway-1") of
     /// each host, and each host has a route of its own to the platform ("platform-1").
     bool proxied_members = false;
+    /// The proxy also stands in front of each gateway's HTTP address ("http-1") as other gateways and callers that
+    /// follow /v1/endpoints use it; gateway() stays the direct address. Not together with proxied_members.
+    bool proxied_gateways = false;
 };
 
 inline cluster_options sized(int hosts, int engines = 1, int services = 1)
