Test the loss of a zone together with its engines

Change: on seven hosts with six engines, the engines of a zone stop answering and are killed with all processes of the zone, under load. Streams on other engines are whole, streams with tokens on the lost ones end with generation_lost, requests without a token move, no appointment runs twice.

--- a/tests/invariants/zone_lost_test.cpp
+++ b/tests/invariants/zone_lost_test.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -117,6 +118,47 @@
     CHECK(!records.empty());
 }
 
+cluster_options options_with_more_engines()
+{
+    auto out = options();
+    // Two in each zone; engine i is in the zone of host i.
+    out.engines = 6;
+    return out;
+}
+
+/// What became of the streams that were open when a zone was lost with its engines.
+struct stream_ends
+{
+    int whole = 0;
+    int lost = 0;
+};
+
+/// A stream that had delivered tokens is whole on an engine that is left and ends with generation_lost on a lost one.
+stream_ends check_delivered(cluster& it, const std::vector<std::pair<question, stream::ptr>>& open,
+                            const std::vector<std::string>& lost_engines)
+{
+    stream_ends out;
+    for (const auto& [value, answer] : open) {
+        CHECK_TEXT(answer->wait_end(milliseconds(20'000)), "a stream did not end");
+        const auto events = answer->events();
+        const auto runs = it.ran();
+        const auto run = std::find_if(
+            runs.begin(), runs.end(),
+            [&, tag = value.input.substr(0, question::tag_length)](const run_record& at) { return at.input == tag; });
+        CHECK(run != runs.end());
+        if (std::find(lost_engines.begin(), lost_engines.end(), run->upstream) == lost_engines.end()) {
+            STRCMP_EQUAL("", check_answer(events, value).c_str());
+            ++out.whole;
+            continue;
+        }
+        STRCMP_EQUAL("", check_beginning(events, value).c_str());
+        const auto error = error_of(events, answer->head());
+        STRCMP_EQUAL("generation_lost", error.value("kind", "").c_str());
+        ++out.lost;
+    }
+    return out;
+}
+
 } // namespace
 
 /// An availability zone is lost and the others go on.
@@ -138,3 +180,44 @@
     lose_zone(
         it, [&](const std::string& name) { it.pause(name); }, [&](const std::string& name) { it.resume(name); });
 }
+
+// Guards against streams of other engines that end with the zone, requests without a token that are not moved to
+// another engine, second runs of appointments and answers that are neither whole nor say why not, when a zone is lost
+// together with its engines.
+TEST(zone_lost, all_processes_and_engines_are_killed)
+{
+    cluster it(options_with_more_engines());
+    const auto lost = hosts_of_zone(it, 2);
+    const auto left = other_hosts(it, lost);
+    const std::vector<std::string> lost_engines = {"engine-2", "engine-5"};
+    background_load load(it, load_callers, test_seed());
+    std::vector<std::pair<question, stream::ptr>> open;
+    for (int round = 0; round < 3; ++round) {
+        auto more = open_streams(it, left);
+        std::move(more.begin(), more.end(), std::back_inserter(open));
+    }
+    // These have no token yet when the engines die: they do not answer, and then they are killed.
+    for (const auto& name : lost_engines) {
+        it.pause(name);
+    }
+    std::vector<std::pair<question, stream::ptr>> waiting;
+    for (int i = 0; i < 24; ++i) {
+        const question value{new_input(), "appointment-sheet", 10};
+        waiting.emplace_back(value,
+                             it.client().ask(it.gateway(left[static_cast<std::size_t>(i) % left.size()]), value));
+    }
+    eventually([] { return false; }, milliseconds(200));
+    for_each_daemon(lost, [&](const std::string& name) { it.kill(name); });
+    for (const auto& name : lost_engines) {
+        it.kill(name);
+    }
+    check_whole(waiting);
+    const auto ends = check_delivered(it, open, lost_engines);
+    fmt::print("  streams with tokens: {} whole, {} lost with their engine\n", ends.whole, ends.lost);
+    CHECK(ends.whole > 0);
+    CHECK(ends.lost > 0);
+    check_new_requests(it, left);
+    const auto records = load.stop();
+    STRCMP_EQUAL("", all_problems(judge(records, it)).c_str());
+    CHECK(!records.empty());
+}
