Bound the whole head of an answer in the HTTP client

Cause: Beast compares its limit of 8 KB with the bytes that are not parsed yet. Parts that end after the first byte of a line leave one such byte, so a server could send fields without end.

Change: the client feeds the parser itself and counts the parsed bytes too, as the server does.

--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -164,12 +164,41 @@
             return;
         }
         parser_.emplace();
+        parser_->header_limit(head_bytes_limit);
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         // An answer to HEAD announces a body that does not follow.
         parser_->skip(request_.method == "HEAD");
-        http::async_read_header(*socket_, buffer_, *parser_,
-                                bound([self = shared_from_this()](const boost::system::error_code& read_ec,
-                                                                  std::size_t) { self->head_read(read_ec); }));
+        head_bytes_ = 0;
+        parse_head();
+    }
+
+    void parse_head()
+    {
+        // Beast's own limit applies to the part that is not parsed yet, and complete lines are parsed as they arrive.
+        boost::system::error_code ec = http::error::need_more;
+        if (buffer_.size() > 0) {
+            const auto used = parser_->put(buffer_.data(), ec);
+            buffer_.consume(used);
+            head_bytes_ += used;
+        }
+        const auto unparsed = parser_->is_header_done() ? 0 : buffer_.size();
+        if ((!ec || ec == http::error::need_more) && head_bytes_ + unparsed > head_bytes_limit) {
+            ec = http::error::header_limit;
+        }
+        if (ec != http::error::need_more) {
+            head_read(ec);
+            return;
+        }
+        socket_->async_read_some(
+            buffer_.prepare(head_piece_bytes),
+            bound([self = shared_from_this()](const boost::system::error_code& read_ec, std::size_t count) {
+                if (self->done_ || read_ec) {
+                    self->head_read(read_ec);
+                    return;
+                }
+                self->buffer_.commit(count);
+                self->parse_head();
+            }));
     }
 
     /// A reused connection that the peer had already closed is replaced once by a new one.
@@ -272,6 +301,9 @@
     }
 
     static constexpr std::size_t chunk_bytes = 16 * 1024;
+    static constexpr std::size_t head_piece_bytes = 4096;
+    // Beast's default for the part of a head that is not parsed yet.
+    static constexpr std::size_t head_bytes_limit = 8 * 1024;
 
     net::io_context& context_;
     std::shared_ptr<connection_cache> cache_;
@@ -283,6 +315,8 @@
     http::request<http::string_body> message_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_;
+    /// Parsed part of the answer's head.
+    std::size_t head_bytes_ = 0;
     std::array<char, chunk_bytes> chunk_ = {};
     std::uint64_t timer_round_ = 0;
     bool reused_ = false;
