Test that old claims are deleted and their keys never run again

Change: the number of platform calls a second for the deletion of old claims is a setting (default 1 as before), so that a test sees the deletion.

--- a/src/apps/gateway/claim_settings.cpp
+++ b/src/apps/gateway/claim_settings.cpp
@@ -22,6 +22,7 @@
     journal.keys.retention =
         seconds(reader.number_or("claim_retention_s", retention_range, journal.keys.retention.count()));
     out.pruning.keys = journal.keys;
+    out.pruning.calls_per_tick = read_count(reader, "claim_pruning_calls_per_second", out.pruning.calls_per_tick);
     journal.queue = read_count(reader, "claim_queue", journal.queue);
     journal.writes_per_second =
         static_cast<unsigned>(read_count(reader, "claim_writes_per_second", journal.writes_per_second));
--- a/src/claims/claim_pruner.h
+++ b/src/claims/claim_pruner.h
@@ -22,7 +22,7 @@
     seconds margin{10 * 60};
     /// A gateway that becomes responsible looks this far further back for objects that its predecessor left.
     seconds reach{24 * 60 * 60};
-    /// Platform calls per tick.
+    /// Platform calls per tick, which is once a second in a gateway.
     std::size_t calls_per_tick = 1;
 };
 
--- a/tests/invariants/idempotency_hosts_test.cpp
+++ b/tests/invariants/idempotency_hosts_test.cpp
@@ -26,6 +26,23 @@
     STRCMP_EQUAL("", it.configure("40-workloads.json", file).c_str());
 }
 
+std::size_t claim_objects(cluster& it)
+{
+    return it.client().get(it.address("platform"), "/v1/objects?prefix=claims/")["objects"].size();
+}
+
+/// Starts the gateway of a host again with another setting.
+void restart_gateway_with(cluster& it, int host, const std::string& field, const nlohmann::json& value)
+{
+    const auto name = fmt::format("gateway-{}", host);
+    std::ifstream in(it.at(name).arguments[2]);
+    auto settings = nlohmann::json::parse(in);
+    settings[field] = value;
+    it.kill(name);
+    it.directory().write(name + ".json", settings.dump(2));
+    it.restart(name);
+}
+
 } // namespace
 
 TEST_GROUP(idempotency_hosts){};
@@ -85,6 +102,41 @@
     }
 }
 
+// Guards against claims that are never deleted, a deletion of claims inside the retention period, and a second run of a
+// key whose claim is deleted. The key is a day old; the retention is shortened after it was used.
+TEST(idempotency_hosts, old_claims_are_deleted_and_their_keys_never_run_again)
+{
+    constexpr int day_s = 24 * 60 * 60;
+    auto limits = sized(2);
+    limits.gateway_settings = {{"claim_retention_s", 2 * day_s}, {"claim_pruning_calls_per_second", 50}};
+    cluster it(limits);
+    const auto old = appointment(new_key(-std::chrono::seconds(day_s)));
+    const auto fresh = appointment(new_key());
+    for (const auto* value : {&old, &fresh}) {
+        const auto answer = it.client().ask(it.gateway(1), *value);
+        CHECK(answer->wait_end());
+        STRCMP_EQUAL("", check_answer(answer->events(), *value).c_str());
+    }
+    LONGS_EQUAL(2, claim_objects(it));
+    for (const int host : {1, 2}) {
+        restart_gateway_with(it, host, "claim_retention_s", 60);
+    }
+    CHECK(it.wait_ready());
+    for (const int host : {1, 2}) {
+        STRCMP_EQUAL("key_expired/may_have_run", refusal_of(it, host, old).c_str());
+    }
+    CHECK_TEXT(eventually([&] { return claim_objects(it) == 1; }), "the old claim is not deleted");
+    for (const int host : {1, 2}) {
+        STRCMP_EQUAL("key_expired/may_have_run", refusal_of(it, host, old).c_str());
+        const auto again = it.client().ask(it.gateway(host), fresh);
+        CHECK(again->wait_end());
+        STRCMP_EQUAL("", check_answer(again->events(), fresh).c_str());
+    }
+    LONGS_EQUAL(1, it.count_ran(old.input));
+    LONGS_EQUAL(1, it.count_ran(fresh.input));
+    CHECK(!eventually([&] { return claim_objects(it) != 1; }, milliseconds(1500)));
+}
+
 // Guards against a draft that runs twice because its caller resubmits it to another gateway.
 TEST(idempotency_hosts, a_draft_resubmitted_to_another_gateway_attaches)
 {
