List the folder only at an agent's turn to accept a change

Each of the ten watching agents listed the whole folder, about 5 MB at 37,000 organisations, as soon as its watch showed a change, and then waited for its turn. It now waits first. When a peer has brought an acceptance of at least that revision by then, it only records the audit entry, as before. An agent whose predecessors are dead or paused accepts as early as before, because its turn counts from the watch's answer and is not waited for twice. A listing for another reason (start, failed read) is not delayed.

--- a/src/configuration/acceptance.h
+++ b/src/configuration/acceptance.h
@@ -59,6 +59,8 @@
     void store(instant now);
     void retry_later(instant now);
     void take_turn();
+    /// Whether the change that the watch showed can be left to the agents ahead, or has been accepted.
+    bool leaves_listing(instant now);
     void merge_candidate();
     void reject();
     void finish();
@@ -78,6 +80,9 @@
     bool list_needed_ = true;
     bool incomplete_reported_ = true;
     std::uint64_t listed_revision_ = 0;
+    /// Newest revision that the watch showed, and when it showed it.
+    std::uint64_t seen_revision_ = 0;
+    instant seen_at_{};
     instant list_asked_{};
     /// Earliest time of the next listing.
     instant list_after_{};
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -64,7 +64,7 @@
     if (step_ == step::waiting && now >= not_before_) {
         take_turn();
     } else if (step_ == step::idle && role_.watches && now >= not_before_) {
-        if (list_needed_ && now < list_after_) {
+        if (list_needed_ && (now < list_after_ || leaves_listing(now))) {
             return take_actions();
         }
         step_ = step::calling;
@@ -78,6 +78,26 @@
     return take_actions();
 }
 
+bool acceptance::leaves_listing(instant now)
+{
+    if (seen_revision_ <= listed_revision_) {
+        return false;
+    }
+    // Listing the folder is the largest transfer of a change. It waits for the agent's turn, so that mostly only the
+    // first agent lists; peers bring the others what it accepts.
+    if (now < seen_at_ + turn_length * static_cast<int>(role_.rank)) {
+        return true;
+    }
+    if (accepted_.collection_revision < seen_revision_) {
+        return false;
+    }
+    listed_revision_ = accepted_.collection_revision;
+    list_needed_ = false;
+    incomplete_reported_ = true;
+    finish();
+    return true;
+}
+
 void acceptance::report_incomplete(instant now)
 {
     if (!incomplete_reported_ && now - listed_at_ >= incomplete_after) {
@@ -93,6 +113,8 @@
         retry_later(now);
     } else if (revision.value() > listed_revision_) {
         list_needed_ = true;
+        seen_revision_ = revision.value();
+        seen_at_ = now;
     }
     return take_actions();
 }
@@ -111,6 +133,8 @@
     }
     step_ = step::idle;
     list_needed_ = false;
+    // The turn was waited for before the listing when the watch had shown the change.
+    const bool waited = seen_revision_ > listed_revision_;
     listed_revision_ = listing.value().revision;
     listed_at_ = now;
     // While files are being written, listings take at most half of the time whatever their size.
@@ -120,7 +144,7 @@
     if (candidate_.state == collection_state::unmerged) {
         listing_ = listing.value();
         step_ = step::waiting;
-        not_before_ = now + turn_length * static_cast<int>(role_.rank);
+        not_before_ = waited ? now : now + turn_length * static_cast<int>(role_.rank);
     }
     return take_actions();
 }
--- a/src/configuration/tests/acceptance_test.cpp
+++ b/src/configuration/tests/acceptance_test.cpp
@@ -116,6 +116,7 @@
         const auto action = actions.front();
         actions.pop_front();
         if (std::holds_alternative<list_collection>(action)) {
+            ++listings;
             add(core.on_listing(now, platform_.list()));
         } else if (std::holds_alternative<watch_collection>(action)) {
             const auto listing = platform_.list();
@@ -154,6 +155,7 @@
     acceptance_role role;
     std::deque<acceptance_action> actions;
     config_generation applied = 0;
+    int listings = 0;
 };
 
 } // namespace
@@ -230,6 +232,66 @@
     LONGS_EQUAL(1, agents[0]->applied);
 }
 
+// Guards against ten agents that read the whole folder for each change, and against an audit entry that nobody writes
+// because the accepting agent died after its `accepted` write.
+TEST(acceptance_test, an_agent_that_hears_of_the_acceptance_does_not_list)
+{
+    write_sample();
+    start(3);
+    run(seconds(3));
+    const auto before = agents[1]->listings;
+    const auto first = agents[0]->listings;
+    const auto audits = audit_count();
+    platform.set_file("40-more.json", R"({"models":[{"name":"n"}]})");
+    while (agents[0]->applied != 2) {
+        now += milliseconds(50);
+        agents[0]->tick(now);
+        agents[1]->tick(now);
+        while (agents[0]->busy() && agents[0]->applied != 2) {
+            agents[0]->carry_out_one(now);
+        }
+        while (agents[1]->busy()) {
+            agents[1]->carry_out_one(now);
+        }
+    }
+    LONGS_EQUAL(first + 1, agents[0]->listings);
+    LONGS_EQUAL(audits, audit_count());
+    const auto header = agents[0]->core.accepted();
+    agents.erase(agents.begin());
+    for (auto& it : agents) {
+        it->add(it->core.on_peer(header, header.contents));
+    }
+    run(seconds(3));
+    LONGS_EQUAL(2, agents[0]->applied);
+    LONGS_EQUAL(before, agents[0]->listings);
+    LONGS_EQUAL(audits + 1, audit_count());
+    // It still follows later changes on its own.
+    platform.set_file("40-more.json", R"({"models":[{"name":"o"}]})");
+    run(seconds(3));
+    LONGS_EQUAL(3, agents[0]->applied);
+    LONGS_EQUAL(before + 1, agents[0]->listings);
+}
+
+// Guards against a change that is in force later than 2 s after its last write, of the 6 s that the bound allows, when
+// the four agents ahead are dead and the files were written while this agent waited for its turn.
+TEST(acceptance_test, the_turn_of_a_later_agent_is_not_delayed_by_further_writes)
+{
+    write_sample();
+    start(5);
+    run(seconds(4));
+    agents.erase(agents.begin(), agents.begin() + 4);
+    config_manifest manifest{folder_digests(sample_files()), "mo", 5};
+    const std::string more = R"({"models":[{"name":"n"}]})";
+    auto files = sample_files();
+    files["40-more.json"] = more;
+    manifest.files = folder_digests(files);
+    (void)platform.put(manifest_object, to_json(manifest), 0);
+    run(milliseconds(1900));
+    platform.set_file("40-more.json", more);
+    run(milliseconds(2200));
+    LONGS_EQUAL(2, agents[0]->applied);
+}
+
 // Guards against a lost answer that leads to a second generation for the same set.
 TEST(acceptance_test, a_lost_answer_is_settled_by_reading_back)
 {
