Remove parts that an agent left when it died before its accepted write

Nothing removed them: the agent that wrote them keeps their names in memory only, and the header never named them.

The removal waits until the accepted object has been replaced since a read that followed the listing. From then on a proposal that wrote the part before the listing cannot be accepted, and a later one rewrites the part, so a part that another agent is about to name stays.

--- a/src/apps/agent/platform_follower.cpp
+++ b/src/apps/agent/platform_follower.cpp
@@ -157,6 +157,14 @@
                       });
 }
 
+void platform_follower::carry_out(const list_parts&)
+{
+    count("list_parts");
+    platform_->list(parts_prefix, [this](const result<platform_listing>& parts) {
+        carry_out(core_.on_parts_listed(pool_.timers().now(), parts));
+    });
+}
+
 void platform_follower::carry_out(const write_accepted& action)
 {
     count("write_accepted");
--- a/src/apps/agent/platform_follower.h
+++ b/src/apps/agent/platform_follower.h
@@ -50,6 +50,7 @@
     void carry_out(const read_part& action);
     void carry_out(const write_part& action);
     void carry_out(const remove_part& action);
+    void carry_out(const list_parts& action);
     void carry_out(const write_accepted& action);
     void carry_out(const apply_configuration& action);
     void carry_out(const write_status& action);
--- a/src/configuration/acceptance.h
+++ b/src/configuration/acceptance.h
@@ -6,6 +6,7 @@
 
 #include "configuration/manifest.h"
 #include "configuration/part_collector.h"
+#include "configuration/part_sweep.h"
 #include "configuration/part_writer.h"
 #include "configuration/types/acceptance_action.h"
 
@@ -21,8 +22,8 @@
 class acceptance
 {
 public:
-    explicit acceptance(std::string host, milliseconds retry_delay = milliseconds(500))
-        : host_(std::move(host)), retry_delay_(retry_delay)
+    explicit acceptance(std::string host, milliseconds retry_delay = milliseconds(500), part_sweep_limits sweep = {})
+        : host_(std::move(host)), retry_delay_(retry_delay), sweep_(sweep)
     {}
 
     acceptance_actions on_tick(instant now, std::int64_t wall_ms, const acceptance_role& role);
@@ -33,6 +34,7 @@
     acceptance_actions on_part_read(instant now, const read_part& call, const result<platform_object>& current);
     acceptance_actions on_part_written(instant now, const write_part& call, const result<std::uint64_t>& written);
     acceptance_actions on_part_removed(instant now, const remove_part& call, const result<void>& removed);
+    acceptance_actions on_parts_listed(instant now, const result<platform_listing>& parts);
     /// What a peer sent: the header that it has in force, if that was newer, and parts.
     acceptance_actions on_peer(const std::optional<accepted_header>& header, const std::vector<part_ptr>& parts);
 
@@ -59,6 +61,7 @@
     void store(instant now);
     void retry_later(instant now);
     void take_turn();
+    void ask_accepted();
     /// Whether the change that the watch showed can be left to the agents ahead, or has been accepted.
     bool leaves_listing(instant now);
     void merge_candidate();
@@ -96,6 +99,7 @@
     std::uint64_t base_version_ = 0;
     part_collector collector_;
     part_writer writer_;
+    part_sweep sweep_;
     /// Number of the latest attempt to store or fetch parts.
     std::uint64_t attempt_ = 0;
     /// Reads of the present fetch without an answer.
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -156,6 +156,12 @@
         return;
     }
     step_ = step::calling;
+    ask_accepted();
+}
+
+void acceptance::ask_accepted()
+{
+    sweep_.on_read();
     actions_.emplace_back(read_accepted{});
 }
 
@@ -183,6 +189,7 @@
         return take_actions();
     }
     accepted_header before;
+    sweep_.on_accepted(current ? current.value().version : 0);
     if (current) {
         const auto parsed = parse_accepted(current.value().value);
         before = parsed ? parsed.value() : accepted_header();
@@ -267,6 +274,12 @@
     return take_actions();
 }
 
+acceptance_actions acceptance::on_parts_listed(instant now, const result<platform_listing>& parts)
+{
+    sweep_.on_listing(now, parts);
+    return take_actions();
+}
+
 void acceptance::store(instant now)
 {
     for (auto& it : writer_.next()) {
@@ -308,7 +321,7 @@
     proposed_.files = candidate_.files;
     proposed_.audit = audit_entry(current, &proposed_).dump();
     base_version_ = version;
-    writer_.begin(++attempt_, current, version, parts);
+    writer_.begin(++attempt_, current, version, parts, sweep_.take(now, current, version));
     step_ = step::storing;
     store(now);
 }
@@ -317,9 +330,12 @@
 {
     if (written) {
         actions_.emplace_back(write_status{status(candidate_, "accepted", proposed_.generation)});
+        if (sweep_.due(now)) {
+            actions_.emplace_back(list_parts{});
+        }
         follow(proposed_);
     } else if (written.error().kind == error_kind::conflict) {
-        actions_.emplace_back(read_accepted{});
+        ask_accepted();
     } else {
         // The write may have taken effect; the next turn reads the object back before it decides anything.
         step_ = step::waiting;
--- a/src/configuration/internal/part_writer.cpp
+++ b/src/configuration/internal/part_writer.cpp
@@ -30,10 +30,11 @@
 }
 
 void part_writer::begin(std::uint64_t attempt, const accepted_header& base, std::uint64_t base_version,
-                        const std::vector<part_ptr>& parts)
+                        const std::vector<part_ptr>& parts, const std::vector<part_reference>& removable)
 {
     auto removals = take_orphans(base, base_version);
     removals.insert(removals.end(), base.unused.begin(), base.unused.end());
+    removals.insert(removals.end(), removable.begin(), removable.end());
     attempt_ = attempt;
     parts_ = parts;
     stored_ = written_;
--- a/src/configuration/part_writer.h
+++ b/src/configuration/part_writer.h
@@ -31,9 +31,10 @@
 
     /// Starts an attempt to store `parts` on top of the `accepted` object `base` of version `base_version`. Parts that
     /// an earlier attempt on the same base has written are not written again.
+    /// `removable` are parts to remove with the attempt unless it uses them.
     /// `attempt` is above 0 and differs from those of all earlier calls.
     void begin(std::uint64_t attempt, const accepted_header& base, std::uint64_t base_version,
-               const std::vector<part_ptr>& parts);
+               const std::vector<part_ptr>& parts, const std::vector<part_reference>& removable);
     /// Calls to make now; at most a few are pending at a time.
     acceptance_actions next();
     void on_written(std::uint64_t attempt, const std::string& digest, const result<std::uint64_t>& version);
--- a/src/configuration/tests/acceptance_test.cpp
+++ b/src/configuration/tests/acceptance_test.cpp
@@ -1,175 +1,27 @@
 #include "configuration/acceptance.h"
 
 #include <cstdio>
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
 
 #include <CppUTest/TestHarness.h>
 
+#include "configuration/tests/acceptance_fixture.h"
 #include "configuration/tests/sample_files.h"
 
 using namespace anvillead;
 
-namespace {
-
-/// Objects with versions, conditional updates, outages and answers that are lost after the write.
-class fake_platform
-{
-public:
-    result<std::uint64_t> put(const std::string& name, nlohmann::json value, std::uint64_t if_version)
-    {
-        if (outage) {
-            return make_error(error_kind::platform_unavailable, "down");
-        }
-        if (version(name) != if_version) {
-            return make_error(error_kind::conflict, "another version");
-        }
-        if (value.dump().size() > 1024 * 1024) {
-            return make_error(error_kind::invalid_request, "oversized value");
-        }
-        objects[name] = {name, ++last_, std::move(value)};
-        if (name.rfind(config_prefix, 0) == 0) {
-            revision = last_;
-        }
-        ++writes;
-        if (lose_answers > 0) {
-            --lose_answers;
-            return make_error(error_kind::platform_unavailable, "lost");
-        }
-        return last_;
-    }
-
-    result<void> remove(const std::string& name, std::uint64_t if_version)
-    {
-        if (outage) {
-            return make_error(error_kind::platform_unavailable, "down");
-        }
-        if (if_version == 0 || version(name) != if_version) {
-            return make_error(error_kind::conflict, "another version");
-        }
-        objects.erase(name);
-        return success();
-    }
-
-    void set_file(const std::string& name, const std::string& text)
-    {
-        (void)put(config_prefix + name, nlohmann::json::parse(text), version(config_prefix + name));
-    }
-
-    std::uint64_t version(const std::string& name) const
-    {
-        const auto it = objects.find(name);
-        return it == objects.end() ? 0 : it->second.version;
-    }
-
-    result<platform_listing> list() const
-    {
-        if (outage) {
-            return make_error(error_kind::platform_unavailable, "down");
-        }
-        platform_listing out{revision, {}};
-        for (const auto& [name, it] : objects) {
-            if (name.rfind(config_prefix, 0) == 0) {
-                out.objects.push_back(it);
-            }
-        }
-        return out;
-    }
-
-    result<platform_object> get(const std::string& name) const
-    {
-        if (outage) {
-            return make_error(error_kind::platform_unavailable, "down");
-        }
-        const auto it = objects.find(name);
-        if (it == objects.end()) {
-            return make_error(error_kind::not_found, "none");
-        }
-        return it->second;
-    }
-
-    std::map<std::string, platform_object> objects;
-    std::uint64_t revision = 0;
-    bool outage = false;
-    int lose_answers = 0;
-    int writes = 0;
-
-private:
-    std::uint64_t last_ = 0;
-};
-
-/// One agent: carries out actions one at a time, so that a test chooses the interleaving.
-class fake_agent
-{
-public:
-    fake_agent(fake_platform& platform, std::size_t rank)
-        : platform_(platform), core("agent-" + std::to_string(rank)), role{true, rank}
-    {}
-
-    void tick(instant now) { add(core.on_tick(now, 86'400'000, role)); }
-    bool busy() const { return !actions.empty(); }
-
-    void carry_out_one(instant now)
-    {
-        const auto action = actions.front();
-        actions.pop_front();
-        if (std::holds_alternative<list_collection>(action)) {
-            ++listings;
-            add(core.on_listing(now, platform_.list()));
-        } else if (std::holds_alternative<watch_collection>(action)) {
-            const auto listing = platform_.list();
-            add(core.on_watch(now, listing ? result<std::uint64_t>(listing.value().revision) : listing.error()));
-        } else if (std::holds_alternative<read_accepted>(action)) {
-            add(core.on_accepted(now, platform_.get(accepted_object)));
-        } else if (const auto* read = std::get_if<read_part>(&action)) {
-            add(core.on_part_read(now, *read, platform_.get(parts_prefix + read->digest)));
-        } else if (const auto* part = std::get_if<write_part>(&action)) {
-            const auto name = parts_prefix + part->part->digest;
-            const auto value = nlohmann::json::parse(part->part->text);
-            add(core.on_part_written(now, *part, platform_.put(name, value, part->if_version)));
-        } else if (const auto* unused = std::get_if<remove_part>(&action)) {
-            add(core.on_part_removed(now, *unused,
-                                     platform_.remove(parts_prefix + unused->part.digest, unused->part.version)));
-        } else if (const auto* write = std::get_if<write_accepted>(&action)) {
-            add(core.on_written(now, platform_.put(accepted_object, to_json(write->value), write->if_version)));
-        } else if (const auto* apply = std::get_if<apply_configuration>(&action)) {
-            // A lower or equal generation must never be applied.
-            CHECK(apply->value.generation > applied);
-            applied = apply->value.generation;
-        } else if (const auto* status = std::get_if<write_status>(&action)) {
-            (void)platform_.put(status_object, status->value, platform_.version(status_object));
-        } else if (const auto* audit = std::get_if<write_audit>(&action)) {
-            (void)platform_.put(audit->name, audit->value, 0);
-        }
-    }
-
-    void add(const acceptance_actions& more) { actions.insert(actions.end(), more.begin(), more.end()); }
-
-private:
-    fake_platform& platform_;
-
-public:
-    acceptance core;
-    acceptance_role role;
-    std::deque<acceptance_action> actions;
-    config_generation applied = 0;
-    int listings = 0;
-};
-
-} // namespace
-
 TEST_GROUP(acceptance_test)
 {
     fake_platform platform;
     instant now = instant() + seconds(1000);
     std::vector<std::unique_ptr<fake_agent>> agents;
 
-    void start(std::size_t count)
+    void start(std::size_t count, part_sweep_limits sweep = {})
     {
         for (std::size_t i = 0; i < count; ++i) {
-            agents.push_back(std::make_unique<fake_agent>(platform, i));
+            agents.push_back(std::make_unique<fake_agent>(platform, i, sweep));
         }
     }
 
@@ -418,6 +270,91 @@
     CHECK(platform.version(parts_prefix + again.parts.front().digest) > 0);
 }
 
+// Guards against parts that stay in the platform for ever because the agent that wrote them died before it named them.
+TEST(acceptance_test, parts_of_an_agent_that_died_are_removed)
+{
+    write_sample();
+    const auto stray = std::string(parts_prefix) + std::string(64, 'a');
+    (void)platform.put(stray, nlohmann::json::object(), 0);
+    start(1, {milliseconds(0), seconds(60)});
+    run(seconds(1));
+    const auto change = [&](int number) {
+        platform.set_file("40-more.json", R"({"models":[{"name":"n)" + std::to_string(number) + R"("}]})");
+        run(seconds(2));
+    };
+    change(1);
+    change(2);
+    change(3);
+    // Seen, but not for long enough.
+    CHECK(platform.version(stray) > 0);
+    run(seconds(60));
+    change(4);
+    LONGS_EQUAL(5, agents[0]->applied);
+    CHECK(platform.version(stray) == 0);
+}
+
+// Guards against a configuration in force whose part another agent took for one that nobody names: one agent has
+// written its parts and pauses, and the other lists them and proposes a later change on the same base.
+TEST(acceptance_test, a_part_that_is_about_to_be_named_is_not_removed)
+{
+    const auto run_until = [&](fake_agent& agent, auto reached) {
+        while (!agent.busy() || !reached(agent.actions.front())) {
+            now += milliseconds(50);
+            agent.tick(now);
+            while (agent.busy() && !reached(agent.actions.front())) {
+                agent.carry_out_one(now);
+            }
+        }
+    };
+    const auto lists = [](const acceptance_action& it) { return std::holds_alternative<list_parts>(it); };
+    const auto accepts = [](const acceptance_action& it) { return std::holds_alternative<write_accepted>(it); };
+    write_sample();
+    start(2, {milliseconds(0), milliseconds(0)});
+    auto& paused = *agents[0];
+    auto& other = *agents[1];
+    run_until(other, lists);
+    platform.set_file("40-more.json", R"({"models":[{"name":"n"}]})");
+    run_until(paused, accepts);
+    platform.set_file("40-more.json", R"({"models":[{"name":"o"}]})");
+    other.carry_out_one(now);
+    run_until(other, accepts);
+    paused.carry_out_one(now);
+    const auto header = parse_accepted(platform.objects.at(accepted_object).value).value();
+    LONGS_EQUAL(2, header.generation);
+    for (const auto& it : header.parts) {
+        CHECK(platform.version(parts_prefix + it.digest) == it.version);
+    }
+}
+
+// Guards against a part that is removed between the write of a proposal and its `accepted` write. The removal must wait
+// until the base of each proposal that may have written the part has been replaced.
+TEST(acceptance_test, unnamed_parts_stay_while_a_proposal_may_name_them)
+{
+    part_sweep sweep({seconds(1), seconds(0)});
+    accepted_header base;
+    CHECK(sweep.due(now));
+    CHECK(!sweep.due(now));
+    sweep.on_read();
+    const std::string digest(64, 'a');
+    sweep.on_listing(now, platform_listing{1, {{parts_prefix + digest, 7, {}}}});
+    // The read began before the listing, so the object may have been replaced in between.
+    sweep.on_accepted(3);
+    LONGS_EQUAL(0, sweep.take(now, base, 4).size());
+    sweep.on_read();
+    sweep.on_accepted(4);
+    LONGS_EQUAL(0, sweep.take(now, base, 4).size());
+    const auto removable = sweep.take(now, base, 5);
+    LONGS_EQUAL(1, removable.size());
+    LONGS_EQUAL(7, removable[0].version);
+    LONGS_EQUAL(0, sweep.take(now, base, 6).size());
+    // A part that the base names is kept whatever its version.
+    sweep.on_listing(now, platform_listing{1, {{parts_prefix + digest, 7, {}}}});
+    sweep.on_read();
+    sweep.on_accepted(8);
+    base.parts = {{digest, 9}};
+    LONGS_EQUAL(0, sweep.take(now, base, 9).size());
+}
+
 // Guards against a generation that goes down, or two sets with one generation, in any interleaving of the agents'
 // steps with edits, outages, lost answers, pauses and news from peers.
 TEST(acceptance_test, generations_only_rise_in_random_interleavings)
@@ -427,7 +364,8 @@
         platform = {};
         agents.clear();
         write_sample();
-        start(4);
+        // Parts are swept as often as possible, so that a removal can meet every step of a proposal.
+        start(4, {milliseconds(0), milliseconds(0)});
         std::map<config_generation, std::string> digests;
         config_generation highest = 0;
         for (int i = 0; i < 3000; ++i) {
--- a/src/configuration/types/acceptance_action.h
+++ b/src/configuration/types/acceptance_action.h
@@ -44,6 +44,10 @@
     part_reference part;
 };
 
+/// Lists the platform objects of all parts.
+struct list_parts
+{};
+
 /// Conditional update of the `accepted` object.
 struct write_accepted
 {
@@ -70,8 +74,9 @@
     nlohmann::json value;
 };
 
-using acceptance_action = std::variant<watch_collection, list_collection, read_accepted, read_part, write_part,
-                                       remove_part, write_accepted, apply_configuration, write_status, write_audit>;
+using acceptance_action =
+    std::variant<watch_collection, list_collection, read_accepted, read_part, write_part, remove_part, list_parts,
+                 write_accepted, apply_configuration, write_status, write_audit>;
 using acceptance_actions = std::vector<acceptance_action>;
 
 /// This agent's part in following the platform, from the live members in rendezvous order.
