--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -85,7 +85,7 @@
 
 void gateway_daemon::start()
 {
-    pool_.timers().every(settings_.progress_period, [this] { schedulers_->report_progress(); });
+    pool_.timers().every(settings_.progress.shortest, [this] { schedulers_->report_progress(); });
     pool_.timers().every(settings_.load_period, [this] { services_->poll_loads(); });
     pool_.timers().every(absence_check_period, [this] { schedulers_->refuse_unserved(); });
     keys_->start_pruning();
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/progress_period.h"
 #include "apps/common/daemon.h"
 #include "apps/gateway/claim_settings.h"
 #include "routing/request_flow.h"
@@ -31,7 +32,7 @@
     retry_budget_limits retries;
     claim_settings claims;
     milliseconds keep_alive_comment{5000};
-    milliseconds progress_period{100};
+    progress_rate progress;
     /// Requests are refused after a service has had no scheduler for this long. A lost host is replaced after about 5
     /// s: it is suspected after a few probes and taken for dead 3 s later.
     milliseconds scheduler_absence{8'000};
--- a/src/configuration/internal/acceptance.cpp
+++ b/src/configuration/internal/acceptance.cpp
@@ -64,7 +64,7 @@
     if (step_ == step::waiting && now >= not_before_) {
         take_turn();
     } else if (step_ == step::idle && role_.watches && now >= not_before_) {
-        if (list_needed_ && now < list_after_) {
+        if (list_needed_ && (now < list_after_ || leaves_listing(now))) {
             return take_actions();
         }
         step_ = step::calling;
@@ -78,6 +78,26 @@
     return take_actions();
 }
 
+bool acceptance::leaves_listing(instant now)
+{
+    if (seen_revision_ <= listed_revision_) {
+        return false;
+    }
+    // Listing the folder is the largest transfer of a change. It waits for the agent's turn, so that mostly only the
+    // first agent lists; peers bring the others what it accepts.
+    if (now < seen_at_ + turn_length * static_cast<int>(role_.rank)) {
+        return true;
+    }
+    if (accepted_.collection_revision < seen_revision_) {
+        return false;
+    }
+    listed_revision_ = accepted_.collection_revision;
+    list_needed_ = false;
+    incomplete_reported_ = true;
+    finish();
+    return true;
+}
+
 void acceptance::report_incomplete(instant now)
 {
     if (!incomplete_reported_ && now - listed_at_ >= incomplete_after) {
@@ -93,6 +113,8 @@
         retry_later(now);
     } else if (revision.value() > listed_revision_) {
         list_needed_ = true;
+        seen_revision_ = revision.value();
+        seen_at_ = now;
     }
     return take_actions();
 }
@@ -111,6 +133,8 @@
     }
     step_ = step::idle;
     list_needed_ = false;
+    // The turn was waited for before the listing when the watch had shown the change.
+    const bool waited = seen_revision_ > listed_revision_;
     listed_revision_ = listing.value().revision;
     listed_at_ = now;
     // While files are being written, listings take at most half of the time whatever their size.
@@ -120,7 +144,7 @@
     if (candidate_.state == collection_state::unmerged) {
         listing_ = listing.value();
         step_ = step::waiting;
-        not_before_ = now + turn_length * static_cast<int>(role_.rank);
+        not_before_ = waited ? now : now + turn_length * static_cast<int>(role_.rank);
     }
     return take_actions();
 }
@@ -132,6 +156,12 @@
         return;
     }
     step_ = step::calling;
+    ask_accepted();
+}
+
+void acceptance::ask_accepted()
+{
+    sweep_.on_read();
     actions_.emplace_back(read_accepted{});
 }
 
@@ -159,6 +189,7 @@
         return take_actions();
     }
     accepted_header before;
+    sweep_.on_accepted(current ? current.value().version : 0);
     if (current) {
         const auto parsed = parse_accepted(current.value().value);
         before = parsed ? parsed.value() : accepted_header();
@@ -243,6 +274,12 @@
     return take_actions();
 }
 
+acceptance_actions acceptance::on_parts_listed(instant now, const result<platform_listing>& parts)
+{
+    sweep_.on_listing(now, parts);
+    return take_actions();
+}
+
 void acceptance::store(instant now)
 {
     for (auto& it : writer_.next()) {
@@ -284,7 +321,7 @@
     proposed_.files = candidate_.files;
     proposed_.audit = audit_entry(current, &proposed_).dump();
     base_version_ = version;
-    writer_.begin(++attempt_, current, version, parts);
+    writer_.begin(++attempt_, current, version, parts, sweep_.take(now, current, version));
     step_ = step::storing;
     store(now);
 }
@@ -293,9 +330,12 @@
 {
     if (written) {
         actions_.emplace_back(write_status{status(candidate_, "accepted", proposed_.generation)});
+        if (sweep_.due(now)) {
+            actions_.emplace_back(list_parts{});
+        }
         follow(proposed_);
     } else if (written.error().kind == error_kind::conflict) {
-        actions_.emplace_back(read_accepted{});
+        ask_accepted();
     } else {
         // The write may have taken effect; the next turn reads the object back before it decides anything.
         step_ = step::waiting;
