--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -164,7 +164,7 @@
     }
     std::string text;
     for (const auto& event : entry.events) {
-        if (event.number >= first) {
+        if (event.number >= first || replays_all_) {
             text += encode_sse(event);
         }
     }
@@ -215,6 +215,7 @@
     leaving_ = value.value("leaving", leaving_);
     serves_while_leaving_ = value.value("serves_while_leaving", serves_while_leaving_);
     refuse_ = value.value("refuse", refuse_);
+    replays_all_ = value.value("replays_all", replays_all_);
     if (value.contains("slowdown")) {
         model_.set_slowdown(value["slowdown"].get<double>());
     }
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -80,6 +80,8 @@
     bool serves_while_leaving_ = false;
     bool stalled_ = false;
     bool refuse_ = false;
+    /// A resumed stream begins with the first event whatever number was asked for.
+    bool replays_all_ = false;
     bool step_scheduled_ = false;
 };
 
--- a/tests/invariants/stream_test.cpp
+++ b/tests/invariants/stream_test.cpp
@@ -68,6 +68,24 @@
     }
 }
 
+// Guards against tokens that the caller gets twice from an engine that answers each new link from the first event on.
+TEST(each_token_once, engine_repeats_events_on_a_new_link)
+{
+    auto options = proxied(1);
+    options.engine_control["replays_all"] = true;
+    cluster it(options);
+    for (const std::size_t count : {std::size_t(1), some_events}) {
+        const auto value = long_question();
+        const auto answer = it.client().ask(it.gateway(), value);
+        CHECK(answer->wait_events(count));
+        it.fault("*", {{"cut", true}});
+        it.fault("*", {{"cut", false}});
+        CHECK(answer->wait_end());
+        STRCMP_EQUAL("", check_answer(answer->events(), value).c_str());
+        LONGS_EQUAL(1, it.count_ran(value.input));
+    }
+}
+
 // Guards against a link that is cut again and again while it is re-attached.
 TEST(each_token_once, engine_link_is_cut_repeatedly)
 {
