--- a/tests/invariants/zone_lost_test.cpp
+++ b/tests/invariants/zone_lost_test.cpp
@@ -14,6 +14,7 @@
 constexpr int hosts = 7;
 constexpr int engines = 3;
 constexpr int load_callers = 8;
+constexpr std::size_t hosts_in_rack = 2;
 // docs/decisions/membership.md: every other host is probed once in a round of 6 periods of 400 ms, suspected after
 // 1 s without an answer and dead 3 s later; views follow within 300 ms, the rest is the spread of the news.
 constexpr milliseconds dead_bound{8000};
@@ -82,14 +83,34 @@
     }
 }
 
-/// Takes the zone of the responsible scheduler away under load and checks what the other zones still do.
-void lose_zone(cluster& it, const std::function<void(const std::string&)>& lose,
-               const std::function<void(const std::string&)>& bring_back)
+using choose_hosts = std::function<std::vector<int>(cluster& it, int responsible)>;
+
+std::vector<int> zone_of(cluster& it, int responsible)
+{
+    return hosts_of_zone(it, responsible);
+}
+
+/// Two hosts of a zone of which a third one stays; the responsible scheduler's if it is in that zone.
+std::vector<int> rack_of(cluster& it, int responsible)
+{
+    auto zone = hosts_of_zone(it, responsible);
+    for (int host = 1; host <= hosts && zone.size() <= hosts_in_rack; ++host) {
+        zone = hosts_of_zone(it, host);
+    }
+    CHECK_TEXT(zone.size() > hosts_in_rack, "no zone is larger than a rack");
+    std::stable_partition(zone.begin(), zone.end(), [&](int host) { return host == responsible; });
+    zone.resize(hosts_in_rack);
+    return zone;
+}
+
+/// Takes the chosen hosts away under load and checks what the others still do.
+void lose_hosts(cluster& it, const choose_hosts& choose, const std::function<void(const std::string&)>& lose,
+                const std::function<void(const std::string&)>& bring_back)
 {
     const auto everybody = other_hosts(it, {});
     CHECK(eventually([&] { return list_exactly(it, everybody, everybody); }));
     CHECK(eventually([&] { return responsible_scheduler(it, everybody) != 0; }));
-    const auto lost = hosts_of_zone(it, responsible_scheduler(it, everybody));
+    const auto lost = choose(it, responsible_scheduler(it, everybody));
     const auto left = other_hosts(it, lost);
     background_load load(it, load_callers, test_seed());
     const auto kept = open_streams(it, left);
@@ -111,7 +132,7 @@
     fmt::print("  lost {} hosts; served after {} ms, listed no more after {} ms\n", lost.size(), passed(served),
                passed(gone));
     for_each_daemon(lost, bring_back);
-    CHECK_TEXT(eventually([&] { return list_exactly(it, everybody, everybody); }), "the zone did not come back");
+    CHECK_TEXT(eventually([&] { return list_exactly(it, everybody, everybody); }), "the lost hosts did not come back");
     const auto records = load.stop();
     STRCMP_EQUAL("", all_problems(judge(records, it)).c_str());
     CHECK(!records.empty());
@@ -119,15 +140,26 @@
 
 } // namespace
 
-/// An availability zone is lost and the others go on.
+/// An availability zone or a rack is lost and the others go on.
 TEST_GROUP(zone_lost){};
 
 // Guards against streams, cells or callers that depend on one zone when all its hosts die at once.
 TEST(zone_lost, all_processes_are_killed)
 {
     cluster it(options());
-    lose_zone(
-        it, [&](const std::string& name) { it.kill(name); }, [&](const std::string& name) { it.restart(name); });
+    lose_hosts(
+        it, zone_of, [&](const std::string& name) { it.kill(name); },
+        [&](const std::string& name) { it.restart(name); });
+}
+
+// Guards against hosts of a lost rack that stay listed, or whose cells nobody takes over, because another host of their
+// zone goes on.
+TEST(zone_lost, both_hosts_of_a_rack_are_killed)
+{
+    cluster it(options());
+    lose_hosts(
+        it, rack_of, [&](const std::string& name) { it.kill(name); },
+        [&](const std::string& name) { it.restart(name); });
 }
 
 // Guards against a zone that stops answering without closing its connections, and against what its processes do when
@@ -135,6 +167,7 @@
 TEST(zone_lost, all_processes_are_paused)
 {
     cluster it(options());
-    lose_zone(
-        it, [&](const std::string& name) { it.pause(name); }, [&](const std::string& name) { it.resume(name); });
+    lose_hosts(
+        it, zone_of, [&](const std::string& name) { it.pause(name); },
+        [&](const std::string& name) { it.resume(name); });
 }
