Read the cell size from the service in the configuration folder

Cause: a cell always held 32 engines, so that several cells of a service could only be tested with more than 32 engines.

Change: engines_per_cell of an engine service, 1 to 32, default 32, read strictly. It is part of the accepted configuration and therefore the same in all processes; it is written only when set, so that digests of existing folders stay. check_catalogues.py now compares the fields of the folder with docs/operators.md.

--- a/scripts/check_catalogues.py
+++ b/scripts/check_catalogues.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
 """Compares docs/errors.md, docs/log-events.md and the settings tables of docs/operators.md with the code, in both
-directions. Exits 1 on a difference."""
+directions, and checks that docs/operators.md names each field of the configuration folder. Exits 1 on a difference."""
 import re
 import sys
 from pathlib import Path
@@ -48,6 +48,17 @@
     return good
 
 
+def compare_folder():
+    """The fields that the merge reads from the folder are each in the section about the folder."""
+    code = set(re.findall(r'(?:reader|limits)\.(?!problem|path_of|has)\w+\("(\w+)"',
+                          read("src/configuration/internal/parse.cpp")))
+    page = re.search(r"^## The configuration folder$(.*?)^## ", read("docs/operators.md"), re.M | re.S).group(1)
+    missing = sorted(it for it in code if not re.search(rf'[`"]{it}[`"]', page))
+    for item in missing:
+        print(f"configuration folder: in the code but not in the page: {item}")
+    return bool(code) and not missing
+
+
 def main():
     errors_code = set(re.findall(r'\{k::\w+, "(\w+)", (\d+), o::(\w+), ', read("src/core/internal/error.cpp")))
     errors_page = set(re.findall(r"^\| `(\w+)` \| (\d+) \| `(\w+)` \|", read("docs/errors.md"), re.M))
@@ -57,6 +68,7 @@
     good = compare("errors", errors_code, errors_page)
     good = compare("log events", events_code, events_page) and good
     good = compare_settings() and good
+    good = compare_folder() and good
     if not errors_code or not events_code:
         print("no entries found in the code")
         good = False
--- a/src/admission/tests/organisation_share_test.cpp
+++ b/src/admission/tests/organisation_share_test.cpp
@@ -24,7 +24,7 @@
 /// Several schedulers that share the cells of one service; each cell gets the same part of the requests.
 TEST_GROUP(organisation_share_test)
 {
-    document configuration = make_test_document(cell_count * static_cast<int>(engines_per_cell), 1);
+    document configuration = make_test_document(cell_count * largest_cell, 1);
     std::vector<cell> cells;
     /// Scheduler of each cell.
     std::vector<std::size_t> owners = {0, 1, 2, 3};
--- a/src/configuration/internal/parse.cpp
+++ b/src/configuration/internal/parse.cpp
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr number_range count_range{0, 1'000'000'000};
+constexpr number_range cell_range{1, largest_cell};
 constexpr number_range batch_range{0, 100'000};
 constexpr number_range deadline_range{0, 86'400'000};
 constexpr double rate_limit = 1e9;
@@ -133,6 +134,9 @@
             out.models.emplace_back(it);
         }
         out.checks_fencing = reader.flag_or("checks_fencing", false);
+        if (out.kind == service_kind::engine) {
+            out.engines_per_cell = static_cast<int>(reader.number_or("engines_per_cell", cell_range, largest_cell));
+        }
         each(reader, "upstreams", [&](field_reader& it) { out.upstreams.push_back(read_upstream(it, out.kind)); });
         out_.merged.services.push_back(std::move(out));
     }
@@ -242,11 +246,16 @@
     for (const auto& it : value.upstreams) {
         upstreams.push_back(to_json(it, value.kind));
     }
-    return {{"name", value.name.str()},
-            {"kind", value.kind == service_kind::engine ? "engine" : "plain"},
-            {"models", id_array(value.models)},
-            {"checks_fencing", value.checks_fencing},
-            {"upstreams", upstreams}};
+    json out = {{"name", value.name.str()},
+                {"kind", value.kind == service_kind::engine ? "engine" : "plain"},
+                {"models", id_array(value.models)},
+                {"checks_fencing", value.checks_fencing},
+                {"upstreams", upstreams}};
+    // Written only when set, so that the digests of folders without it stay the same.
+    if (value.engines_per_cell != largest_cell) {
+        out["engines_per_cell"] = value.engines_per_cell;
+    }
+    return out;
 }
 
 json to_json(const organisation& value)
--- a/src/configuration/tests/parse_test.cpp
+++ b/src/configuration/tests/parse_test.cpp
@@ -47,3 +47,26 @@
     files["10-models.json"] = R"({"models":[{"name":"m","colour":1}]})";
     check_problem("10-models.json", "models[0].colour");
 }
+
+// Guards against a cell size that some process reads differently, or that one scheduler cannot serve.
+TEST(parse_test, cell_size_is_read_strictly_and_kept)
+{
+    const auto with = [&](const std::string& kind, const std::string& size) {
+        files["40-more.json"] =
+            R"({"services":[{"name":"more","kind":")" + kind + R"(","engines_per_cell":)" + size + "}]}";
+        return merge_files(files);
+    };
+    const auto merged = with("engine", "3");
+    LONGS_EQUAL(0, merged.problems.size());
+    LONGS_EQUAL(3, merged.merged.find_service(service_name("more"))->engines_per_cell);
+    LONGS_EQUAL(largest_cell, merged.merged.find_service(service_name("pool"))->engines_per_cell);
+    const auto value = to_json(merged.merged);
+    const auto again = merge_values({{"x", &value}});
+    LONGS_EQUAL(3, again.merged.find_service(service_name("more"))->engines_per_cell);
+    for (const auto* size : {"0", "33", "-1", "1.5", "\"3\"", "null"}) {
+        with("engine", size);
+        check_problem("40-more.json", "services[0].engines_per_cell");
+    }
+    with("plain", "3");
+    check_problem("40-more.json", "services[0].engines_per_cell");
+}
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -33,6 +33,9 @@
     int batch_limit = 0;
 };
 
+/// Largest number of engines that one scheduler decides for.
+inline constexpr int largest_cell = 32;
+
 struct service
 {
     service_name name;
@@ -41,6 +44,8 @@
     std::vector<upstream> upstreams;
     /// Engines refuse orders that carry an old fencing number.
     bool checks_fencing = false;
+    /// Engines in a cell, 1 to `largest_cell`.
+    int engines_per_cell = largest_cell;
 };
 
 struct organisation_limits
--- a/src/routing/internal/rendezvous.cpp
+++ b/src/routing/internal/rendezvous.cpp
@@ -39,7 +39,7 @@
     std::sort(ids.begin(), ids.end());
     std::vector<cell> out;
     for (std::size_t i = 0; i < ids.size(); ++i) {
-        if (i % engines_per_cell == 0) {
+        if (i % static_cast<std::size_t>(value.engines_per_cell) == 0) {
             out.push_back({value.name, out.size(), {}});
         }
         out.back().engines.push_back(ids[i]);
