Ask two schedulers for a grant and take the first

Cause: a gateway chose a cell by the hash of the request id, whatever waited there, and a request of a lost scheduler waited for the takeover.

Change: with schedulers_asked 2 (default 1) a request is asked of the two best schedulers of its service (routing/scheduler_choice.h), takes the first grant and is withdrawn from the other; a refusal is final once no other asked scheduler can answer (routing/grant_race.h). Each scheduler charges half of the request to the organisation's limit on arrival; the rest is charged when the grant is used and the half is given back on withdrawal. Backlogs count half of the expected tokens, so that predicted waits stay true.

--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Runs a load scenario with the real daemons and the engine stand-ins on loopback and prints what callers saw.
 
-Usage: scripts/scenarios.py {takeover,retry-storm,drafts,flood} [--deployment ceylon|caledonian] [--seed N]
+Usage: scripts/scenarios.py {takeover,retry-storm,drafts,flood,cells} [--deployment ceylon|caledonian] [--seed N]
+       [--asked 1|2]
 The binaries must have been built. ANVILLEAD_BIN names another folder with binaries. KEEP_LOGS=1 keeps the work folder.
 """
 import argparse
@@ -48,8 +49,12 @@
 class Fleet:
     """All processes of one deployment."""
 
-    def __init__(self, deployment):
+    def __init__(self, deployment, two_cells=False, asked=None, part=0.5):
+        """With `two_cells`, engines in the second half by id are slow; `asked` sets schedulers_asked of the gateways."""
         self.plan = DEPLOYMENTS[deployment]
+        self.two_cells = two_cells
+        self.asked = asked
+        self.part = part
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="anvillead-scenario-"))
         self.running = {}
         self.logs = {}
@@ -93,8 +98,15 @@
     def engines(self):
         return [f"engine-{i + 1}" for i in range(self.plan["engines"])]
 
+    def cell_size(self):
+        return (self.plan["engines"] + 1) // 2
+
     def start_engine(self, name, listen="127.0.0.1:0"):
-        self.start(name, BIN / "standin-engine", "--control", json.dumps(ENGINE), "--listen", listen)
+        control = dict(ENGINE)
+        # Cells divide the engines in id order.
+        if self.two_cells and sorted(self.engines()).index(name) >= self.cell_size():
+            control.update({it: ENGINE[it] * SLOW_FACTOR for it in ("step_base_ms", "step_per_sequence_ms")})
+        self.start(name, BIN / "standin-engine", "--control", json.dumps(control), "--listen", listen)
 
     def zone(self, number):
         return self.plan["zones"][number % len(self.plan["zones"])]
@@ -118,7 +130,9 @@
         for i in range(HOSTS):
             self.addresses[f"agent-{i}"] = agent = self.find(f"agent-{i}", r"process_started.*\blink=([0-9.:]+)")
             self.daemon(f"scheduler-{i}", i, {"listen": "127.0.0.1:0", "http_listen": "127.0.0.1:0", "agent": agent})
-            self.daemon(f"gateway-{i}", i, {"listen": "127.0.0.1:0", "link_listen": "127.0.0.1:0", "agent": agent})
+            asked = {} if self.asked is None else {"schedulers_asked": self.asked}
+            self.daemon(f"gateway-{i}", i, {"listen": "127.0.0.1:0", "link_listen": "127.0.0.1:0", "agent": agent,
+                                            **asked})
         for i in range(HOSTS):
             self.addresses[f"scheduler-{i}"] = self.find(f"scheduler-{i}", r"process_started.*\bhttp=([0-9.:]+)")
             self.addresses[f"gateway-{i}"] = self.find(f"gateway-{i}", r"process_started.*\blisten=([0-9.:]+)")
@@ -143,7 +157,7 @@
         document = {
             "models": [{"name": MODEL, "context_tokens": 32000}],
             "services": [{"name": "engines", "kind": "engine", "models": [MODEL], "checks_fencing": True,
-                          "upstreams": upstreams}],
+                          "upstreams": upstreams, **({"engines_per_cell": self.cell_size()} if self.two_cells else {})}],
             "organisations": organisations,
             "workloads": [
                 {"name": self.plan["check"], "class": "urgent", "output_limit_tokens": 200, "deadline_ms": 5000, **work},
@@ -380,7 +394,29 @@
           f"{waits[1] / waits[0]:.2f}")
 
 
-SCENARIOS = {"takeover": takeover, "retry-storm": retry_storm, "drafts": drafts, "flood": flood}
+def cells(fleet, seed, seconds):
+    """Checks and drafts on two cells, of which the second has slower engines."""
+    loads = [("checks", fleet.checks(seed, seconds)),
+             ("drafts", fleet.drafts("drafts", seed + 1000, seconds, fleet.part))]
+    reports = [(label, report()) for label, report in loads]
+    owners = {name: re.findall(r"scheduler_takeover engines=(\d+)", log.read_text())[-1]
+              for name, log in fleet.logs.items() if name.startswith("scheduler")}
+    print(f"engines by scheduler: {({name: n for name, n in owners.items() if n != '0'})}")
+    print_report(f"cells: {fleet.asked} of two schedulers asked", fleet, reports, seconds)
+    count_lost(fleet, reports)
+    for label, report in reports:
+        waits = [it["first_token_ms"] for it in report["requests"] if it["first_token_ms"] >= 0]
+        refused = sum(n for name, n in next(v for k, v in report.items() if k != "requests")["counts"].items()
+                      if name.startswith("refusals "))
+        print(f"| {fleet.asked} | {label} | {len(report['requests'])} | "
+              + " | ".join(f"{quantile(waits, share):.0f}" for share in (0.5, 0.95, 0.99)) + f" | {int(refused)} |")
+    returned = fleet.metrics("gateway", "grants_returned_total")
+    print(f"second grants returned: {int(sum(returned.values()))}")
+
+
+SCENARIOS = {"takeover": takeover, "retry-storm": retry_storm, "drafts": drafts, "flood": flood, "cells": cells}
+# The second of two cells has a third of the engines' speed.
+SLOW_FACTOR = 3
 
 
 def main():
@@ -389,12 +425,17 @@
     parser.add_argument("--deployment", choices=DEPLOYMENTS, default="ceylon")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, help="length of the arrivals")
+    parser.add_argument("--asked", type=int, choices=(1, 2), default=1,
+                        help="cells: schedulers asked for a request, 1 by hash, 2 for late binding")
+    parser.add_argument("--part", type=float, default=0.5,
+                        help="cells: drafts as a part of what all engines would decode at full speed")
     options = parser.parse_args()
     options.seconds = options.seconds or (30 if options.scenario == "retry-storm" else 15)
     print(f"{options.scenario} on {options.deployment}, seed {options.seed}, {options.seconds} s, load average "
           f"{os.getloadavg()[0]:.1f}")
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    with Fleet(options.deployment) as fleet:
+    two_cells = options.scenario == "cells"
+    with Fleet(options.deployment, two_cells, options.asked if two_cells else None, options.part) as fleet:
         SCENARIOS[options.scenario](fleet, options.seed, options.seconds)
 
 
--- a/src/admission/grant_table.h
+++ b/src/admission/grant_table.h
@@ -26,6 +26,8 @@
     instant made;
     /// Its gateway has reported progress.
     bool acknowledged = false;
+    /// Part of the request that is charged to the organisation's limit once the gateway uses the grant.
+    double uncharged = 0;
     /// Its gateway is gone; the engine may still run it.
     bool orphaned = false;
     milliseconds silent{0};
--- a/src/admission/internal/organisation_limiter.cpp
+++ b/src/admission/internal/organisation_limiter.cpp
@@ -47,7 +47,7 @@
     configure(now, it.tokens, limits.tokens_per_second * share, 0);
 }
 
-std::optional<milliseconds> organisation_limiter::take_request(instant now, const organisation_id& id)
+std::optional<milliseconds> organisation_limiter::take_request(instant now, const organisation_id& id, double part)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
@@ -62,14 +62,25 @@
     }
     if (requests.rate > 0) {
         requests.fill(now);
-        if (requests.level < 1) {
-            return requests.until(1);
+        if (requests.level < part) {
+            return requests.until(part);
         }
-        requests.level -= 1;
+        requests.level -= part;
     }
     return std::nullopt;
 }
 
+void organisation_limiter::adjust_request(instant now, const organisation_id& id, double part)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.requests.rate <= 0) {
+        return;
+    }
+    auto& requests = found->second.requests;
+    requests.fill(now);
+    requests.level = std::min(requests.capacity, requests.level - part);
+}
+
 void organisation_limiter::charge(instant now, const organisation_id& id, double tokens)
 {
     const auto found = entries_.find(id);
--- a/src/admission/internal/scheduler_core.cpp
+++ b/src/admission/internal/scheduler_core.cpp
@@ -135,16 +135,21 @@
     return actions;
 }
 
-scheduler_actions scheduler_core::on_cancel(instant now, const gateway_identity& gateway, const request_id& request)
+scheduler_actions scheduler_core::on_cancel(instant now, const gateway_identity& gateway, const grant_cancel& value)
 {
     for (auto& [name, group] : groups_) {
         const auto gone = group.queue.take_if(
-            [&](const queued_request& it) { return it.gateway == gateway && it.request.id == request; });
+            [&](const queued_request& it) { return it.gateway == gateway && it.request.id == value.request; });
         for (const auto& it : gone) {
             group.share.leave(it.request.organisation);
+            if (value.granted_elsewhere) {
+                uncharge(now, it.request);
+            }
         }
     }
-    if (const auto* known = grants_.find(gateway, request)) {
+    if (const auto* known = grants_.find(gateway, value.request)) {
+        const double change = value.granted_elsewhere ? known->uncharged - 1 : known->uncharged;
+        limiter_.adjust_request(now, known->length.organisation, change);
         release(grant_id(known->id));
     }
     return on_tick(now);
--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -93,6 +93,7 @@
         return;
     }
     known->acknowledged = true;
+    limiter_.adjust_request(now, known->length.organisation, std::exchange(known->uncharged, 0));
     known->silent = value.silent;
     const auto engine = engines_.find(known->engine);
     if (engine == engines_.end()) {
--- a/src/admission/internal/scheduler_queue.cpp
+++ b/src/admission/internal/scheduler_queue.cpp
@@ -12,6 +12,12 @@
 // Callers come back at least this often, so that they find engines that have returned.
 constexpr double longest_absence_s = 30;
 
+/// The part of a request that each scheduler asked for it counts until one has granted it.
+double part_of(const grant_request& value)
+{
+    return 1.0 / std::max(1, value.schedulers);
+}
+
 } // namespace
 
 bool scheduler_core::absent(instant now, const engine_group& group) const
@@ -35,11 +41,19 @@
     const auto latest = group.engines.empty() ? now - options_.absence : now;
     for (const auto& it : group.queue.take_if([&](const queued_request& at) { return at.since <= latest; })) {
         group.share.leave(it.request.organisation);
+        uncharge(now, it.request);
         const auto delay = group.drain.jittered(predicted_absence_s(now, group));
         actions.push_back(send_refusal{it.gateway, {it.request.id, error_kind::no_upstream, delay}});
     }
 }
 
+void scheduler_core::uncharge(instant now, const grant_request& value)
+{
+    if (value.schedulers > 1) {
+        limiter_.adjust_request(now, value.organisation, -part_of(value));
+    }
+}
+
 std::optional<refusal> scheduler_core::early_refusal(instant now, engine_group& group, const grant_request& value,
                                                      double expected)
 {
@@ -48,7 +62,7 @@
         const auto delay = group.drain.jittered(predicted_absence_s(now, group));
         return refusal{value.id, error_kind::no_upstream, delay};
     }
-    if (const auto wait = limiter_.take_request(now, value.organisation)) {
+    if (const auto wait = limiter_.take_request(now, value.organisation, part_of(value))) {
         const double delay = static_cast<double>(wait->count()) / milliseconds_per_second;
         return refusal{value.id, error_kind::organisation_limit, group.drain.jittered(delay)};
     }
@@ -64,6 +78,7 @@
     const double wait_s = group.predicted_wait_s(value.organisation, value.urgency, expected);
     // An organisation without a backlog is always queued: the prediction for its first request is not certain.
     if (wait_s > longest_s && group.queue.backlog(value.organisation, value.urgency) > 0) {
+        uncharge(now, value);
         return refusal{value.id, error_kind::overloaded, group.drain.jittered(wait_s - longest_s / 2)};
     }
     return std::nullopt;
@@ -74,7 +89,9 @@
 {
     auto& group = group_of(value.service);
     const auto& curve = lengths_.curve({value.organisation, value.workload, value.model});
-    const double expected = curve.remaining(0, static_cast<double>(value.output_limit.count)).mean;
+    // Each scheduler that was asked serves its part of such requests: their whole length as backlog would predict a
+    // wait that is too long, and refuse requests that would have been served in time.
+    const double expected = curve.remaining(0, static_cast<double>(value.output_limit.count)).mean * part_of(value);
     if (const auto reason = early_refusal(now, group, value, expected)) {
         actions.push_back(send_refusal{gateway, *reason});
         return;
@@ -87,10 +104,10 @@
     group.share.enter(value.organisation, group.queue.size(value.organisation) > 0);
     group.active[value.organisation] = now;
     group.queue.push(std::move(entry));
-    make_room(group, actions);
+    make_room(now, group, actions);
 }
 
-void scheduler_core::make_room(engine_group& group, scheduler_actions& actions)
+void scheduler_core::make_room(instant now, engine_group& group, scheduler_actions& actions)
 {
     while (group.queue.size() > options_.queue_limit) {
         // The newest request of the organisation that is most over its share gives way.
@@ -108,6 +125,7 @@
         const auto dropped = group.queue.take_newest(worst);
         const double wait = group.predicted_wait_s(worst, dropped.request.urgency, 0);
         group.share.leave(worst);
+        uncharge(now, dropped.request);
         actions.push_back(
             send_refusal{dropped.gateway, {dropped.request.id, error_kind::overloaded, group.drain.jittered(wait)}});
     }
@@ -119,6 +137,7 @@
         for (const auto& it : group.queue.take_expired(now)) {
             const auto& request = it.request;
             group.share.leave(request.organisation);
+            uncharge(now, request);
             const double wait = group.predicted_wait_s(request.organisation, request.urgency, it.expected);
             actions.push_back(send_refusal{it.gateway, {request.id, it.expiry, group.drain.jittered(wait)}});
         }
@@ -184,6 +203,7 @@
     value.footprint = {static_cast<double>(request.input.count), 0, static_cast<double>(request.output_limit.count)};
     value.expected = curve.remaining(0, value.footprint.limit).mean;
     value.made = now;
+    value.uncharged = 1 - part_of(request);
     const int priority = placement_.priority(now, *target, served);
     actions.push_back(
         send_grant{taken.gateway, {request.id, value.id, target->settings.id, target->settings.address, priority}});
--- a/src/admission/ischeduler_core.h
+++ b/src/admission/ischeduler_core.h
@@ -23,7 +23,7 @@
     /// Number of gateways whose complete report is awaited after a takeover.
     virtual void on_gateway_count(std::size_t count) = 0;
     virtual scheduler_actions on_request(instant now, const gateway_identity& gateway, const grant_request& value) = 0;
-    virtual scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const request_id& request) = 0;
+    virtual scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const grant_cancel& value) = 0;
     virtual scheduler_actions on_progress(instant now, const gateway_identity& gateway,
                                           const progress_report& value) = 0;
     virtual scheduler_actions on_gateway_lost(instant now, const gateway_identity& gateway) = 0;
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -22,7 +22,7 @@
     scheduler_actions on_leaving(instant now, const std::vector<upstream_id>& leaving) override;
     void on_gateway_count(std::size_t count) override;
     scheduler_actions on_request(instant now, const gateway_identity& gateway, const grant_request& value) override;
-    scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const request_id& request) override;
+    scheduler_actions on_cancel(instant now, const gateway_identity& gateway, const grant_cancel& value) override;
     scheduler_actions on_progress(instant now, const gateway_identity& gateway, const progress_report& value) override;
     scheduler_actions on_gateway_lost(instant now, const gateway_identity& gateway) override;
     scheduler_actions on_load(instant now, const engine_load& value) override;
@@ -39,6 +39,8 @@
     void end_caution();
 
     void enqueue(instant now, const gateway_identity& gateway, const grant_request& value, scheduler_actions& actions);
+    /// Gives back the part of the limit that a request took on arrival, when another scheduler may still grant it.
+    void uncharge(instant now, const grant_request& value);
     /// The reason to refuse a new request at once, if there is one.
     std::optional<refusal> early_refusal(instant now, engine_group& group, const grant_request& value, double expected);
     /// Refuses what waits for engines that have been gone for `scheduler_options::absence`.
@@ -46,7 +48,7 @@
     bool absent(instant now, const engine_group& group) const;
     /// Seconds after which engines that are gone may be back.
     static double predicted_absence_s(instant now, const engine_group& group);
-    void make_room(engine_group& group, scheduler_actions& actions);
+    void make_room(instant now, engine_group& group, scheduler_actions& actions);
     void expire_queue(instant now, scheduler_actions& actions);
 
     void admit(instant now, engine_group& group, work_class served, scheduler_actions& actions);
--- a/src/admission/tests/organisation_share_test.cpp
+++ b/src/admission/tests/organisation_share_test.cpp
@@ -1,6 +1,7 @@
 #include "admission/scheduler_core.h"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 
 #include "routing/rendezvous.h"
@@ -77,7 +78,7 @@
                 return value != nullptr && value->value.kind == error_kind::organisation_limit;
             });
             out += refused ? 0 : 1;
-            core.on_cancel(now, gateway, request.id);
+            core.on_cancel(now, gateway, {request.id});
         }
         return out;
     }
@@ -127,3 +128,153 @@
     CHECK_TEXT(all <= 44, "more than the limit got through");
     CHECK_TEXT(all >= 36, "less than the limit got through");
 }
+
+/// Two schedulers of one cell each, both asked for every request.
+TEST_GROUP(shared_request_test)
+{
+    static constexpr double limit = 40;
+    document configuration = make_test_document(2, 2);
+    std::vector<std::unique_ptr<scheduler_core>> cores;
+    gateway_identity gateway{"g"};
+    instant now = instant(seconds(1000));
+    int sent = 0;
+
+    void setup() override
+    {
+        configuration.services.front().engines_per_cell = 1;
+        workload it;
+        it.name = workload_name("urgent");
+        it.target = service_name("pool");
+        configuration.workloads.push_back(it);
+        configuration.organisations.front().limits.requests_per_second = limit;
+        for (int i = 0; i < 2; ++i) {
+            cores.push_back(std::make_unique<scheduler_core>(scheduler_options()));
+            cores.back()->on_configuration(now, configuration, {upstream_id(fmt::format("e{}", i))});
+        }
+        // Longer than the cautious time after a takeover.
+        run(seconds(4));
+    }
+
+    void run(milliseconds time)
+    {
+        constexpr milliseconds period{50};
+        for (const auto end = now + time; now < end; now += period) {
+            report_loads();
+        }
+    }
+
+    void report_loads()
+    {
+        for (std::size_t i = 0; i < cores.size(); ++i) {
+            const auto running = static_cast<int>(cores[i]->figures().grants);
+            cores[i]->on_load(now, make_test_load(upstream_id(fmt::format("e{}", i)), 100 * running, running));
+            cores[i]->on_tick(now);
+        }
+    }
+
+    template <typename Action>
+    static bool has(const scheduler_actions& actions)
+    {
+        return std::any_of(actions.begin(), actions.end(),
+                           [](const scheduler_action& it) { return std::holds_alternative<Action>(it); });
+    }
+
+    /// Asks both schedulers at `rate`, which grant each request at once; the one that `winner` names is used, the
+    /// other's grant is returned and the used one ends. Returns how many requests got a grant.
+    int granted(milliseconds time, int rate, const std::function<std::size_t(int)>& winner)
+    {
+        int out = 0;
+        for (const auto end = now + time; now < end; now += milliseconds(1000) / rate) {
+            report_loads();
+            auto request = make_test_request(++sent, 0, work_class::urgent);
+            request.schedulers = 2;
+            std::vector<std::size_t> grants;
+            for (std::size_t n = 0; n < cores.size(); ++n) {
+                const auto actions = cores[n]->on_request(now, gateway, request);
+                if (has<send_grant>(actions)) {
+                    grants.push_back(n);
+                } else {
+                    CHECK_TEXT(has<send_refusal>(actions), "neither granted nor refused");
+                }
+            }
+            if (grants.empty()) {
+                continue;
+            }
+            const auto wanted = winner(out++);
+            const bool there = std::find(grants.begin(), grants.end(), wanted) != grants.end();
+            for (const auto n : grants) {
+                cores[n]->on_cancel(now, gateway, {request.id, n != (there ? wanted : grants.front())});
+            }
+        }
+        return out;
+    }
+};
+
+// Guards against a limit that is charged by each scheduler asked: half of the limit would get through.
+TEST(shared_request_test, a_rate_within_the_limit_is_not_refused)
+{
+    LONGS_EQUAL(10 * 25, granted(seconds(10), 25, [](int n) { return n % 2; }));
+}
+
+// Guards against a limit that only one of the two schedulers applies: more than the limit would get through.
+TEST(shared_request_test, the_limit_holds_whoever_grants)
+{
+    const std::vector<std::function<std::size_t(int)>> winners = {[](int n) { return n % 2; }, [](int) { return 0; },
+                                                                  [](int n) { return n % 4 == 0; }};
+    for (const auto& winner : winners) {
+        granted(seconds(10), 250, winner);
+        const int all = granted(seconds(20), 250, winner);
+        CHECK_TEXT(all <= limit * 20 + 4, "more than the limit got through");
+        CHECK_TEXT(all >= limit * 20 * 0.9, "less than the limit got through");
+    }
+}
+
+// Guards against untrue refusals while requests wait in two queues: charged in full on arrival by both, a wait of more
+// than the burst would use up both parts of the limit.
+TEST(shared_request_test, a_long_wait_in_two_queues_does_not_use_up_the_limit)
+{
+    const organisation_id id("o");
+    organisation_limits limits;
+    limits.requests_per_second = limit;
+    std::vector<organisation_limiter> parts(2);
+    for (auto& it : parts) {
+        it.configure(now, id, limits, 0.5);
+    }
+    constexpr std::size_t waiting = 5 * static_cast<std::size_t>(limit);
+    for (std::size_t n = 0; n < 4 * waiting; ++n, now += milliseconds(1000) / static_cast<int>(limit)) {
+        for (auto& it : parts) {
+            CHECK(!it.take_request(now, id, 0.5));
+        }
+        if (n >= waiting) {
+            parts[n % 2].adjust_request(now, id, 0.5);
+            parts[1 - n % 2].adjust_request(now, id, -0.5);
+        }
+    }
+}
+
+// Guards against a withdrawn request that stays in the queue, and a returned second grant whose slot stays taken.
+TEST(shared_request_test, a_withdrawal_leaves_nothing_behind)
+{
+    auto& core = *cores[1];
+    constexpr int requests = 40;
+    const auto ask = [&](int first) {
+        for (int i = first; i < first + requests; ++i) {
+            auto request = make_test_request(i, 1, work_class::draft);
+            request.schedulers = 2;
+            core.on_request(now, gateway, request);
+        }
+        core.on_tick(now);
+        return core.figures();
+    };
+    const auto before = ask(0);
+    CHECK(before.grants > 0);
+    for (int i = 0; i < requests; ++i) {
+        core.on_cancel(now, gateway, {request_id(fmt::format("r{}", i)), true});
+    }
+    LONGS_EQUAL(0, core.figures().grants);
+    LONGS_EQUAL(0, core.figures().waiting[static_cast<std::size_t>(work_class::draft)]);
+    // Placement limits the prompts between two load reports of an engine.
+    run(milliseconds(500));
+    // All slots can be granted again.
+    LONGS_EQUAL(before.grants, ask(requests).grants);
+}
--- a/src/admission/tests/scheduler_core_test.cpp
+++ b/src/admission/tests/scheduler_core_test.cpp
@@ -372,7 +372,7 @@
     configuration.services.front().upstreams.front().capacity = {1'000'000};
     start(true);
     ask(0, 1, work_class::normal);
-    keep(core.on_cancel(now, gateway, request_id("r0")));
+    keep(core.on_cancel(now, gateway, {request_id("r0")}));
     for (int i = 1; i <= 40; ++i) {
         ask(i, 0, work_class::normal);
     }
--- a/src/admission/tests/scheduler_property_test.cpp
+++ b/src/admission/tests/scheduler_property_test.cpp
@@ -106,7 +106,7 @@
         const int number = std::stoi(it->first.substr(1));
         const auto id = request_id(it->first);
         waiting_.erase(it);
-        keep(core_.on_cancel(now_, gateway(number), id));
+        keep(core_.on_cancel(now_, gateway(number), {id}));
     }
 
     void keep(const scheduler_actions& actions)
--- a/src/apps/bench/decisions/baseline.h
+++ b/src/apps/bench/decisions/baseline.h
@@ -25,7 +25,7 @@
     scheduler_actions on_leaving(instant, const std::vector<upstream_id>&) override { return {}; }
     void on_gateway_count(std::size_t) override {}
     scheduler_actions on_request(instant now, const gateway_identity& gateway, const grant_request& value) override;
-    scheduler_actions on_cancel(instant, const gateway_identity&, const request_id&) override { return {}; }
+    scheduler_actions on_cancel(instant, const gateway_identity&, const grant_cancel&) override { return {}; }
     scheduler_actions on_progress(instant now, const gateway_identity& gateway, const progress_report& value) override;
     scheduler_actions on_gateway_lost(instant, const gateway_identity&) override { return {}; }
     scheduler_actions on_load(instant now, const engine_load& value) override;
--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -53,7 +53,7 @@
 {
     const auto number = new_incarnation();
     const auto options = make_link_options(settings_.common, "gateway", number);
-    schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_, settings_.scheduler_absence);
+    schedulers_ = std::make_unique<scheduler_links>(pool, options, counters_, progress_, settings_.grants);
     context_.reset(new gateway_context{pool_, settings_, counters_, *client_, *schedulers_, progress_, ids_,
                                        [this] { return agent_->current(); }, retries_, gaps_});
     keys_ = std::make_unique<gateway_keys>(*context_, options, number);
--- a/src/apps/gateway/gateway_settings.cpp
+++ b/src/apps/gateway/gateway_settings.cpp
@@ -46,6 +46,16 @@
     return out;
 }
 
+grant_settings read_grant_settings(field_reader& reader)
+{
+    grant_settings out;
+    out.scheduler_absence =
+        milliseconds(reader.number_or("scheduler_absence_ms", period_range, out.scheduler_absence.count()));
+    out.schedulers_asked = static_cast<std::size_t>(
+        reader.number_or("schedulers_asked", {1, 2}, static_cast<std::int64_t>(out.schedulers_asked)));
+    return out;
+}
+
 retry_budget_limits read_retry_limits(field_reader& reader)
 {
     retry_budget_limits out;
@@ -84,8 +94,7 @@
     out.claims = read_claim_settings(reader);
     out.keep_alive_comment = milliseconds(reader.number_or("keep_alive_comment_ms", period_range, 5000));
     out.progress_period = milliseconds(reader.number_or("progress_period_ms", period_range, 100));
-    out.scheduler_absence =
-        milliseconds(reader.number_or("scheduler_absence_ms", period_range, out.scheduler_absence.count()));
+    out.grants = read_grant_settings(reader);
     out.endpoints_ttl = milliseconds(reader.number_or("endpoints_ttl_ms", period_range, 5000));
     out.service_timeout = milliseconds(reader.number_or("service_timeout_ms", period_range, 30'000));
     out.shutdown_skew = milliseconds(reader.number_or("shutdown_skew_ms", period_range, 1000));
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -9,6 +9,16 @@
 
 namespace anvillead {
 
+/// How grants are asked for.
+struct grant_settings
+{
+    /// Requests are refused after a service has had no scheduler for this long. A lost host is replaced after about 5
+    /// s: it is suspected after a few probes and taken for dead 3 s later.
+    milliseconds scheduler_absence{8'000};
+    /// Schedulers asked for one request when the cells of its service have several, 1 or 2.
+    std::size_t schedulers_asked = 1;
+};
+
 struct gateway_settings
 {
     common_settings common;
@@ -30,9 +40,7 @@
     claim_settings claims;
     milliseconds keep_alive_comment{5000};
     milliseconds progress_period{100};
-    /// Requests are refused after a service has had no scheduler for this long. A lost host is replaced after about 5
-    /// s: it is suspected after a few probes and taken for dead 3 s later.
-    milliseconds scheduler_absence{8'000};
+    grant_settings grants;
     /// How long callers may keep an answer of /v1/endpoints.
     milliseconds endpoints_ttl{5000};
     /// Longest time for the answer of a plain service.
--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -5,8 +5,11 @@
 #include <memory>
 
 #include "apps/common/agent_link.h"
+#include "apps/gateway/gateway_settings.h"
 #include "apps/gateway/progress_table.h"
+#include "routing/grant_race.h"
 #include "routing/scheduler_absence.h"
+#include "routing/scheduler_choice.h"
 
 namespace anvillead {
 
@@ -22,7 +25,7 @@
     };
 
     scheduler_links(worker_pool& pool, link_options options, metrics& counters, progress_table& progress,
-                    milliseconds absence);
+                    grant_settings settings);
 
     /// Follows the view: opens links to new cell owners and moves waiting requests to them.
     void apply_view(const view_ptr& view);
@@ -31,10 +34,12 @@
     {
         when_current_ = std::move(gate);
     }
-    /// Asks the scheduler of a cell of the request's service. Callbacks run on a transport thread.
+    /// Asks the scheduler of one cell of the request's service, chosen by hash, or the two best ones; the first grant
+    /// counts. Callbacks run on a transport thread.
     void ask(const grant_request& request, grant_callbacks callbacks);
     void cancel(const request_id& request);
-    /// Refuses what waits for a service that has had no scheduler for `absence`. Must be called regularly.
+    /// Refuses what waits for a service that has had no scheduler for the time of the settings. Must be called
+    /// regularly.
     void refuse_unserved();
     void report_progress();
     /// Tells the scheduler at once that a grant has ended, so that it gives the engine's slot to the next request.
@@ -45,19 +50,45 @@
     {
         grant_request request;
         grant_callbacks callbacks;
+        grant_race race;
+        /// Scheduler of the grant.
         std::string scheduler;
         /// Set once the grant was received; the entry stays until cancel() or the end of the grant.
         std::optional<grant_id> granted;
+        instant since;
     };
 
+    /// Schedulers of one service by link address.
+    struct service_schedulers
+    {
+        /// Owner of each cell.
+        std::vector<std::string> cells;
+        /// Engines that take work of each owner.
+        std::map<std::string, int> engines;
+    };
+
+    /// Messages that are sent once the lock is released.
+    using outgoing = std::vector<std::pair<std::string, message>>;
+
     std::shared_ptr<ilink_client> client_for(const std::string& address);
     /// Schedulers of earlier views that no request waits for are no longer reconnected to.
     void drop_unused_links();
-    std::string owner_of(const grant_request& request) const;
+    /// The functions with an entry are called with the lock held.
+    void move_to_owners(waiting& entry, outgoing& messages);
+    void ask_more(waiting& entry, outgoing& messages);
+    /// Asks another scheduler in place of one whose link has closed, if there is one.
+    void replace(waiting& entry, const std::string& address, outgoing& messages);
+    void drop(waiting& entry, const std::string& address);
+    milliseconds waited(const waiting& entry) const;
+    scheduler_choice& choice_of(const service_name& name);
     void opened(const std::string& address, const link_ptr& link);
+    void closed(const std::string& address, const link_ptr& link);
     void received(const std::string& address, const link_ptr& link, const std::string& payload);
     void handle(const std::string& address, const message& body);
+    void take_grant(const std::string& address, const grant& value);
+    void take_refusal(const std::string& address, const refusal& value);
     void send(const std::string& address, message value);
+    void send_all(outgoing messages);
 
     std::function<void(config_generation, std::function<void()>)> when_current_;
     worker_pool& pool_;
@@ -70,8 +101,11 @@
     std::map<request_id, waiting> waiting_;
     /// Engines by the link address of their cell's owner.
     std::map<std::string, std::vector<upstream_id>> owned_;
-    /// Link address of each cell's owner by service.
-    std::map<service_name, std::vector<std::string>> owners_;
+    std::map<service_name, service_schedulers> services_;
+    /// Open links by address.
+    std::map<std::string, link_ptr> open_;
+    std::map<service_name, scheduler_choice> choices_;
+    std::size_t schedulers_asked_;
     scheduler_absence absence_;
 };
 
--- a/src/apps/gateway/tests/scheduler_links_test.cpp
+++ b/src/apps/gateway/tests/scheduler_links_test.cpp
@@ -89,7 +89,7 @@
     progress_table progress;
     const noting_scheduler before(pool, counters);
     const noting_scheduler after(pool, counters);
-    scheduler_links links(pool, {{"test-fleet-key"}, "gateway/entry/1"}, counters, progress, seconds(8));
+    scheduler_links links(pool, {{"test-fleet-key"}, "gateway/entry/1"}, counters, progress, {});
     pool.start();
     std::atomic<int> grants{0};
     std::atomic<int> refusals{0};
--- a/src/apps/gateway/tests/service_test.cpp
+++ b/src/apps/gateway/tests/service_test.cpp
@@ -69,7 +69,7 @@
     std::unique_ptr<ihttp_client> client = make_http_client(pool);
     progress_table progress;
     link_options options{{"key"}, "gateway/entry-1/1", 1024, 1024};
-    scheduler_links schedulers{pool, options, counters, progress, seconds(8)};
+    scheduler_links schedulers{pool, options, counters, progress, {}};
     response_id_codec ids{{"key"}};
     retry_budget retries;
     gap_table gaps{stall_limits{}};
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -175,7 +175,7 @@
     if (const auto* request = std::get_if<grant_request>(&value.body)) {
         carry_out(core_->on_request(now, gateway, *request));
     } else if (const auto* cancel = std::get_if<grant_cancel>(&value.body)) {
-        carry_out(core_->on_cancel(now, gateway, cancel->request));
+        carry_out(core_->on_cancel(now, gateway, *cancel));
     } else if (const auto* report = std::get_if<progress_report>(&value.body)) {
         carry_out(core_->on_progress(now, gateway, progress_.expand(gateway, *report)));
     }
--- a/src/messages/internal/codec.cpp
+++ b/src/messages/internal/codec.cpp
@@ -18,6 +18,7 @@
 using nlohmann::json;
 
 constexpr number_range small_number{0, 1'000'000};
+constexpr number_range scheduler_count{1, 2};
 
 template <typename Id>
 json ids_to_json(const std::vector<Id>& ids)
@@ -73,9 +74,9 @@
 }
 
 constexpr const char* packed_body = "f";
-constexpr field_names<11> grant_request_fields = {"id",           "organisation", "workload", "service",
+constexpr field_names<12> grant_request_fields = {"id",           "organisation", "workload", "service",
                                                   "model",        "class",        "input",    "output_limit",
-                                                  "remaining_ms", "prefix",       "excluded"};
+                                                  "remaining_ms", "prefix",       "excluded", "schedulers"};
 constexpr field_names<5> grant_fields = {"request", "id", "engine", "address", "priority"};
 constexpr field_names<13> progress_fields = {"id",        "request",     "engine", "organisation", "workload",
                                              "model",     "class",       "input",  "output",       "state",
@@ -157,7 +158,8 @@
                         {"output_limit", value.output_limit.count},
                         {"prefix", static_cast<std::int64_t>(value.prefix_hash)},
                         {"remaining_ms", value.remaining.count()},
-                        {"excluded", ids_to_json(value.excluded)}};
+                        {"excluded", ids_to_json(value.excluded)},
+                        {"schedulers", value.schedulers}};
     return {{packed_body, pack(named, grant_request_fields)}};
 }
 
@@ -176,6 +178,7 @@
     out.prefix_hash = static_cast<std::uint64_t>(reader.number("prefix", signed_number));
     out.remaining = milliseconds(reader.number("remaining_ms", any_number));
     out.excluded = read_ids<upstream_id>(reader, "excluded");
+    out.schedulers = static_cast<int>(reader.number("schedulers", scheduler_count));
 }
 
 json to_json(const grant& value)
@@ -223,12 +226,17 @@
 
 json to_json(const grant_cancel& value)
 {
-    return {{"request", value.request.str()}};
+    json out = {{"request", value.request.str()}};
+    if (value.granted_elsewhere) {
+        out["elsewhere"] = true;
+    }
+    return out;
 }
 
 void read(field_reader& reader, std::vector<field_problem>&, grant_cancel& out)
 {
     out.request = request_id(reader.text("request"));
+    out.granted_elsewhere = reader.flag_or("elsewhere", false);
 }
 
 json to_json(const grant_progress& value)
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -20,7 +20,8 @@
                           tokens{200},
                           0xfedcba9876543210ULL,
                           milliseconds(1300),
-                          {upstream_id("e1")}};
+                          {upstream_id("e1")},
+                          2};
 };
 
 TEST(codec_test, grant_request_round_trips)
@@ -33,6 +34,26 @@
     CHECK(out.prefix_hash == request.prefix_hash);
     CHECK(out.urgency == work_class::urgent);
     CHECK(out.excluded == request.excluded);
+    LONGS_EQUAL(2, out.schedulers);
+}
+
+// Guards against a withdrawal that a scheduler takes for a request given up by its caller, or the reverse.
+TEST(codec_test, grant_cancel_round_trips)
+{
+    for (const bool elsewhere : {false, true}) {
+        const auto decoded = decode(encode({7, grant_cancel{request.id, elsewhere}}));
+        CHECK(decoded.has_value());
+        CHECK_EQUAL(elsewhere, std::get<grant_cancel>(decoded.value().body).granted_elsewhere);
+    }
+}
+
+// Guards against a part of a request that is not one: it would be charged wrongly to the organisation's limit.
+TEST(codec_test, a_request_asked_of_no_or_many_schedulers_is_refused)
+{
+    for (const int count : {0, 3, -1}) {
+        request.schedulers = count;
+        CHECK(!decode(encode({7, request})).has_value());
+    }
 }
 
 TEST(codec_test, other_versions_and_types_are_refused)
--- a/src/messages/types/messages.h
+++ b/src/messages/types/messages.h
@@ -65,6 +65,9 @@
     milliseconds remaining{0};
     /// Engines that already failed this request.
     std::vector<upstream_id> excluded;
+    /// Number of schedulers that were asked for this request, 1 or 2. Each charges its part of the request to the
+    /// organisation's limit and counts its part of the expected tokens as backlog.
+    int schedulers = 1;
 };
 
 /// Scheduler to gateway.
@@ -90,6 +93,8 @@
 struct grant_cancel
 {
     request_id request;
+    /// Another scheduler gave the grant that the request uses, and charges it to the organisation's limit.
+    bool granted_elsewhere = false;
 };
 
 enum class grant_state
--- /dev/null
+++ b/src/routing/internal/grant_race.cpp
@@ -0,0 +1,65 @@
+#include "routing/grant_race.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvillead {
+
+namespace {
+
+bool comes_back_sooner(const refusal& one, const refusal& other)
+{
+    return one.retry_after && (!other.retry_after || *one.retry_after < *other.retry_after);
+}
+
+} // namespace
+
+bool grant_race::awaits(const std::string& address) const
+{
+    return std::find(awaited_.begin(), awaited_.end(), address) != awaited_.end();
+}
+
+void grant_race::ask(const std::string& address)
+{
+    asked_ = true;
+    if (!awaits(address)) {
+        awaited_.push_back(address);
+    }
+}
+
+void grant_race::drop(const std::string& address)
+{
+    awaited_.erase(std::remove(awaited_.begin(), awaited_.end(), address), awaited_.end());
+}
+
+std::vector<std::string> grant_race::on_grant(const std::string& address)
+{
+    decided_ = true;
+    drop(address);
+    return std::exchange(awaited_, {});
+}
+
+std::optional<refusal> grant_race::on_refusal(const std::string& address, const refusal& value,
+                                              const reachable_function& reachable)
+{
+    // The former owner of a cell that has moved may still have the request in its queue.
+    if (decided_ || (asked_ && !awaits(address))) {
+        return std::nullopt;
+    }
+    drop(address);
+    if (!refused_ || comes_back_sooner(value, *refused_)) {
+        refused_ = value;
+    }
+    return on_unreachable(reachable);
+}
+
+std::optional<refusal> grant_race::on_unreachable(const reachable_function& reachable)
+{
+    if (decided_ || !refused_ || std::any_of(awaited_.begin(), awaited_.end(), reachable)) {
+        return std::nullopt;
+    }
+    decided_ = true;
+    return refused_;
+}
+
+} // namespace anvillead
