--- a/src/apps/gateway/scheduler_links.cpp
+++ b/src/apps/gateway/scheduler_links.cpp
@@ -77,6 +77,9 @@
         const auto link = client_for(it)->current();
         if (link) {
             opened(it, link);
+            // That has sent what moved there.
+            moved.erase(std::remove_if(moved.begin(), moved.end(), [&](const auto& at) { return at.first == it; }),
+                        moved.end());
         }
     }
     send_all(std::move(moved));
--- a/src/routing/internal/scheduler_choice.cpp
+++ b/src/routing/internal/scheduler_choice.cpp
@@ -48,6 +48,7 @@
     keep_if_any(candidates, [](const scheduler_candidate& it) { return it.reachable; });
     keep_if_any(candidates, [](const scheduler_candidate& it) { return it.engines > 0; });
     std::vector<std::pair<double, std::string>> costs;
+    costs.reserve(candidates.size());
     for (const auto& it : candidates) {
         costs.emplace_back(cost(now, it), it.address);
     }
