--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -233,6 +233,12 @@
                     out[name] += float(value)
         return out
 
+    def cpu_s(self, role):
+        """Processor time of all processes of a role so far, in seconds."""
+        fields = [pathlib.Path(f"/proc/{self.running[f'{role}-{i}'].pid}/stat").read_text().rsplit(")", 1)[1].split()
+                  for i in range(HOSTS)]
+        return sum(int(it[11]) + int(it[12]) for it in fields) / os.sysconf("SC_CLK_TCK")
+
     def dispatches(self):
         return sum(self.metrics("gateway", "grant_wait_ms_count").values())
 
@@ -411,7 +417,8 @@
         print(f"| {fleet.asked} | {label} | {len(report['requests'])} | "
               + " | ".join(f"{quantile(waits, share):.0f}" for share in (0.5, 0.95, 0.99)) + f" | {int(refused)} |")
     returned = fleet.metrics("gateway", "grants_returned_total")
-    print(f"second grants returned: {int(sum(returned.values()))}")
+    print(f"second grants returned: {int(sum(returned.values()))}; processor time since the start: schedulers "
+          f"{fleet.cpu_s('scheduler'):.1f} s, gateways {fleet.cpu_s('gateway'):.1f} s")
 
 
 SCENARIOS = {"takeover": takeover, "retry-storm": retry_storm, "drafts": drafts, "flood": flood, "cells": cells}
--- a/src/apps/gateway/gateway_settings.h
+++ b/src/apps/gateway/gateway_settings.h
@@ -12,11 +12,11 @@
 /// How grants are asked for.
 struct grant_settings
 {
-    /// Requests are refused after a service has had no scheduler for this long. A lost host is replaced after about 5
-    /// s: it is suspected after a few probes and taken for dead 3 s later.
+    /// Requests are refused after a service has had no scheduler for this long. It must exceed a takeover: a lost host
+    /// is suspected after a few probes and taken for dead 3 s later, in all after about 6 s.
     milliseconds scheduler_absence{8'000};
     /// Schedulers asked for one request when the cells of its service have several, 1 or 2.
-    std::size_t schedulers_asked = 1;
+    std::size_t schedulers_asked = 2;
 };
 
 struct gateway_settings
--- a/src/messages/codec.h
+++ b/src/messages/codec.h
@@ -9,7 +9,7 @@
 namespace anvillead {
 
 /// Version of the protocol between the system's processes; other versions are refused.
-inline constexpr int protocol_version = 2;
+inline constexpr int protocol_version = 3;
 
 /// CBOR map {v, t, g, b}.
 std::string encode(const envelope& value);
