Test limits and predictions of requests that wait in two queues

Cause: the tests of shared requests covered only requests granted at once; a scheduler that counts them in full passed.

--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -33,7 +33,8 @@
     engine_group& group_of(const service_name& name);
     void apply_organisations(instant now, const std::vector<upstream_id>& owned);
     /// The part of each organisation's limits that this scheduler applies: its part of the cells of the engine services
-    /// that workloads use. Gateways spread requests evenly over the cells of a service.
+    /// that workloads use. Requests that one scheduler refuses for its part may still be granted by the other one
+    /// asked.
     double limit_share(const std::vector<upstream_id>& owned) const;
     void adopt_engines(instant now, const std::vector<upstream_id>& owned);
     void end_caution();
--- a/src/admission/tests/organisation_share_test.cpp
+++ b/src/admission/tests/organisation_share_test.cpp
@@ -179,6 +179,30 @@
                            [](const scheduler_action& it) { return std::holds_alternative<Action>(it); });
     }
 
+    /// Takes every slot of a scheduler for another organisation, until the grants without a report are given up.
+    void fill(std::size_t n)
+    {
+        for (int i = 0; i < 10 * test_batch_limit; ++i) {
+            cores[n]->on_request(now, gateway, make_test_request(1'000'000 + i, 1, work_class::draft));
+        }
+        cores[n]->on_tick(now);
+    }
+
+    /// Requests of one class that a scheduler with all slots taken queues before it refuses one as overloaded.
+    int queued_before_refusal(std::size_t n, int schedulers)
+    {
+        fill(n);
+        for (int out = 0; out < 5000; ++out) {
+            auto request = make_test_request(out, 1, work_class::normal);
+            request.schedulers = schedulers;
+            request.remaining = seconds(3);
+            if (has<send_refusal>(cores[n]->on_request(now, gateway, request))) {
+                return static_cast<int>(cores[n]->figures().waiting[static_cast<std::size_t>(work_class::normal)]);
+            }
+        }
+        return -1;
+    }
+
     /// Asks both schedulers at `rate`, which grant each request at once; the one that `winner` names is used, the
     /// other's grant is returned and the used one ends. Returns how many requests got a grant.
     int granted(milliseconds time, int rate, const std::function<std::size_t(int)>& winner)
@@ -252,6 +276,31 @@
     }
 }
 
+// Guards against the same in the scheduler's decisions.
+TEST(shared_request_test, requests_that_wait_in_two_queues_stay_within_the_limit)
+{
+    fill(0);
+    fill(1);
+    for (int i = 0; i < 5 * static_cast<int>(limit); ++i, now += milliseconds(1000) / static_cast<int>(limit)) {
+        auto request = make_test_request(i, 0, work_class::draft);
+        request.schedulers = 2;
+        request.output_limit = {10};
+        for (const auto& it : cores) {
+            CHECK(!has<send_refusal>(it->on_request(now, gateway, request)));
+        }
+    }
+}
+
+// Guards against an early refusal by a predicted wait that counts requests which the other scheduler will serve.
+TEST(shared_request_test, a_shared_backlog_counts_by_half)
+{
+    const int alone = queued_before_refusal(0, 1);
+    const int shared = queued_before_refusal(1, 2);
+    CHECK(alone > 0);
+    CHECK_TEXT(shared >= 2 * alone - 1, "shared requests are refused too early");
+    CHECK_TEXT(shared <= 2 * alone + 2, "shared requests are not refused");
+}
+
 // Guards against a withdrawn request that stays in the queue, and a returned second grant whose slot stays taken.
 TEST(shared_request_test, a_withdrawal_leaves_nothing_behind)
 {
