--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -114,6 +114,7 @@
     const bool judged = !first || value.state != grant_state::running;
     const auto since = first ? known->made : known->reported;
     known->reported = now;
+    limiter_.adjust_request(now, known->length.organisation, std::exchange(known->uncharged, 0));
     known->silent = value.silent;
     const auto engine = engines_.find(known->engine);
     if (engine == engines_.end()) {
