Measure prefix affinity in a scenario of its own

Scenario prefixes: drafts at 0.6, 70 % of the prompts start with one of seven texts per organisation, cache events 2 s late and 20 % missing. The engine model now knows how many tokens prompts with one prefix share and reports prompt tokens computed and saved and changes of its cache; the same model serves every policy.

--- a/src/apps/bench/decisions.cpp
+++ b/src/apps/bench/decisions.cpp
@@ -33,7 +33,7 @@
     return all;
 }
 
-std::unique_ptr<ischeduler_core> make_policy(const std::string& name, std::uint64_t seed)
+std::unique_ptr<ischeduler_core> make_policy(const std::string& name, std::uint64_t seed, variant part)
 {
     for (const auto& [known, kind] : baselines()) {
         if (name == known) {
@@ -43,6 +43,7 @@
     scheduler_options options;
     options.process = "s";
     options.seed = seed;
+    options.placement.affinity.enabled |= part == variant::with_affinity;
     return std::make_unique<scheduler_core>(options);
 }
 
@@ -99,7 +100,7 @@
     const auto site = std::find_if(deployments().begin(), deployments().end(),
                                    [&](const deployment& it) { return it.name == target.deployment; });
     const auto input = make_scenario(target.scenario, *site, value.seed, value.part);
-    const auto policy = make_policy(target.policies[value.policy].first, value.seed);
+    const auto policy = make_policy(target.policies[value.policy].first, value.seed, value.part);
     value.figures = simulation(input, *policy).run();
 }
 
--- a/src/apps/bench/decisions/measurements.cpp
+++ b/src/apps/bench/decisions/measurements.cpp
@@ -74,6 +74,8 @@
     started += other.started;
     preemptions += other.preemptions;
     recomputed += other.recomputed;
+    prompt_computed += other.prompt_computed;
+    prompt_saved += other.prompt_saved;
     useful += other.useful;
     seconds += other.seconds;
 }
--- a/src/apps/bench/decisions/measurements.h
+++ b/src/apps/bench/decisions/measurements.h
@@ -59,6 +59,9 @@
     std::uint64_t started = 0;
     std::uint64_t preemptions = 0;
     std::int64_t recomputed = 0;
+    /// Prompt tokens that engines computed, and those that their prefix caches held.
+    std::int64_t prompt_computed = 0;
+    std::int64_t prompt_saved = 0;
     double useful = 0;
     double seconds = 0;
 
--- a/src/apps/bench/decisions/report.cpp
+++ b/src/apps/bench/decisions/report.cpp
@@ -91,9 +91,10 @@
 {
     std::string out =
         fmt::format("  {:<20} preemptions/1000 {:>8.1f}  recomputed {:>9}  useful tok/s {:>8.0f}  gap p95 "
-                    "{:>6.1f} p99 {:>6.1f}  share deviation {:>5.2f}  worst wait in share {:>8.0f}\n",
+                    "{:>6.1f} p99 {:>6.1f}  share deviation {:>5.2f}  worst wait in share {:>8.0f}  prompt tokens "
+                    "computed {:>9} saved {:>9}\n",
                     name, it.preemptions_per_thousand(), it.recomputed, it.useful_per_second(), it.gap.quantile(0.95),
-                    it.gap.quantile(0.99), it.share_deviation(), worst_wait(it));
+                    it.gap.quantile(0.99), it.share_deviation(), worst_wait(it), it.prompt_computed, it.prompt_saved);
     for (std::size_t i = 0; i < it.classes.size(); ++i) {
         const auto& at = it.classes[i];
         if (at.requests == 0) {
@@ -116,6 +117,8 @@
                 {"useful_tokens_per_second", it.useful_per_second()},
                 {"gap_p95_ms", it.gap.quantile(0.95)},
                 {"gap_p99_ms", it.gap.quantile(0.99)},
+                {"prompt_tokens_computed", it.prompt_computed},
+                {"prompt_tokens_saved", it.prompt_saved},
                 {"share_deviation", it.share_deviation()},
                 {"worst_wait_in_share_ms", worst_wait(it)}};
     for (std::size_t i = 0; i < it.classes.size(); ++i) {
--- a/src/apps/bench/decisions/scenario.cpp
+++ b/src/apps/bench/decisions/scenario.cpp
@@ -1,6 +1,7 @@
 #include "apps/bench/decisions/scenario.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <random>
 
@@ -35,6 +36,14 @@
 constexpr length_shape draft_output{900, 0.7, 20'000};
 constexpr length_shape short_draft_output{150, 0.5, 20'000};
 
+// Part of the prompts whose start is shared, and how many tokens of it.
+constexpr double shared_part = 0.7;
+constexpr std::int64_t urgent_shared_tokens = 100;
+constexpr std::int64_t draft_shared_tokens = 400;
+constexpr std::array<double, 6> draft_text_weights{6, 3, 2, 1.5, 1.2, 1};
+constexpr std::uint64_t texts_per_organisation = 1 + draft_text_weights.size();
+constexpr std::uint64_t first_own_prefix = 1'000;
+
 double mean_of(const length_shape& it)
 {
     return it.median * std::exp(it.sigma * it.sigma / 2);
@@ -138,6 +147,26 @@
     }
 }
 
+/// Most prompts start with a text that others start with too: one per organisation for checks, several for drafts, of
+/// which the first are the most used. The rest start with a text of their own.
+void add_prefixes(scenario& out)
+{
+    std::mt19937_64 random(out.seed * 1'000'003 + 400);
+    std::discrete_distribution<std::uint64_t> draft_text(draft_text_weights.begin(), draft_text_weights.end());
+    std::bernoulli_distribution shared(shared_part);
+    std::uint64_t own = first_own_prefix;
+    for (auto& it : out.arrivals) {
+        const bool draft = it.urgency == work_class::draft;
+        const auto text = draft ? 1 + draft_text(random) : 0;
+        if (!shared(random)) {
+            it.prefix = own++;
+            continue;
+        }
+        it.prefix = 1 + it.organisation * texts_per_organisation + text;
+        it.prefix_tokens = std::min(it.input, draft ? draft_shared_tokens : urgent_shared_tokens);
+    }
+}
+
 void add_losses(scenario& out)
 {
     for (const std::size_t engine : {1, 4, 7}) {
@@ -161,7 +190,7 @@
 
 const std::vector<std::string>& scenario_names()
 {
-    static const std::vector<std::string> names = {"drafts", "flood", "shift", "stale", "losses"};
+    static const std::vector<std::string> names = {"drafts", "flood", "shift", "stale", "losses", "prefixes"};
     return names;
 }
 
@@ -173,6 +202,9 @@
     if (name == "flood") {
         return {variant::without_drafts, variant::without_flood};
     }
+    if (name == "prefixes") {
+        return {variant::with_affinity};
+    }
     return {};
 }
 
@@ -185,6 +217,8 @@
         return "without drafts";
     case variant::without_flood:
         return "without flood";
+    case variant::with_affinity:
+        return "with affinity";
     }
     return "";
 }
@@ -218,6 +252,11 @@
     } else if (name == "losses") {
         add_all_drafts(out, 0.6);
         add_losses(out);
+    } else if (name == "prefixes") {
+        add_all_drafts(out, 0.6);
+        add_prefixes(out);
+        out.cache_lag_ms = 2000;
+        out.cache_loss = 0.2;
     }
     std::stable_sort(out.arrivals.begin(), out.arrivals.end(),
                      [](const arrival& a, const arrival& b) { return a.at_ms < b.at_ms; });
--- a/src/apps/bench/decisions/scenario.h
+++ b/src/apps/bench/decisions/scenario.h
@@ -31,6 +31,9 @@
     std::int64_t output = 0;
     std::int64_t output_limit = 0;
     milliseconds deadline{0};
+    /// Hash of the prompt's start, 0 for none, and how many tokens all prompts with this hash share.
+    std::uint64_t prefix = 0;
+    std::int64_t prefix_tokens = 0;
 };
 
 enum class fault_kind
@@ -57,6 +60,9 @@
     /// Delay of load reports and the part of them that is lost.
     double load_lag_ms = 100;
     double load_loss = 0;
+    /// Delay of prefix cache events, until they are part of a load report, and the part of them that is missing.
+    double cache_lag_ms = 0;
+    double cache_loss = 0;
     /// Requests that arrive from here on and tokens delivered from here to the end are measured.
     double warm_ms = 0;
     double end_ms = 0;
@@ -74,7 +80,9 @@
     /// Urgent work only.
     without_drafts,
     /// The flooding organisation stays at its normal rate.
-    without_flood
+    without_flood,
+    /// Everything, with the scheduler's prefix affinity on.
+    with_affinity
 };
 
 scenario make_scenario(const std::string& name, const deployment& site, std::uint64_t seed, variant part);
--- a/src/apps/bench/decisions/simulation.cpp
+++ b/src/apps/bench/decisions/simulation.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 simulation::simulation(const scenario& value, ischeduler_core& policy)
-    : scenario_(value), policy_(policy), random_(value.seed * 7919), requests_(value.arrivals.size()), open_(gateways)
+    : scenario_(value), policy_(policy), random_(value.seed * 7919), cache_random_(value.seed * 104'729),
+      requests_(value.arrivals.size()), open_(gateways)
 {
     for (int i = 0; i < value.site.engines; ++i) {
         engines_.emplace_back(standin::engine_model_settings{});
@@ -103,6 +104,7 @@
     value.urgency = from.urgency;
     value.input = {from.input};
     value.output_limit = {from.output_limit};
+    value.prefix_hash = from.prefix;
     value.remaining = from.deadline;
     value.excluded = requests_[index].excluded;
     carry_out(policy_.on_request(now(), gateway_of(index), value));
@@ -138,6 +140,8 @@
     sequence.priority = value.priority;
     sequence.input = from.input;
     sequence.output_target = from.output;
+    sequence.prefix = from.prefix;
+    sequence.prefix_tokens = from.prefix_tokens > 0 ? from.prefix_tokens : from.input;
     engines_[it.engine].model.add(std::move(sequence));
     if (!engines_[it.engine].stepping) {
         step(it.engine);
@@ -162,6 +166,9 @@
     }
     const bool measured = clock_ >= scenario_.warm_ms;
     out_.recomputed += measured ? done.recomputed : 0;
+    out_.prompt_computed += measured ? done.prompt_computed : 0;
+    out_.prompt_saved += measured ? done.prompt_saved : 0;
+    note_cache(index, done);
     for (const auto& id : done.preempted) {
         const auto moved = index_of(id);
         out_.preemptions += measured ? 1 : 0;
@@ -306,6 +313,30 @@
     at(clock_ + progress_ms, [this, gateway] { report_progress(gateway); });
 }
 
+void simulation::note_cache(std::size_t index, const standin::engine_step& done)
+{
+    for (const auto& it : done.prefix_changes) {
+        if (std::generate_canonical<double, 53>(cache_random_) >= scenario_.cache_loss) {
+            engines_[index].cache_events.emplace_back(clock_, cache_event{it.prefix, it.evicted, {}});
+        }
+    }
+}
+
+std::vector<cache_event> simulation::due_cache_events(std::size_t index)
+{
+    auto& events = engines_[index].cache_events;
+    const auto last = std::find_if(events.begin(), events.end(), [&](const auto& it) {
+        return it.first + scenario_.cache_lag_ms > clock_ + scenario_.load_lag_ms;
+    });
+    std::vector<cache_event> out;
+    for (auto it = events.begin(); it != last; ++it) {
+        out.push_back(it->second);
+        out.back().age = milliseconds(static_cast<std::int64_t>(clock_ - it->first));
+    }
+    events.erase(events.begin(), last);
+    return out;
+}
+
 void simulation::report_load(std::size_t index)
 {
     const auto& it = engines_[index];
@@ -320,6 +351,7 @@
         value.preemptions = it.model.preemptions();
         value.lag = milliseconds(static_cast<std::int64_t>(scenario_.load_lag_ms));
         value.leaving = it.leaving;
+        value.cache_events = due_cache_events(index);
         at(clock_ + scenario_.load_lag_ms, [this, value] { carry_out(policy_.on_load(now(), value)); });
     }
     at(clock_ + load_ms, [this, index] { report_load(index); });
--- a/src/apps/bench/decisions/simulation.h
+++ b/src/apps/bench/decisions/simulation.h
@@ -41,6 +41,8 @@
         bool stepping = false;
         bool dead = false;
         bool leaving = false;
+        /// Cache events not reported yet, with their times.
+        std::vector<std::pair<double, cache_event>> cache_events;
     };
 
     enum class request_state
@@ -84,12 +86,16 @@
     void finish(std::size_t index);
     void report_progress(std::size_t gateway);
     void report_load(std::size_t index);
+    void note_cache(std::size_t index, const standin::engine_step& done);
+    /// Takes the cache events that are due for a report.
+    std::vector<cache_event> due_cache_events(std::size_t index);
     void tick();
     void collect();
 
     const scenario& scenario_;
     ischeduler_core& policy_;
     std::mt19937_64 random_;
+    std::mt19937_64 cache_random_;
     std::priority_queue<event, std::vector<event>, later> events_;
     std::uint64_t order_ = 0;
     double clock_ = 0;
--- a/standins/engine_model/engine_model.cpp
+++ b/standins/engine_model/engine_model.cpp
@@ -29,7 +29,7 @@
     return true;
 }
 
-std::int64_t engine_model::cached_prefix(const engine_sequence& sequence)
+std::int64_t engine_model::cached_prefix(const engine_sequence& sequence, engine_step& out)
 {
     if (sequence.prefix == 0) {
         return 0;
@@ -38,14 +38,17 @@
                                  [&](const auto& entry) { return entry.first == sequence.prefix; });
     std::int64_t hit = 0;
     if (it != prefixes_.end()) {
-        hit = std::min(it->second, sequence.input);
+        const auto shared = sequence.prefix_tokens > 0 ? sequence.prefix_tokens : sequence.input;
+        hit = std::min({it->second, sequence.input, shared});
         prefix_tokens_ -= it->second;
         prefixes_.erase(it);
     }
     prefixes_.emplace_front(sequence.prefix, sequence.input);
+    out.prefix_changes.push_back({sequence.prefix, false});
     prefix_tokens_ += sequence.input;
     while (prefix_tokens_ > settings_.prefix_cache_tokens && !prefixes_.empty()) {
         prefix_tokens_ -= prefixes_.back().second;
+        out.prefix_changes.push_back({prefixes_.back().first, true});
         prefixes_.pop_back();
     }
     return hit;
@@ -62,7 +65,10 @@
         if (next.preemptions > 0) {
             out.recomputed += need;
         }
-        out.duration_ms += settings_.prefill_ms_per_token * static_cast<double>(need - cached_prefix(next));
+        const auto cached = cached_prefix(next, out);
+        out.prompt_saved += cached;
+        out.prompt_computed += need - cached;
+        out.duration_ms += settings_.prefill_ms_per_token * static_cast<double>(need - cached);
         used_ += need;
         running_.push_back(std::move(next));
         waiting_.pop_front();
--- a/standins/engine_model/engine_model.h
+++ b/standins/engine_model/engine_model.h
@@ -32,10 +32,19 @@
     std::int64_t input = 0;
     std::int64_t output_target = 1;
     std::uint64_t prefix = 0;
+    /// Input tokens that are the same in all prompts with this prefix; 0 for all of them.
+    std::int64_t prefix_tokens = 0;
     std::int64_t produced = 0;
     int preemptions = 0;
 };
 
+/// A prompt came into the prefix cache or left it.
+struct prefix_change
+{
+    std::uint64_t prefix = 0;
+    bool evicted = false;
+};
+
 /// What one decode step did.
 struct engine_step
 {
@@ -46,6 +55,10 @@
     std::vector<std::string> preempted;
     /// Tokens computed again because of earlier preemptions.
     std::int64_t recomputed = 0;
+    /// Tokens of admitted prompts that were computed, and those that the prefix cache held.
+    std::int64_t prompt_computed = 0;
+    std::int64_t prompt_saved = 0;
+    std::vector<prefix_change> prefix_changes;
 };
 
 /// Continuous batching with limited memory: the step slows with batch size, memory fills while decoding, and the least
@@ -72,7 +85,7 @@
 private:
     void admit(engine_step& out);
     void preempt(engine_step& out);
-    std::int64_t cached_prefix(const engine_sequence& sequence);
+    std::int64_t cached_prefix(const engine_sequence& sequence, engine_step& out);
 
     engine_model_settings settings_;
     std::vector<engine_sequence> running_;
