Read cache events from load reports, and a setting for prefix affinity

The stand-in engine listed stored prefixes under /cache-events only, and the scheduler daemon read no cache events.

The scheduler setting prefix_affinity (default false) switches the decision on. read_load moved to load_report.cpp, so that it can be tested.

--- a/src/admission/internal/placement.cpp
+++ b/src/admission/internal/placement.cpp
@@ -113,6 +113,7 @@
         return;
     }
     std::vector<affinity_candidate> candidates;
+    candidates.reserve(open.size());
     for (const auto* it : open) {
         // Engines kept short stay the last choice of other classes.
         if (served == work_class::urgent || it->short_batch == open.front()->short_batch) {
@@ -122,6 +123,7 @@
     const auto first = affinity_.preferred(now, candidates, request.prefix_hash, request.input, served,
                                            settings_.generations_per_prompt_token);
     std::vector<engine_state*> order;
+    order.reserve(open.size());
     for (const auto index : first) {
         order.push_back(open[index]);
     }
--- a/src/admission/internal/prefix_affinity.cpp
+++ b/src/admission/internal/prefix_affinity.cpp
@@ -19,6 +19,7 @@
 std::vector<std::size_t> joined(const std::vector<ranked>& first, const std::vector<ranked>& rest)
 {
     std::vector<std::size_t> out;
+    out.reserve(rest.size());
     for (const auto& it : first) {
         out.push_back(it.index);
     }
--- a/src/apps/scheduler/scheduler_daemon.cpp
+++ b/src/apps/scheduler/scheduler_daemon.cpp
@@ -5,6 +5,7 @@
 #include "admission/scheduler_core.h"
 #include "apps/common/control_traffic.h"
 #include "apps/common/message_intake.h"
+#include "apps/scheduler/load_report.h"
 #include "core/crypto.h"
 #include "core/log.h"
 #include "routing/rendezvous.h"
@@ -18,28 +19,13 @@
 constexpr milliseconds leave_time{1500};
 constexpr milliseconds figures_period{1000};
 
-engine_load read_load(const upstream_id& engine, const nlohmann::json& value)
-{
-    std::vector<field_problem> problems;
-    field_reader reader(value, "load", "", problems);
-    engine_load out;
-    out.engine = engine;
-    out.used = {reader.number_or("used_tokens", {}, 0)};
-    out.capacity = {reader.number_or("capacity_tokens", {}, 0)};
-    out.running = static_cast<int>(reader.number_or("running", {}, 0));
-    out.waiting = static_cast<int>(reader.number_or("waiting", {}, 0));
-    out.preemptions = reader.number_or("preemptions", {}, 0);
-    out.lag = milliseconds(reader.number_or("lag_ms", {}, 0));
-    out.leaving = reader.flag_or("leaving", false);
-    return out;
-}
-
-scheduler_options make_options()
+scheduler_options make_options(const scheduler_settings& settings)
 {
     scheduler_options out;
     out.process = random_hex(6);
     // Schedulers must not spread their callers over the same retry times.
     out.seed = std::stoull(random_hex(8), nullptr, 16);
+    out.placement.affinity.enabled = settings.prefix_affinity;
     return out;
 }
 
@@ -47,7 +33,7 @@
 
 scheduler_daemon::scheduler_daemon(worker_pool& pool, scheduler_settings settings)
     : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()),
-      core_(std::make_unique<scheduler_core>(make_options())), client_(make_http_client(pool))
+      core_(std::make_unique<scheduler_core>(make_options(settings_))), client_(make_http_client(pool))
 {
     const auto options = make_link_options(settings_.common, "scheduler", new_incarnation());
     link_handlers handlers;
--- a/src/apps/scheduler/scheduler_settings.cpp
+++ b/src/apps/scheduler/scheduler_settings.cpp
@@ -18,6 +18,7 @@
     out.http_listen = reader.text_or("http_listen", "");
     out.load_period = milliseconds(reader.number_or("load_period_ms", period_range, 200));
     out.tick = milliseconds(reader.number_or("tick_ms", period_range, 20));
+    out.prefix_affinity = reader.flag_or("prefix_affinity", false);
     return out;
 }
 
--- a/src/apps/scheduler/scheduler_settings.h
+++ b/src/apps/scheduler/scheduler_settings.h
@@ -17,6 +17,7 @@
     std::string http_listen;
     milliseconds load_period{200};
     milliseconds tick{20};
+    bool prefix_affinity = false;
 };
 
 scheduler_settings read_scheduler_settings(field_reader& reader);
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t prefix_bytes = 512;
 constexpr std::size_t tag_length = 24;
 constexpr std::size_t cache_event_limit = 1000;
+// The load report lists the newest cache changes of this time; more are missing from it.
+constexpr milliseconds reported_change_time{500};
+constexpr std::size_t reported_change_limit = 64;
 
 engine_model_settings read_model(const json& control)
 {
@@ -235,7 +238,30 @@
     return {{"used_tokens", model_.used()},        {"capacity_tokens", model_.settings().capacity},
             {"running", model_.running()},         {"waiting", model_.waiting()},
             {"preemptions", model_.preemptions()}, {"leaving", leaving_},
-            {"lag_ms", load_lag_.count()}};
+            {"lag_ms", load_lag_.count()},         {"cache_events", recent_cache_changes()}};
+}
+
+json engine_server::recent_cache_changes() const
+{
+    const auto now = pool_.timers().now();
+    json out = json::array();
+    for (const auto& it : cache_changes_) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - it.at);
+        if (age <= reported_change_time) {
+            out.push_back({{"prefix", it.change.prefix}, {"evicted", it.change.evicted}, {"age_ms", age.count()}});
+        }
+    }
+    return out;
+}
+
+void engine_server::note_cache(const engine_step& done)
+{
+    for (const auto& it : done.prefix_changes) {
+        cache_changes_.push_back({pool_.timers().now(), it});
+        if (cache_changes_.size() > reported_change_limit) {
+            cache_changes_.pop_front();
+        }
+    }
 }
 
 void engine_server::schedule_step()
@@ -254,6 +280,7 @@
         return;
     }
     const auto result = model_.step();
+    note_cache(result);
     step_scheduled_ = true;
     const auto duration = milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(result.duration_ms)));
     pool_.timers().after(duration, [this, result] {
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -41,6 +41,12 @@
         nlohmann::json value;
     };
 
+    struct timed_change
+    {
+        anvillead::instant at;
+        prefix_change change;
+    };
+
     void handle(anvillead::http_request request, const std::shared_ptr<anvillead::ihttp_exchange>& exchange);
     void create(const anvillead::http_request& request, const std::shared_ptr<anvillead::ihttp_exchange>& exchange);
     void follow(const anvillead::http_request& request, const std::string& id,
@@ -49,6 +55,8 @@
     void order(const anvillead::http_request& request, const std::shared_ptr<anvillead::ihttp_exchange>& exchange);
     void control(const nlohmann::json& value);
     nlohmann::json load() const;
+    nlohmann::json recent_cache_changes() const;
+    void note_cache(const engine_step& done);
     void schedule_step();
     void step();
     void emit(const std::string& id, generation& value, const std::string& type, const nlohmann::json& data);
@@ -66,6 +74,7 @@
     nlohmann::json ran_ = nlohmann::json::array();
     std::vector<std::shared_ptr<anvillead::ihttp_exchange>> muted_;
     std::deque<load_sample> loads_;
+    std::deque<timed_change> cache_changes_;
     nlohmann::json cache_events_ = nlohmann::json::array();
     nlohmann::json orders_ = nlohmann::json::array();
     std::unique_ptr<anvillead::ihttp_server> server_;
