Divide the message codec: grants and progress reports in a file of their own

Change: the messages between gateways and schedulers move to grant_codec.cpp, the id lists to the header that both codecs use. No message changes.

--- a/src/messages/internal/membership_codec.h
+++ b/src/messages/internal/membership_codec.h
@@ -25,6 +25,26 @@
 /// The text under `name`; empty when it is absent.
 std::string optional_text(field_reader& reader, std::string_view name);
 
+template <typename Id>
+nlohmann::json ids_to_json(const std::vector<Id>& ids)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto& it : ids) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+template <typename Id>
+std::vector<Id> read_ids(field_reader& reader, std::string_view name)
+{
+    std::vector<Id> out;
+    for (auto& it : reader.texts_or_empty(name)) {
+        out.emplace_back(std::move(it));
+    }
+    return out;
+}
+
 template <typename T>
 nlohmann::json items_to_json(const std::vector<T>& items)
 {
