Ask a second scheduler only for a request that waits

Cause: with late binding each request was asked of two schedulers at once.

The limit and the backlog of a request are divided as before.

--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -34,8 +34,8 @@
     {
         when_current_ = std::move(gate);
     }
-    /// Asks the scheduler of one cell of the request's service, chosen by hash, or the two best ones; the first grant
-    /// counts. Callbacks run on a transport thread.
+    /// Asks the scheduler of one cell of the request's service, chosen by hash, or the best one and, when that does not
+    /// grant it within a round trip, a second one; the first grant counts. Callbacks run on a transport thread.
     void ask(const grant_request& request, grant_callbacks callbacks);
     void cancel(const request_id& request);
     /// Refuses what waits for a service that has had no scheduler for the time of the settings. Must be called
@@ -56,6 +56,8 @@
         /// Set once the grant was received; the entry stays until cancel() or the end of the grant.
         std::optional<grant_id> granted;
         instant since;
+        /// Schedulers to ask at a time; request.schedulers once one has not granted it at once.
+        std::size_t width = 1;
     };
 
     /// Schedulers of one service by link address.
@@ -76,6 +78,10 @@
     /// The functions with an entry are called with the lock held.
     void move_to_owners(waiting& entry, outgoing& messages);
     void ask_more(waiting& entry, outgoing& messages);
+    /// Schedulers with an open link and an engine that takes work.
+    std::size_t count_usable(const service_schedulers& value) const;
+    /// Asks a second scheduler for a request that still waits.
+    void widen(const request_id& id);
     /// Asks another scheduler in place of one whose link has closed, if there is one.
     void replace(waiting& entry, const std::string& address, outgoing& messages);
     void drop(waiting& entry, const std::string& address);
