--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -127,10 +127,13 @@
     row(f"grant requests and grants ({requests:.1f} a second)", grants, "B/s")
     row(f"configuration, header and one part of together {change / 1e3:.0f} KB sent once a change", config, "B/s")
     row("**bytes sent**", total, "B/s", LIMIT_BYTES)
+    row("in addition when every request waits for a grant: a second scheduler asked", grants, "B/s")
     for name, value in core.items():
         row(name, value * 100, "% of a core")
     row("**share of a core for control**", sum(core.values()) * 100, "% of a core", LIMIT_CORE * 100)
     row("in addition on the agent that accepts: merging the folder", merging * 100, "% of a core")
+    row("in addition when every request waits for a grant: a second scheduler asked",
+        core["scheduler: requests with their links"] * 100, "% of a core")
     for name, value in memory.items():
         row(name, value / 1e6, "MB")
     row("**memory for control**", sum(memory.values()) / 1e6, "MB", LIMIT_MEMORY / 1e6)
