--- a/src/apps/bench/slopes/scheduler_slopes.cpp
+++ b/src/apps/bench/slopes/scheduler_slopes.cpp
@@ -261,7 +261,7 @@
     slope out{"messages.bytes per report of one short entry", "gateway", "reports", "bytes", {}};
     const progress_report report{{}, {{1, {100}, milliseconds(30)}}, false};
     const auto size = static_cast<double>(encode({1, report}).size());
-    for (const int count : {10, 20, 40}) {
+    for (const int count : {10, 20, 40, 80}) {
         out.points.push_back({static_cast<double>(count), size * count});
     }
     return out;
