Drop the prefix hints of an engine that a nameless end reports as lost

Change: the engine of the scheduler's own grant is used.

Result: a_loss_reported_without_names_drops_the_hints fails before (e3 instead of e2) and passes now.

--- a/src/admission/internal/scheduler_grants.cpp
+++ b/src/admission/internal/scheduler_grants.cpp
@@ -149,7 +149,7 @@
     }
     if (value.state == grant_state::lost) {
         engine->second.health.lost(now);
-        placement_.engine_lost(value.engine);
+        placement_.engine_lost(known->engine);
         // Not left to the next observation: the gateway asks again at once.
         engine->second.gone = true;
         engine->second.usable = false;
--- a/src/admission/tests/scheduler_affinity_test.cpp
+++ b/src/admission/tests/scheduler_affinity_test.cpp
@@ -35,15 +35,17 @@
         }
     }
 
-    /// The engine of a request with prefix 7.
-    std::string place(scheduler_core & core)
+    /// The grant of a request with prefix 7.
+    grant granted(scheduler_core & core, int number)
     {
-        auto request = make_test_request(1, 0, work_class::urgent);
+        auto request = make_test_request(number, 0, work_class::urgent);
         request.prefix_hash = 7;
         const auto actions = core.on_request(now, gateway, request);
         CHECK_EQUAL(1, actions.size());
-        return std::get<send_grant>(actions.front()).value.engine.str();
+        return std::get<send_grant>(actions.front()).value;
     }
+
+    std::string place(scheduler_core & core) { return granted(core, 1).engine.str(); }
 };
 
 // Guards against cache events that never reach placement, and against an eviction that is not heard.
@@ -60,3 +62,25 @@
         CHECK_EQUAL(home, place(evicted));
     }
 }
+
+// Guards against hints of an engine that was lost: the end of a grant is reported without the engine's name.
+TEST(scheduler_affinity_test, a_loss_reported_without_names_drops_the_hints)
+{
+    auto plain = make_core();
+    const auto home = place(plain);
+    for (const auto& id : all_engines(configuration)) {
+        auto core = make_core();
+        report(core, id.str(), {{7, false, milliseconds(200)}});
+        const auto first = granted(core, 1);
+        CHECK_EQUAL(id.str(), first.engine.str());
+        grant_progress lost;
+        lost.id = first.id;
+        lost.state = grant_state::lost;
+        core.on_progress(now, gateway, {{lost}, {}, false});
+        now += milliseconds(500);
+        report(core, "", {});
+        now += milliseconds(500);
+        core.on_tick(now);
+        CHECK_EQUAL(home, granted(core, 2).engine.str());
+    }
+}
