--- a/src/admission/tests/scheduler_affinity_test.cpp
+++ b/src/admission/tests/scheduler_affinity_test.cpp
@@ -45,7 +45,10 @@
         return std::get<send_grant>(actions.front()).value;
     }
 
-    std::string place(scheduler_core & core) { return granted(core, 1).engine.str(); }
+    std::string place(scheduler_core & core)
+    {
+        return granted(core, 1).engine.str();
+    }
 };
 
 // Guards against cache events that never reach placement, and against an eviction that is not heard.
