Widen a waiting request in one place and ask once whether a scheduler is usable

Cause: a refusal and the timer each widened a request to a second scheduler, three places asked whether a scheduler has an open link and engines, and each request that waited looked up again what was known of its service, ten times a second.

Change: widen() and usable(); only services without schedulers are observed by request. Behaviour is as before.

--- a/src/apps/gateway/scheduler_links.h
+++ b/src/apps/gateway/scheduler_links.h
@@ -78,10 +78,13 @@
     /// The functions with an entry are called with the lock held.
     void move_to_owners(waiting& entry, outgoing& messages);
     void ask_more(waiting& entry, outgoing& messages);
-    /// Schedulers with an open link and an engine that takes work.
+    /// The scheduler has an open link and an engine that takes work.
+    bool usable(const std::string& address, int engines) const;
     std::size_t count_usable(const service_schedulers& value) const;
     /// Asks a second scheduler for a request that still waits.
     void widen(const request_id& id);
+    /// The same, once, for a request that the caller has found.
+    void widen(waiting& entry, outgoing& messages);
     /// Asks another scheduler in place of one whose link has closed, if there is one.
     void replace(waiting& entry, const std::string& address, outgoing& messages);
     void drop(waiting& entry, const std::string& address);
--- a/src/apps/gateway/scheduler_requests.cpp
+++ b/src/apps/gateway/scheduler_requests.cpp
@@ -103,11 +103,15 @@
     }
 }
 
+bool scheduler_links::usable(const std::string& address, int engines) const
+{
+    return engines > 0 && open_.count(address) != 0;
+}
+
 std::size_t scheduler_links::count_usable(const service_schedulers& value) const
 {
-    return static_cast<std::size_t>(std::count_if(value.engines.begin(), value.engines.end(), [this](const auto& it) {
-        return it.second > 0 && open_.count(it.first) != 0;
-    }));
+    return static_cast<std::size_t>(std::count_if(value.engines.begin(), value.engines.end(),
+                                                  [this](const auto& it) { return usable(it.first, it.second); }));
 }
 
 void scheduler_links::widen(const request_id& id)
@@ -119,16 +123,19 @@
         if (it == waiting_.end() || it->second.race.decided()) {
             return;
         }
-        const auto width = static_cast<std::size_t>(it->second.request.schedulers);
-        // A refusal may have widened it before.
-        if (std::exchange(it->second.width, width) == width) {
-            return;
-        }
-        ask_more(it->second, messages);
+        widen(it->second, messages);
     }
     send_all(std::move(messages));
 }
 
+void scheduler_links::widen(waiting& entry, outgoing& messages)
+{
+    const auto width = static_cast<std::size_t>(entry.request.schedulers);
+    if (std::exchange(entry.width, width) != width) {
+        ask_more(entry, messages);
+    }
+}
+
 void scheduler_links::cancel(const request_id& request)
 {
     outgoing messages;
@@ -157,17 +164,15 @@
     {
         const std::lock_guard lock(mutex_);
         const auto now = pool_.timers().now();
-        const auto reachable = [&](const service_name& name) {
-            const auto at = services_.find(name);
-            return at != services_.end() &&
-                   std::any_of(at->second.engines.begin(), at->second.engines.end(),
-                               [&](const auto& entry) { return open_.count(entry.first) != 0; });
-        };
         for (const auto& [name, it] : services_) {
-            absence_.observe(now, name, reachable(name));
+            const bool reachable = std::any_of(it.engines.begin(), it.engines.end(),
+                                               [&](const auto& entry) { return open_.count(entry.first) != 0; });
+            absence_.observe(now, name, reachable);
         }
         for (const auto& [id, it] : waiting_) {
-            absence_.observe(now, it.request.service, reachable(it.request.service));
+            if (services_.count(it.request.service) == 0) {
+                absence_.observe(now, it.request.service, false);
+            }
         }
         for (auto it = waiting_.begin(); it != waiting_.end();) {
             const auto delay =
@@ -192,11 +197,10 @@
 void scheduler_links::replace(waiting& entry, const std::string& address, outgoing& messages)
 {
     const auto at = services_.find(entry.request.service);
-    const bool other =
-        at != services_.end() &&
-        std::any_of(at->second.engines.begin(), at->second.engines.end(), [&](const auto& candidate) {
-            return candidate.second > 0 && open_.count(candidate.first) != 0 && !entry.race.awaits(candidate.first);
-        });
+    const bool other = at != services_.end() &&
+                       std::any_of(at->second.engines.begin(), at->second.engines.end(), [&](const auto& candidate) {
+                           return usable(candidate.first, candidate.second) && !entry.race.awaits(candidate.first);
+                       });
     // A scheduler that is back gets the request again when its link opens, unless another one was asked in its place.
     if (schedulers_asked_ > 1 && other) {
         drop(entry, address);
@@ -253,11 +257,8 @@
         if (entry.race.awaits(address)) {
             const auto delay = value.retry_after.value_or(waited(entry));
             choice_of(entry.request.service).on_refusal(pool_.timers().now(), address, delay);
-        }
-        if (entry.race.awaits(address) && entry.width < static_cast<std::size_t>(entry.request.schedulers)) {
             // The other scheduler may still grant it.
-            entry.width = static_cast<std::size_t>(entry.request.schedulers);
-            ask_more(entry, messages);
+            widen(entry, messages);
         }
         last = entry.race.on_refusal(address, value, [this](const auto& other) { return open_.count(other) != 0; });
         if (last) {
