--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "transport/internal/http_head.h"
 #include "transport/internal/worker_pool_implementation.h"
 
 namespace anvillead {
@@ -174,17 +175,7 @@
 
     void parse_head()
     {
-        // Beast's own limit applies to the part that is not parsed yet, and complete lines are parsed as they arrive.
-        boost::system::error_code ec = http::error::need_more;
-        if (buffer_.size() > 0) {
-            const auto used = parser_->put(buffer_.data(), ec);
-            buffer_.consume(used);
-            head_bytes_ += used;
-        }
-        const auto unparsed = parser_->is_header_done() ? 0 : buffer_.size();
-        if ((!ec || ec == http::error::need_more) && head_bytes_ + unparsed > head_bytes_limit) {
-            ec = http::error::header_limit;
-        }
+        const auto ec = parse_head_part(*parser_, buffer_, head_bytes_, head_bytes_limit);
         if (ec != http::error::need_more) {
             head_read(ec);
             return;
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "transport/internal/http_head.h"
+
 namespace anvillead {
 
 namespace {
@@ -105,17 +107,7 @@
 
 void http_session::parse_head()
 {
-    // Beast's own limit applies to the part that is not parsed yet, and complete lines are parsed as they arrive.
-    boost::system::error_code ec = http::error::need_more;
-    if (buffer_.size() > 0) {
-        const auto used = parser_->put(buffer_.data(), ec);
-        buffer_.consume(used);
-        head_bytes_ += used;
-    }
-    const auto unparsed = parser_->is_header_done() ? 0 : buffer_.size();
-    if ((!ec || ec == http::error::need_more) && head_bytes_ + unparsed > state_->limits.header_bytes) {
-        ec = http::error::header_limit;
-    }
+    const auto ec = parse_head_part(*parser_, buffer_, head_bytes_, state_->limits.header_bytes);
     if (ec != http::error::need_more) {
         head_read(ec);
         return;
@@ -234,8 +226,7 @@
         if (ec || n != self->exchange_number_ || !self->in_exchange_) {
             return;
         }
-        // The readiness may be that of data that was read before the wait began, so the socket
-        // itself is asked.
+        // The readiness may be that of data that was read before the wait began, so the socket itself is asked.
         char byte = 0;
         boost::system::error_code peek_ec;
         const auto count = self->socket_.receive(net::buffer(&byte, 1), net::socket_base::message_peek, peek_ec);
