Share the codec of probe and probe_request and the start of two generation tests

Cause: the two messages have the same fields, and both tests of lower_generation_test began with the same steps.

Change: one template for both messages; apply_two_edits() in the test, whose assertions are the same.

--- a/src/messages/internal/membership_codec.cpp
+++ b/src/messages/internal/membership_codec.cpp
@@ -101,16 +101,17 @@
     return out;
 }
 
-} // namespace
-
-json to_json(const probe& value)
+/// A probe, or the request to probe another member.
+template <typename T>
+json targeted_to_json(const T& value)
 {
     json out = {{"n", value.number}, {"from", value.from.str()}, {"to", value.target.str()}};
     add_gossip(out, value.updates);
     return out;
 }
 
-void read(field_reader& reader, std::vector<field_problem>& problems, probe& out)
+template <typename T>
+void read_targeted(field_reader& reader, std::vector<field_problem>& problems, T& out)
 {
     out.number = static_cast<std::uint64_t>(reader.number("n", any_number));
     out.from = host_id(reader.text("from"));
@@ -118,6 +119,18 @@
     out.updates = read_gossip(reader, problems);
 }
 
+} // namespace
+
+json to_json(const probe& value)
+{
+    return targeted_to_json(value);
+}
+
+void read(field_reader& reader, std::vector<field_problem>& problems, probe& out)
+{
+    read_targeted(reader, problems, out);
+}
+
 json to_json(const probe_ack& value)
 {
     json out = {{"n", value.number}, {"from", value.from.str()}};
@@ -134,17 +147,12 @@
 
 json to_json(const probe_request& value)
 {
-    json out = {{"n", value.number}, {"from", value.from.str()}, {"to", value.target.str()}};
-    add_gossip(out, value.updates);
-    return out;
+    return targeted_to_json(value);
 }
 
 void read(field_reader& reader, std::vector<field_problem>& problems, probe_request& out)
 {
-    out.number = static_cast<std::uint64_t>(reader.number("n", any_number));
-    out.from = host_id(reader.text("from"));
-    out.target = host_id(reader.text("to"));
-    out.updates = read_gossip(reader, problems);
+    read_targeted(reader, problems, out);
 }
 
 std::size_t encoded_size(const member& value)
--- a/tests/invariants/lower_generation_test.cpp
+++ b/tests/invariants/lower_generation_test.cpp
@@ -37,6 +37,17 @@
     it.client().call(it.address("proxy"), "POST", "/routes", route.dump());
 }
 
+/// Cuts agent 1 off the platform, so that it pulls from agent 2 through the relay, and puts two edits in force.
+void apply_two_edits(cluster& it, const link_relay& relay)
+{
+    route_through(it, relay);
+    it.fault("platform-1", {{"cut", true}});
+    for (int edit = 1; edit <= 2; ++edit) {
+        STRCMP_EQUAL("", write_edit(it, edit).c_str());
+        CHECK(in_force_everywhere(it, edit));
+    }
+}
+
 } // namespace
 
 /// Nothing applies a lower configuration generation than the one in force.
@@ -48,12 +59,7 @@
 {
     cluster it(options());
     link_relay relay(it.at("agent-2").link_address);
-    route_through(it, relay);
-    it.fault("platform-1", {{"cut", true}});
-    for (int edit = 1; edit <= 2; ++edit) {
-        STRCMP_EQUAL("", write_edit(it, edit).c_str());
-        CHECK(in_force_everywhere(it, edit));
-    }
+    apply_two_edits(it, relay);
     relay.replay_before_next(applied_generations(it, "agent-1").back() - 1);
     STRCMP_EQUAL("", write_edit(it, 3).c_str());
     CHECK(in_force_everywhere(it, 3));
@@ -68,12 +74,7 @@
 {
     cluster it(options());
     link_relay relay(it.at("agent-2").link_address);
-    route_through(it, relay);
-    it.fault("platform-1", {{"cut", true}});
-    for (int edit = 1; edit <= 2; ++edit) {
-        STRCMP_EQUAL("", write_edit(it, edit).c_str());
-        CHECK(in_force_everywhere(it, edit));
-    }
+    apply_two_edits(it, relay);
     const auto old = applied_generations(it, "agent-1").back() - 1;
     it.pause("agent-1");
     for (const auto* role : {"gateway", "scheduler"}) {
