--- a/src/apps/agent/platform_follower.h
+++ b/src/apps/agent/platform_follower.h
@@ -8,7 +8,7 @@
 #include "configuration/acceptance.h"
 #include "core/metrics.h"
 #include "membership/types/member.h"
-#include "platform/http_platform_client.h"
+#include "object_store/http_platform_client.h"
 
 namespace anvillead {
 
--- a/src/apps/bench/slopes/platform_slopes.cpp
+++ b/src/apps/bench/slopes/platform_slopes.cpp
@@ -2,7 +2,7 @@
 #include <thread>
 
 #include "apps/bench/slopes/slope.h"
-#include "platform/http_platform_client.h"
+#include "object_store/http_platform_client.h"
 #include "transport/ihttp_server.h"
 
 namespace anvillead {
--- a/src/apps/common/daemon.h
+++ b/src/apps/common/daemon.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "apps/common/exit_codes.h"
 #include "core/field_reader.h"
 #include "core/types/ids.h"
 #include "core/types/units.h"
@@ -15,11 +16,6 @@
 
 namespace anvillead {
 
-/// Exit codes of every binary.
-inline constexpr int exit_ok = 0;
-inline constexpr int exit_failure = 1;
-inline constexpr int exit_usage = 2;
-
 /// Settings that every daemon has.
 struct common_settings
 {
--- a/src/apps/ctl/iplatform_session.h
+++ b/src/apps/ctl/iplatform_session.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/apps/ctl/platform_session.h
+++ b/src/apps/ctl/platform_session.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "apps/ctl/iplatform_session.h"
-#include "platform/http_platform_client.h"
+#include "object_store/http_platform_client.h"
 
 namespace anvillead {
 
--- a/src/apps/gateway/claim_driver.h
+++ b/src/apps/gateway/claim_driver.h
@@ -9,7 +9,7 @@
 #include "claims/claim_journal.h"
 #include "claims/iclaim_journal.h"
 #include "core/metrics.h"
-#include "platform/iplatform_client.h"
+#include "object_store/iplatform_client.h"
 #include "transport/worker_pool.h"
 
 namespace anvillead {
--- a/src/apps/gateway/claim_pruning.h
+++ b/src/apps/gateway/claim_pruning.h
@@ -3,7 +3,7 @@
 #include "apps/common/agent_link.h"
 #include "claims/claim_pruner.h"
 #include "core/metrics.h"
-#include "platform/iplatform_client.h"
+#include "object_store/iplatform_client.h"
 
 namespace anvillead {
 
--- a/src/apps/gateway/gateway_keys.h
+++ b/src/apps/gateway/gateway_keys.h
@@ -6,7 +6,7 @@
 #include "apps/gateway/claim_pruning.h"
 #include "apps/gateway/key_forwarder.h"
 #include "apps/gateway/keyed_requests.h"
-#include "platform/http_platform_client.h"
+#include "object_store/http_platform_client.h"
 
 namespace anvillead {
 
--- /dev/null
+++ b/src/apps/node/main.cpp
@@ -0,0 +1,72 @@
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include "apps/common/exit_codes.h"
+#include "core/log.h"
+#include "node/node_daemon.h"
+#include "node/stdout_log.h"
+#include "platform/settings_reader.h"
+
+namespace {
+
+using namespace anvillead;
+
+// Lines of one event a second; a host of the users' size writes a tenth of this.
+constexpr int log_lines_per_second = 100;
+// Everything that a node decides runs on one thread, and its processor share is a fraction of a core.
+constexpr unsigned worker_threads = 1;
+
+/// Path of the settings file: from the command line, otherwise from the platform's environment variable.
+std::string settings_path(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine line("Entry host of anvillead on the users' platform.", ' ', ANVILLEAD_VERSION);
+        line.setExceptionHandling(false);
+        TCLAP::ValueArg<std::string> settings("s", "settings", "settings file of the platform, rendered as JSON", false,
+                                              "", "FILE", line);
+        line.parse(argc, argv);
+        if (settings.isSet()) {
+            return settings.getValue();
+        }
+    } catch (const TCLAP::ArgException& ex) {
+        fmt::print(stderr, "anvillead-node: {}: {}\n", ex.argId(), ex.error());
+        std::exit(exit_usage);
+    } catch (const TCLAP::ExitException& ex) {
+        std::exit(ex.getExitStatus());
+    }
+    const char* path = std::getenv(platform::settings_variable);
+    if (path == nullptr) {
+        fmt::print(stderr, "anvillead-node: settings: expected --settings FILE or the variable {}\n",
+                   platform::settings_variable);
+        std::exit(exit_usage);
+    }
+    return path;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto settings = platform::read_node_settings(settings_path(argc, argv));
+    if (!settings) {
+        fmt::print(stderr, "anvillead-node: {}\n", settings.error().message);
+        return exit_usage;
+    }
+    stdout_log lines;
+    set_log_writer([&lines](std::string line) { lines.write(std::move(line)); }, log_format::json,
+                   log_lines_per_second);
+    configure_log(settings.value().host.str(), log_level::info);
+    int code = exit_ok;
+    try {
+        worker_pool pool(worker_threads);
+        node_daemon daemon(pool, settings.value());
+        daemon.run();
+    } catch (const std::system_error& problem) {
+        log(log_level::error, log_event::start_failed, {{"problem", problem.what()}});
+        code = exit_failure;
+    }
+    set_log_writer(nullptr, log_format::text, 0);
+    return code;
+}
--- a/src/claims/claim_journal.h
+++ b/src/claims/claim_journal.h
@@ -10,7 +10,7 @@
 #include "claims/claim_bucket.h"
 #include "claims/types/claim_action.h"
 #include "claims/types/claim_limits.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/claims/claim_pruner.h
+++ b/src/claims/claim_pruner.h
@@ -9,7 +9,7 @@
 
 #include "claims/idempotency_key.h"
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/configuration/manifest.h
+++ b/src/configuration/manifest.h
@@ -7,7 +7,7 @@
 
 #include "configuration/parse.h"
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/configuration/part_sweep.h
+++ b/src/configuration/part_sweep.h
@@ -6,7 +6,7 @@
 
 #include "configuration/types/document.h"
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/configuration/part_writer.h
+++ b/src/configuration/part_writer.h
@@ -9,7 +9,7 @@
 
 #include "configuration/types/acceptance_action.h"
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -2,9 +2,11 @@
 
 #include <chrono>
 #include <cstdio>
+#include <map>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "core/ranked_mutex.h"
 
@@ -12,11 +14,24 @@
 
 namespace {
 
+/// Lines of one event in the second that began at `since`.
+struct event_volume
+{
+    std::chrono::steady_clock::time_point since{};
+    int written = 0;
+    int dropped = 0;
+};
+
 struct log_state
 {
     ranked_mutex mutex{lock_rank::log};
     std::string process = "anvillead";
     log_level lowest = log_level::info;
+    log_writer writer;
+    log_format format = log_format::text;
+    /// Zero means no bound.
+    int lines_per_second = 0;
+    std::map<log_event, event_volume> volumes;
 };
 
 log_state& state()
@@ -56,6 +71,74 @@
     return out + "\"";
 }
 
+std::string time_text()
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms);
+}
+
+std::string text_line(log_level level, log_event event, const log_fields& fields)
+{
+    std::string line = fmt::format("time={} level={} process={} event={} name={}", time_text(), level_name(level),
+                                   state().process, static_cast<int>(event), event_name(event));
+    for (const auto& [key, value] : fields) {
+        line += fmt::format(" {}={}", key, quoted(value));
+    }
+    return line + '\n';
+}
+
+std::string json_line(log_level level, log_event event, const log_fields& fields)
+{
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    // The wall clock may step; the steady time orders the lines of one process.
+    nlohmann::ordered_json line = {
+        {"time", time_text()},
+        {"steady_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady).count()},
+        {"level", level_name(level)},
+        {"process", state().process},
+        {"event", static_cast<int>(event)},
+        {"name", event_name(event)}};
+    for (const auto& [key, value] : fields) {
+        line[std::string(key)] = value;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
+}
+
+void emit(log_level level, log_event event, const log_fields& fields)
+{
+    auto line = state().format == log_format::json ? json_line(level, event, fields) : text_line(level, event, fields);
+    if (state().writer) {
+        state().writer(std::move(line));
+    } else {
+        fmt::print(stderr, "{}", line);
+    }
+}
+
+/// True when the event may write another line in this second. Reports what the second before has dropped.
+bool within_volume(log_event event)
+{
+    if (state().lines_per_second == 0) {
+        return true;
+    }
+    auto& volume = state().volumes[event];
+    const auto now = std::chrono::steady_clock::now();
+    if (now - volume.since >= std::chrono::seconds(1)) {
+        const int dropped = volume.dropped;
+        volume = {now, 0, 0};
+        if (dropped > 0) {
+            emit(log_level::warning, log_event::log_lines_dropped,
+                 {{"of", std::string(event_name(event))}, {"lines", std::to_string(dropped)}});
+        }
+    }
+    if (volume.written >= state().lines_per_second) {
+        ++volume.dropped;
+        return false;
+    }
+    ++volume.written;
+    return true;
+}
+
 } // namespace
 
 std::vector<std::pair<int, std::string_view>> log_catalogue()
@@ -69,6 +152,10 @@
         row(e::shutdown_forced, "shutdown_forced"),
         row(e::settings_rejected, "settings_rejected"),
         row(e::start_failed, "start_failed"),
+        row(e::settings_reloaded, "settings_reloaded"),
+        row(e::process_resumed, "process_resumed"),
+        row(e::readiness_changed, "readiness_changed"),
+        row(e::log_lines_dropped, "log_lines_dropped"),
         row(e::link_opened, "link_opened"),
         row(e::link_closed, "link_closed"),
         row(e::link_rejected, "link_rejected"),
@@ -78,12 +165,17 @@
         row(e::configuration_rejected, "configuration_rejected"),
         row(e::platform_unreachable, "platform_unreachable"),
         row(e::platform_reachable, "platform_reachable"),
+        row(e::platform_history_lost, "platform_history_lost"),
+        row(e::state_pulled, "state_pulled"),
+        row(e::registration_failed, "registration_failed"),
         row(e::member_joined, "member_joined"),
         row(e::member_suspected, "member_suspected"),
         row(e::member_lost, "member_lost"),
         row(e::member_leaving, "member_leaving"),
         row(e::upstream_leaving, "upstream_leaving"),
         row(e::upstream_returned, "upstream_returned"),
+        row(e::upstream_restarted, "upstream_restarted"),
+        row(e::upstream_entry_rejected, "upstream_entry_rejected"),
         row(e::upstream_suspended, "upstream_suspended"),
         row(e::upstream_restored, "upstream_restored"),
         row(e::engine_attached_again, "engine_attached_again"),
@@ -93,6 +185,13 @@
         row(e::claim_withdrawn, "claim_withdrawn"),
         row(e::scheduler_takeover, "scheduler_takeover"),
         row(e::engine_preempted, "engine_preempted"),
+        row(e::request_placed, "request_placed"),
+        row(e::request_ended, "request_ended"),
+        row(e::request_refused, "request_refused"),
+        row(e::generation_copy_started, "generation_copy_started"),
+        row(e::generation_copy_ended, "generation_copy_ended"),
+        row(e::generation_resumed, "generation_resumed"),
+        row(e::generation_move_abandoned, "generation_move_abandoned"),
     };
 }
 
@@ -103,22 +202,23 @@
     state().lowest = lowest;
 }
 
+void set_log_writer(log_writer writer, log_format format, int lines_per_second)
+{
+    const std::lock_guard lock(state().mutex);
+    state().writer = std::move(writer);
+    state().format = format;
+    state().lines_per_second = lines_per_second;
+}
+
 void log(log_level level, log_event event, const log_fields& fields)
 {
     const std::lock_guard lock(state().mutex);
     if (level < state().lowest) {
         return;
     }
-    const auto now = std::chrono::system_clock::now();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} process={} event={} name={}",
-                                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms, level_name(level),
-                                   state().process, static_cast<int>(event), event_name(event));
-    for (const auto& [key, value] : fields) {
-        line += fmt::format(" {}={}", key, quoted(value));
+    if (within_volume(event)) {
+        emit(level, event, fields);
     }
-    line += '\n';
-    fmt::print(stderr, "{}", line);
 }
 
 } // namespace anvillead
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -16,6 +17,10 @@
     shutdown_forced = 103,
     settings_rejected = 104,
     start_failed = 105,
+    settings_reloaded = 106,
+    process_resumed = 107,
+    readiness_changed = 108,
+    log_lines_dropped = 109,
     link_opened = 200,
     link_closed = 201,
     link_rejected = 202,
@@ -25,12 +30,17 @@
     configuration_rejected = 302,
     platform_unreachable = 303,
     platform_reachable = 304,
+    platform_history_lost = 305,
+    state_pulled = 306,
+    registration_failed = 307,
     member_joined = 400,
     member_suspected = 401,
     member_lost = 402,
     member_leaving = 403,
     upstream_leaving = 404,
     upstream_returned = 405,
+    upstream_restarted = 406,
+    upstream_entry_rejected = 407,
     upstream_suspended = 500,
     upstream_restored = 501,
     engine_attached_again = 502,
@@ -40,6 +50,13 @@
     claim_withdrawn = 506,
     scheduler_takeover = 600,
     engine_preempted = 601,
+    request_placed = 700,
+    request_ended = 701,
+    request_refused = 702,
+    generation_copy_started = 703,
+    generation_copy_ended = 704,
+    generation_resumed = 705,
+    generation_move_abandoned = 706,
 };
 
 enum class log_level
@@ -57,7 +74,22 @@
 std::vector<std::pair<int, std::string_view>> log_catalogue();
 /// Sets the process name printed in each line and the lowest level that is written.
 void configure_log(std::string process, log_level lowest);
-/// Writes one line to standard error.
+
+enum class log_format
+{
+    /// key=value pairs
+    text,
+    /// One JSON object a line.
+    json
+};
+
+/// Receives complete lines instead of standard error. Must not block.
+using log_writer = std::function<void(std::string line)>;
+/// Sends all lines to `writer`, and bounds them: of one event at most `lines_per_second` lines a second are written;
+/// the rest is counted and reported by one `log_lines_dropped` line.
+void set_log_writer(log_writer writer, log_format format, int lines_per_second);
+
+/// Writes one line.
 void log(log_level level, log_event event, const log_fields& fields);
 
 } // namespace anvillead
--- /dev/null
+++ b/src/dispatch/internal/selection.cpp
@@ -0,0 +1,103 @@
+#include "dispatch/selection.h"
+
+#include <algorithm>
+
+#include "core/crypto.h"
+
+namespace anvillead {
+
+namespace {
+
+// Differences below this are decided by the tie breaker, so that hosts that decide at the same moment spread out.
+constexpr double tie_ms = 8;
+
+bool is_excluded(const selection_input& input, const upstream_id& id)
+{
+    return std::find(input.excluded.begin(), input.excluded.end(), id) != input.excluded.end();
+}
+
+double spread_ms(const upstream_id& id, std::uint64_t tie_breaker)
+{
+    constexpr std::uint64_t steps = 1024;
+    return tie_ms * static_cast<double>(placement_hash(id.str(), tie_breaker) % steps) / steps;
+}
+
+double common_cost(const selection_input& input, const upstream_record& record, const selection_weights& weights)
+{
+    double out = weights.failure_ms * input.loads->failure_ratio(input.now, record.id);
+    if (record.availability_zone != input.own_zone) {
+        out += weights.other_zone_ms;
+    }
+    return out;
+}
+
+} // namespace
+
+std::optional<upstream_record> select_engine(const selection_input& input, const service_profile& service,
+                                             const generation_need& need, const selection_weights& weights)
+{
+    const auto profile = service.engine.value_or(engine_profile{});
+    const double memory_limit = weights.memory_share * static_cast<double>(profile.memory_tokens);
+    std::optional<upstream_record> best;
+    double best_cost = 0;
+    for (const auto* it : input.directory->usable(service.name)) {
+        const auto& record = it->record;
+        if (is_excluded(input, record.id)) {
+            continue;
+        }
+        const auto work = input.loads->total(input.now, record.id);
+        const int slots = std::max(record.slots, profile.slots);
+        if (work.active >= slots) {
+            continue;
+        }
+        if (profile.memory_tokens > 0 && static_cast<double>(work.memory_tokens + need.memory_tokens) > memory_limit &&
+            work.active > 0) {
+            continue;
+        }
+        double cost = common_cost(input, record, weights);
+        cost += static_cast<double>(work.unread_tokens) / weights.prompt_tokens_per_ms;
+        cost += weights.active_ms * work.active;
+        cost += spread_ms(record.id, need.tie_breaker);
+        if (!best || cost < best_cost) {
+            best = record;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<upstream_record> select_instance(const selection_input& input, const service_name& service,
+                                               std::uint64_t tie_breaker, const selection_weights& weights)
+{
+    std::optional<upstream_record> best;
+    double best_cost = 0;
+    for (const auto* it : input.directory->usable(service)) {
+        const auto& record = it->record;
+        if (is_excluded(input, record.id)) {
+            continue;
+        }
+        const int requests = input.loads->requests(input.now, record.id);
+        const double load = static_cast<double>(requests) / std::max(1, record.slots);
+        double cost = common_cost(input, record, weights) + spread_ms(record.id, tie_breaker);
+        // Up to its slots an upstream hardly slows down; beyond them requests wait.
+        cost += weights.plain_call_ms * (load + 3 * std::max(0.0, load - 1));
+        if (!best || cost < best_cost) {
+            best = record;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+double taken_share(const selection_input& input, const service_name& service)
+{
+    int taken = 0;
+    int places = 0;
+    for (const auto* it : input.directory->usable(service)) {
+        taken += input.loads->requests(input.now, it->record.id);
+        places += it->record.slots;
+    }
+    return places == 0 ? 1.0 : static_cast<double>(taken) / places;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/dispatch/internal/upstream_directory.cpp
@@ -0,0 +1,138 @@
+#include "dispatch/upstream_directory.h"
+
+#include <set>
+
+namespace anvillead {
+
+void upstream_directory::platform_regained(instant now)
+{
+    if (!platform_away_) {
+        return;
+    }
+    platform_away_ = false;
+    lapses_until_ = now + limits_.lapse_grace;
+}
+
+void upstream_directory::replace(instant now, const std::vector<upstream_record>& records)
+{
+    std::set<upstream_id> listed;
+    for (const auto& it : records) {
+        listed.insert(it.id);
+        apply(now, it);
+    }
+    std::vector<upstream_id> missing;
+    for (const auto& [id, value] : entries_) {
+        if (listed.count(id) == 0) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& it : missing) {
+        remove(now, it);
+    }
+}
+
+void upstream_directory::apply(instant now, const upstream_record& value)
+{
+    const auto found = entries_.find(value.id);
+    if (found == entries_.end()) {
+        auto& added = entries_[value.id];
+        added.record = value;
+        if (value.leaving) {
+            leave(now, added);
+        }
+        return;
+    }
+    auto& known = found->second;
+    const bool restarted = known.record.started_at_ms != 0 && value.started_at_ms != 0 &&
+                           known.record.started_at_ms != value.started_at_ms;
+    const bool moved = known.record.address != value.address;
+    if (restarted || moved) {
+        known = entry{};
+        known.record = value;
+        if (hooks_.on_restarted) {
+            hooks_.on_restarted(value.id);
+        }
+    }
+    known.record = value;
+    known.lapsed = false;
+    if (value.leaving) {
+        leave(now, known);
+        return;
+    }
+    known.usable = true;
+    known.leaving_since = {};
+}
+
+void upstream_directory::remove(instant now, const upstream_id& id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.lapsed) {
+        return;
+    }
+    auto& value = found->second;
+    if (value.usable && may_be_lapse(now)) {
+        value.lapsed = true;
+        value.lapsed_at = now;
+        return;
+    }
+    leave(now, value);
+}
+
+void upstream_directory::mark_leaving(instant now, const upstream_id& id)
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        leave(now, found->second);
+    }
+}
+
+void upstream_directory::expire(instant now)
+{
+    for (auto& [id, value] : entries_) {
+        // While the platform is away nothing can come back, so the grace time starts with its return.
+        if (value.lapsed && !platform_away_ && now >= lapses_until_) {
+            value.lapsed = false;
+            leave(now, value);
+        }
+    }
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        const bool departed = !it->second.usable && now - it->second.leaving_since > limits_.departed_age;
+        it = departed ? entries_.erase(it) : std::next(it);
+    }
+}
+
+const upstream_directory::entry* upstream_directory::find(const upstream_id& id) const
+{
+    const auto it = entries_.find(id);
+    return it == entries_.end() ? nullptr : &it->second;
+}
+
+std::vector<const upstream_directory::entry*> upstream_directory::usable(const service_name& service) const
+{
+    std::vector<const entry*> out;
+    for (const auto& [id, value] : entries_) {
+        if (value.usable && value.record.service == service) {
+            out.push_back(&value);
+        }
+    }
+    return out;
+}
+
+void upstream_directory::leave(instant now, entry& value)
+{
+    if (!value.usable) {
+        return;
+    }
+    value.usable = false;
+    value.leaving_since = now;
+    if (hooks_.on_leaving) {
+        hooks_.on_leaving(value.record.id);
+    }
+}
+
+bool upstream_directory::may_be_lapse(instant now) const
+{
+    return platform_away_ || now < lapses_until_;
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/fleet_reporter.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "node/node_context.h"
+#include "transport/iudp_socket.h"
+
+namespace anvillead {
+
+/// Sends this host's reports to the others and takes theirs.
+class fleet_reporter : public std::enable_shared_from_this<fleet_reporter>
+{
+public:
+    /// `fill` completes a report with what only the caller knows.
+    fleet_reporter(node_context& context, std::shared_ptr<isequence> sequence, std::function<void(host_report&)> fill);
+    void start();
+    /// Sends a report within a few milliseconds; several changes go into one.
+    void send_soon();
+
+private:
+    void receive(const std::string& datagram);
+    void send(const std::vector<std::string>& addresses, bool with_contacts);
+
+    node_context& context_;
+    std::shared_ptr<isequence> sequence_;
+    std::function<void(host_report&)> fill_;
+    std::unique_ptr<iudp_socket> socket_;
+    std::string incarnation_;
+    std::uint64_t sequence_number_ = 0;
+    std::uint64_t round_ = 0;
+    bool soon_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/internal/caller_handler.cpp
@@ -0,0 +1,136 @@
+#include "node/caller_handler.h"
+
+#include <algorithm>
+
+#include "core/log.h"
+#include "node/own_answer.h"
+#include "node/plain_call.h"
+#include "platform/call_headers.h"
+
+namespace anvillead {
+
+namespace {
+
+// A starting host usually has its configuration within this time.
+constexpr milliseconds retry_after_start{300};
+// Callers leave a host that shuts down with their next connection.
+constexpr milliseconds retry_after_leaving{10};
+
+} // namespace
+
+void caller_handler::handle(http_request message, const std::shared_ptr<ihttp_exchange>& exchange)
+{
+    const auto id = request_id(std::string(platform::caller_request_id(message)));
+    auto admitted = admit(std::move(message), exchange);
+    if (!admitted) {
+        send_own_answer(*exchange, id, admitted.error());
+        return;
+    }
+    auto& request = admitted.value();
+    const auto* service = request.table->service(request.service);
+    if (request.way->event_stream && service->engine) {
+        start_generation(std::move(request));
+        return;
+    }
+    std::make_shared<plain_call>(context_, std::move(request))->start();
+}
+
+result<admitted_request> caller_handler::admit(http_request message,
+                                               const std::shared_ptr<ihttp_exchange>& exchange) const
+{
+    admitted_request out;
+    out.table = context_.routes;
+    if (!out.table) {
+        auto reason = make_error(error_kind::not_ready, "this host has no configuration yet");
+        reason.retry_after = retry_after_start;
+        return reason;
+    }
+    auto caller = platform::read_caller_request(message);
+    if (!caller) {
+        return caller.error();
+    }
+    out.caller = std::move(caller.value());
+    out.way = out.table->find(out.caller.host, out.caller.path);
+    if (out.way == nullptr) {
+        return make_error(error_kind::not_found, "no route serves this host and path");
+    }
+    out.priority = out.way->priority;
+    if (out.table->keys_required && !out.way->anonymous) {
+        const auto* organisation = out.table->organisation_of(out.caller.api_key);
+        if (organisation == nullptr) {
+            return make_error(error_kind::unauthorized, "the key is not known");
+        }
+        out.organisation = organisation->id;
+        out.priority = organisation->priority.value_or(out.priority);
+    }
+    out.service = pick_service(*out.way, out.caller.id.str());
+    if (out.table->service(out.service) == nullptr) {
+        auto reason = make_error(error_kind::no_upstream, "the route's service is not configured");
+        reason.retry_after = retry_after_start;
+        return reason;
+    }
+    if (context_.leaving && out.way->event_stream && out.way->timeout > context_.settings.shutdown_grace) {
+        // It might not end before this process has to.
+        auto reason = make_error(error_kind::leaving, "this host shuts down");
+        reason.retry_after = retry_after_leaving;
+        return reason;
+    }
+    out.message = std::move(message);
+    out.exchange = exchange;
+    out.arrived = context_.timers.now();
+    if (out.caller.patience) {
+        out.deadline = out.arrived + *out.caller.patience;
+    }
+    if (out.way->timeout.count() > 0) {
+        out.deadline = std::min(out.deadline, out.arrived + out.way->timeout);
+    }
+    return out;
+}
+
+void caller_handler::start_generation(admitted_request request)
+{
+    auto relay = std::make_shared<generation_relay>(context_, std::move(request));
+    generations_.erase(std::remove_if(generations_.begin(), generations_.end(),
+                                      [](const auto& it) {
+                                          const auto held = it.lock();
+                                          return !held || held->ended();
+                                      }),
+                       generations_.end());
+    generations_.push_back(relay);
+    relay->start();
+}
+
+void caller_handler::for_each(const std::function<void(generation_relay&)>& action)
+{
+    // A copy, because an action may end a generation and with it change the list.
+    const auto list = generations_;
+    for (const auto& it : list) {
+        if (const auto relay = it.lock(); relay && !relay->ended()) {
+            action(*relay);
+        }
+    }
+}
+
+void caller_handler::upstream_leaving(const upstream_id& upstream)
+{
+    for_each([&upstream](generation_relay& it) { it.upstream_leaving(upstream); });
+}
+
+void caller_handler::upstream_restarted(const upstream_id& upstream)
+{
+    for_each([&upstream](generation_relay& it) { it.upstream_restarted(upstream); });
+}
+
+std::size_t caller_handler::open_generations()
+{
+    std::size_t out = 0;
+    for_each([&out](generation_relay&) { ++out; });
+    return out;
+}
+
+void caller_handler::cut_off_all(const std::string& reason)
+{
+    for_each([&reason](generation_relay& it) { it.cut_off(reason); });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/internal/generation_relay.cpp
@@ -0,0 +1,405 @@
+#include "node/generation_relay.h"
+
+#include <algorithm>
+
+#include "core/crypto.h"
+#include "core/log.h"
+#include "dispatch/length_forecast.h"
+#include "node/own_answer.h"
+#include "platform/call_headers.h"
+
+namespace anvillead {
+
+namespace {
+
+// A live engine takes a connection within a few milliseconds; the request has not been sent meanwhile.
+constexpr milliseconds connect_timeout{300};
+// An engine that went dark acknowledges nothing; its streams can then go on from a copy.
+constexpr milliseconds dead_engine_timeout{2500};
+// A request without a free engine waits for one during this part of its latency target; a longer wait would use up the
+// time in which the caller can still be served on time elsewhere.
+constexpr int room_wait_part = 8;
+constexpr milliseconds room_check{25};
+// Engines that one request is offered to, counting refusals and failed connections.
+constexpr int most_offers = 4;
+// About the time in which one of the running generations ends.
+constexpr milliseconds retry_after_full{300};
+// Reclaimed engines are replaced within seconds.
+constexpr milliseconds retry_after_no_engine{1000};
+// Bytes that a slow caller may leave unread before the engine's stream is held back.
+constexpr std::size_t unsent_limit = 256 * 1024;
+constexpr std::size_t whole_answer_bytes = 1024 * 1024;
+
+constexpr int http_ok = 200;
+constexpr int http_multiple_choices = 300;
+
+} // namespace
+
+generation_relay::generation_relay(node_context& context, admitted_request request)
+    : context_(context), request_(std::move(request)), work_(context), target_work_(context),
+      splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
+      planned_output_(planned_output(request_.caller))
+{}
+
+void generation_relay::start()
+{
+    request_.exchange->on_closed([weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && !self->done_) {
+            auto fields = self->identity();
+            fields.emplace_back("outcome", "caller_left");
+            log(log_level::info, log_event::request_ended, fields);
+            self->finish();
+        }
+    });
+    request_.exchange->on_drained([weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && self->call_) {
+            self->call_->resume();
+        }
+    });
+    if (request_.deadline != instant::max()) {
+        deadline_timer_ = context_.timers.after(std::max(left(), milliseconds(0)), [weak = weak_from_this()] {
+            if (const auto self = weak.lock(); self && !self->done_) {
+                auto reason = make_error(error_kind::deadline_exceeded, "no whole answer in time");
+                reason.outcome = self->phase_ == phase::placing ? run_outcome::not_run : run_outcome::may_have_run;
+                self->fail(reason);
+            }
+        });
+    }
+    room_until_ = request_.arrived + request_.way->latency_target / room_wait_part;
+    place();
+}
+
+milliseconds generation_relay::left() const
+{
+    return std::chrono::duration_cast<milliseconds>(request_.deadline - context_.timers.now());
+}
+
+log_fields generation_relay::identity() const
+{
+    return {{"request", request_.caller.id.str()},
+            {"upstream", engine_.id.str()},
+            {"events", std::to_string(events_)},
+            {"moves", std::to_string(moves_)}};
+}
+
+void generation_relay::place()
+{
+    phase_ = phase::placing;
+    const auto* service = request_.table->service(request_.service);
+    generation_need need;
+    need.prompt_tokens = request_.caller.prompt_tokens;
+    need.memory_tokens = request_.caller.prompt_tokens + planned_output_;
+    need.tie_breaker = placement_hash(request_.caller.id.str());
+    const auto chosen = select_engine(context_.selection(excluded_), *service, need);
+    if (!chosen) {
+        wait_for_room();
+        return;
+    }
+    auto fields = identity();
+    fields[1].second = chosen->id.str();
+    fields.emplace_back("active", std::to_string(context_.loads.requests(context_.timers.now(), chosen->id)));
+    fields.emplace_back("configuration", std::to_string(request_.table->version));
+    log(log_level::info, log_event::request_placed, fields);
+    send(*chosen, std::nullopt);
+}
+
+void generation_relay::wait_for_room()
+{
+    if (context_.timers.now() < room_until_) {
+        step_timer_ = context_.timers.after(room_check, [weak = weak_from_this()] {
+            if (const auto self = weak.lock(); self && !self->done_) {
+                self->place();
+            }
+        });
+        return;
+    }
+    const bool none = context_.directory.usable(request_.service).empty();
+    auto reason = none ? make_error(error_kind::no_upstream, "the service has no engine that takes work")
+                       : make_error(error_kind::overloaded, "no engine has room for the request");
+    reason.retry_after = none ? retry_after_no_engine : retry_after_full;
+    fail(reason);
+}
+
+milliseconds generation_relay::send_timeout() const
+{
+    return request_.deadline == instant::max() ? milliseconds(0) : std::max(left(), milliseconds(1));
+}
+
+void generation_relay::send(const upstream_record& upstream, std::optional<resume_point> resume)
+{
+    upstream_call call;
+    call.expected = upstream.id;
+    call.organisation = request_.organisation;
+    call.priority = request_.priority;
+    call.resume = resume;
+    if (request_.deadline != instant::max()) {
+        call.deadline = std::max(left(), milliseconds(1));
+    }
+    http_call_request out;
+    out.address = upstream.address;
+    out.method = request_.message.method;
+    out.target = request_.message.target;
+    out.body = request_.message.body;
+    out.headers = platform::upstream_headers(request_.message.headers, call);
+    out.connect_timeout = connect_timeout;
+    out.head_timeout = send_timeout();
+    out.dead_peer_timeout = dead_engine_timeout;
+
+    resumed_ = resume.has_value();
+    const auto made = events_ * request_.table->service(request_.service)->engine.value_or(engine_profile{}).tokens_per_event;
+    const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, made);
+    work_.take(upstream.id, {1, resumed_ ? 0 : request_.caller.prompt_tokens, memory, 0});
+    target_work_.release();
+    engine_ = upstream;
+    head_ = {};
+    whole_body_.clear();
+    splitter_.drop_partial_event();
+    phase_ = phase::sent;
+    placed_at_ = context_.timers.now();
+    ++offers_;
+
+    http_call_handlers handlers;
+    const auto guarded = [this](auto action) {
+        return [self = shared_from_this(), n = call_round_ + 1, action](auto&&... arguments) {
+            if (!self->done_ && n == self->call_round_) {
+                action(*self, arguments...);
+            }
+        };
+    };
+    handlers.on_head =
+        guarded([](generation_relay& self, int status, const http_headers& headers) { self.on_head(status, headers); });
+    handlers.on_data = guarded([](generation_relay& self, std::string_view data) { self.on_data(data); });
+    handlers.on_end = guarded([](generation_relay& self, const http_call_end& end) { self.on_end(end); });
+    ++call_round_;
+    call_ = context_.client.start(std::move(out), std::move(handlers), request_.exchange->sequence());
+    // The engine may have begun to leave between the choice and now.
+    const auto* entry = context_.directory.find(engine_.id);
+    if (entry != nullptr && !entry->usable) {
+        upstream_leaving(engine_.id);
+    }
+}
+
+void generation_relay::on_head(int status, const http_headers& headers)
+{
+    head_ = platform::read_upstream_answer(status, headers, request_.caller.id);
+    head_headers_ = headers;
+    if (head_.load) {
+        context_.loads.on_report(context_.timers.now(), engine_.id, *head_.load);
+    }
+    if (head_.refused) {
+        not_run(make_error(error_kind::overloaded, "the engine refused the request"), true);
+        return;
+    }
+    const bool good = status >= http_ok && status < http_multiple_choices;
+    if (!good) {
+        return;
+    }
+    if (!head_.stamped || head_.foreign || head_.encoded) {
+        context_.loads.on_outcome(context_.timers.now(), engine_.id, true);
+        fail(make_error(error_kind::upstream_failed, "the engine's answer cannot be used"));
+        return;
+    }
+    phase_ = phase::streaming;
+    if (!std::exchange(began_answer_, true)) {
+        request_.exchange->begin_stream(status, platform::caller_headers(headers));
+    }
+}
+
+void generation_relay::on_data(std::string_view data)
+{
+    if (phase_ == phase::sent) {
+        whole_body_ += data;
+        if (whole_body_.size() > whole_answer_bytes) {
+            fail(make_error(error_kind::upstream_failed, "the engine's answer is too large"));
+        }
+        return;
+    }
+    if (!splitter_.feed(data)) {
+        fail(make_error(error_kind::upstream_failed, "an event of the engine is too large"));
+        return;
+    }
+    if (!done_ && request_.exchange->unsent_bytes() > unsent_limit) {
+        call_->pause();
+    }
+}
+
+void generation_relay::on_event(std::string_view bytes, std::optional<sequence_number> number)
+{
+    if (done_) {
+        return;
+    }
+    if (number && events_ > 0) {
+        if (*number <= last_event_) {
+            return;
+        }
+        if (*number != last_event_ + 1) {
+            fail(make_error(error_kind::generation_lost, "the engine left out an event"));
+            return;
+        }
+    }
+    last_event_ = number.value_or(last_event_);
+    if (++events_ == 1) {
+        work_.prompt_read();
+        context_.counters.observe_ms("anvillead_first_event_ms", std::chrono::duration<double, std::milli>(
+                                                                     context_.timers.now() - request_.arrived)
+                                                                     .count());
+    }
+    request_.exchange->write(bytes);
+}
+
+void generation_relay::on_end(const http_call_end& end)
+{
+    const auto now = context_.timers.now();
+    if (phase_ == phase::streaming || phase_ == phase::changing) {
+        stream_ended(end);
+        return;
+    }
+    if (end.end == http_end::connect_failed) {
+        context_.loads.on_outcome(now, engine_.id, true);
+        not_run(make_error(error_kind::no_upstream, "the engine cannot be reached: " + end.detail), false);
+        return;
+    }
+    if (end.end == http_end::complete) {
+        whole_answer();
+        return;
+    }
+    context_.loads.on_outcome(now, engine_.id, true);
+    if (resumed_) {
+        resume_refused();
+        return;
+    }
+    fail(make_error(error_kind::upstream_failed, "the engine failed before its answer: " + end.detail));
+}
+
+void generation_relay::whole_answer()
+{
+    context_.loads.on_outcome(context_.timers.now(), engine_.id, true);
+    if (resumed_) {
+        resume_refused();
+        return;
+    }
+    if (!head_.stamped || head_.foreign || head_.encoded) {
+        fail(make_error(error_kind::upstream_failed, "the engine's answer cannot be used"));
+        return;
+    }
+    auto fields = identity();
+    fields.emplace_back("outcome", "engine_error");
+    fields.emplace_back("status", std::to_string(head_.status));
+    log(log_level::warning, log_event::request_failed, fields);
+    auto exchange = request_.exchange;
+    const auto headers = platform::caller_headers(head_headers_);
+    const auto body = std::move(whole_body_);
+    finish();
+    exchange->reply(head_.status, headers, body);
+}
+
+void generation_relay::stream_ended(const http_call_end& end)
+{
+    const bool framed = !find_header(head_headers_, "Transfer-Encoding").empty() ||
+                        !find_header(head_headers_, "Content-Length").empty();
+    const bool complete = end.end == http_end::complete && !splitter_.has_partial_event();
+    if (phase_ == phase::changing) {
+        // Without framing, a stream that was stopped ends like a whole one; the answer to the copy tells them apart.
+        if (complete && framed) {
+            finish_stream();
+            return;
+        }
+        source_closed_ = true;
+        source_complete_ = complete;
+        if (stop_copy_done_) {
+            change_over();
+        }
+        return;
+    }
+    if (complete) {
+        finish_stream();
+        return;
+    }
+    context_.loads.on_outcome(context_.timers.now(), engine_.id, true);
+    if (!continue_from_copy(end.detail)) {
+        fail(make_error(error_kind::generation_lost, "the engine broke off: " + end.detail));
+    }
+}
+
+void generation_relay::not_run(const error& reason, bool arrived)
+{
+    ++call_round_;
+    call_->cancel();
+    work_.release();
+    if (resumed_) {
+        resume_refused();
+        return;
+    }
+    excluded_.push_back(engine_.id);
+    if (offers_ < most_offers && (!arrived || context_.repeats_of(request_.service).take())) {
+        auto fields = identity();
+        fields.emplace_back("reason", reason.message);
+        log(log_level::info, log_event::request_retried, fields);
+        place();
+        return;
+    }
+    auto answer = reason;
+    answer.retry_after = retry_after_full;
+    fail(answer);
+}
+
+void generation_relay::finish_stream()
+{
+    context_.loads.on_outcome(context_.timers.now(), engine_.id, false);
+    context_.repeats_of(request_.service).refill();
+    auto fields = identity();
+    fields.emplace_back("outcome", "answered");
+    log(log_level::info, log_event::request_ended, fields);
+    context_.counters.add("anvillead_requests_total{kind=\"generation\",outcome=\"answered\"}");
+    auto exchange = request_.exchange;
+    finish();
+    exchange->end_stream();
+}
+
+void generation_relay::fail(const error& reason)
+{
+    if (done_) {
+        return;
+    }
+    context_.repeats_of(request_.service).refill();
+    context_.counters.add("anvillead_requests_total{kind=\"generation\",outcome=\"" +
+                          std::string(to_string(reason.kind)) + "\"}");
+    auto exchange = request_.exchange;
+    if (!began_answer_) {
+        finish();
+        send_own_answer(*exchange, request_.caller.id, reason);
+        return;
+    }
+    auto fields = identity();
+    fields.emplace_back("kind", to_string(reason.kind));
+    fields.emplace_back("reason", reason.message);
+    log(log_level::warning, log_event::request_failed, fields);
+    finish();
+    exchange->abort();
+}
+
+void generation_relay::cut_off(const std::string& reason)
+{
+    if (!done_) {
+        fail(make_error(error_kind::generation_lost, reason));
+    }
+}
+
+void generation_relay::finish()
+{
+    if (std::exchange(done_, true)) {
+        return;
+    }
+    context_.timers.cancel(deadline_timer_);
+    context_.timers.cancel(step_timer_);
+    if (call_) {
+        call_->cancel();
+    }
+    if (!copy_handle_.empty()) {
+        release_copy();
+    }
+    work_.release();
+    target_work_.release();
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/internal/generation_relay_move.cpp
@@ -0,0 +1,287 @@
+#include <algorithm>
+
+#include "core/crypto.h"
+#include "core/log.h"
+#include "node/generation_relay.h"
+#include "platform/engine_calls.h"
+
+namespace anvillead {
+
+namespace {
+
+constexpr milliseconds step_period{15};
+// The stream of a stopped generation ends within a few milliseconds of the answer to its last copy.
+constexpr milliseconds stopped_stream_wait{120};
+constexpr std::size_t copy_answer_bytes = 16 * 1024;
+// Tokens that an engine certainly still makes between its notice and its end, at under 10 ms a token.
+constexpr std::int64_t tokens_within_notice = 100;
+// A copy to another availability zone takes twice as long, and bytes between zones are dear.
+constexpr double target_zone_ms = 150;
+
+} // namespace
+
+void generation_relay::upstream_leaving(const upstream_id& upstream)
+{
+    if (done_) {
+        return;
+    }
+    if (target_ && upstream == target_->id && phase_ != phase::changing) {
+        drop_target();
+        return;
+    }
+    if (upstream != engine_.id || move_.begun() || phase_ == phase::placing) {
+        return;
+    }
+    const auto* service = request_.table->service(request_.service);
+    if (!service->engine || !service->engine->moves) {
+        return;
+    }
+    constexpr double steps = 1024;
+    const auto hash = placement_hash(request_.caller.id.str()) % static_cast<std::uint64_t>(steps);
+    move_.begin(context_.timers.now(), static_cast<double>(hash) / steps);
+    schedule_move_step(milliseconds(1));
+}
+
+void generation_relay::drop_target()
+{
+    // The copy goes with its engine; the move begins again with another target.
+    ++copy_round_;
+    if (!copy_handle_.empty()) {
+        release_copy();
+    }
+    work_.set_copying(false);
+    target_work_.release();
+    target_.reset();
+    move_.begin(context_.timers.now(), 0);
+    schedule_move_step(step_period);
+}
+
+void generation_relay::upstream_restarted(const upstream_id& upstream)
+{
+    if (done_ || upstream != engine_.id || phase_ == phase::placing) {
+        return;
+    }
+    if (!continue_from_copy("the engine started again")) {
+        fail(make_error(error_kind::generation_lost, "the engine started again"));
+    }
+}
+
+void generation_relay::schedule_move_step(milliseconds delay)
+{
+    context_.timers.cancel(step_timer_);
+    step_timer_ = context_.timers.after(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && !self->done_) {
+            self->move_step_due();
+        }
+    });
+}
+
+bool generation_relay::worth_moving() const
+{
+    const auto profile = request_.table->service(request_.service)->engine.value_or(engine_profile{});
+    const auto made = events_ * profile.tokens_per_event;
+    return request_.caller.output_limit - made > tokens_within_notice;
+}
+
+bool generation_relay::others_copying() const
+{
+    const int own = move_.copying() ? 1 : 0;
+    return context_.loads.total(context_.timers.now(), engine_.id).copies > own;
+}
+
+std::optional<upstream_record> generation_relay::move_target()
+{
+    auto input = context_.selection(excluded_);
+    input.excluded.push_back(engine_.id);
+    input.own_zone = engine_.availability_zone;
+    selection_weights weights;
+    weights.other_zone_ms = target_zone_ms;
+    generation_need need;
+    need.memory_tokens = request_.caller.prompt_tokens + planned_output_;
+    need.tie_breaker = placement_hash(request_.caller.id.str());
+    return select_engine(input, *request_.table->service(request_.service), need, weights);
+}
+
+void generation_relay::move_step_due()
+{
+    if (!move_.begun() || phase_ == phase::changing || phase_ == phase::placing) {
+        return;
+    }
+    // Before its first event there is nothing to copy.
+    if (phase_ == phase::sent || events_ == 0) {
+        schedule_move_step(step_period);
+        return;
+    }
+    if (!worth_moving()) {
+        return;
+    }
+    switch (move_.next(context_.timers.now(), others_copying())) {
+    case move_step::wait:
+        break;
+    case move_step::copy:
+        target_ = move_target();
+        if (target_) {
+            start_copy(*target_, false);
+        } else {
+            move_.copy_started();
+            move_.copy_failed(context_.timers.now());
+        }
+        break;
+    case move_step::change_over:
+        start_copy(*target_, true);
+        return;
+    case move_step::stay: {
+        auto fields = identity();
+        fields.emplace_back("problem", "no copy succeeded");
+        log(log_level::warning, log_event::generation_move_abandoned, fields);
+        return;
+    }
+    }
+    schedule_move_step(step_period);
+}
+
+void generation_relay::start_copy(const upstream_record& target, bool stopping)
+{
+    auto fields = identity();
+    fields.emplace_back("target", target.id.str());
+    fields.emplace_back("last", stopping ? "yes" : "no");
+    log(log_level::info, log_event::generation_copy_started, fields);
+    if (stopping) {
+        phase_ = phase::changing;
+        source_closed_ = false;
+        source_complete_ = false;
+        stop_copy_done_ = false;
+    } else {
+        target_work_.take(target.id, {1, 0, request_.caller.prompt_tokens + planned_output_, 0});
+        move_.copy_started();
+        work_.set_copying(true);
+    }
+    ++copy_round_;
+    const auto mode = stopping ? platform::copy_mode::stopping : platform::copy_mode::running;
+    copy_call_ = context_.client.fetch(
+        platform::copy_call(engine_.address, request_.caller.id, target.address, mode), copy_answer_bytes,
+        request_.exchange->sequence(),
+        [self = shared_from_this(), stopping, n = copy_round_](const http_call_end& end, const http_answer& answer) {
+            if (!self->done_ && n == self->copy_round_) {
+                self->copy_ended(stopping, end, answer);
+            }
+        });
+}
+
+void generation_relay::copy_ended(bool stopping, const http_call_end& end, const http_answer& answer)
+{
+    const auto copy = platform::read_copy_answer(end, answer);
+    auto fields = identity();
+    fields.emplace_back("last", stopping ? "yes" : "no");
+    if (!copy) {
+        fields.emplace_back("problem", copy.error().message);
+    }
+    log(log_level::info, log_event::generation_copy_ended, fields);
+    const auto now = context_.timers.now();
+    if (copy) {
+        copy_handle_ = copy.value().handle;
+    }
+    if (!stopping) {
+        work_.set_copying(false);
+        if (copy) {
+            move_.copy_succeeded();
+            return;
+        }
+        move_.copy_failed(now);
+        target_work_.release();
+        if (copy.error().kind == error_kind::overloaded && target_) {
+            excluded_.push_back(target_->id);
+        }
+        return;
+    }
+    if (copy) {
+        stop_copy_done_ = true;
+        if (source_closed_) {
+            change_over();
+            return;
+        }
+        step_timer_ = context_.timers.after(stopped_stream_wait, [weak = weak_from_this(), n = call_round_] {
+            if (const auto self = weak.lock(); self && !self->done_ && n == self->call_round_) {
+                self->change_over();
+            }
+        });
+        return;
+    }
+    if (const auto handle = platform::refused_copy_handle(answer); !handle.empty()) {
+        // The generation has stopped, and its engine still holds the memory: it goes on there.
+        copy_handle_.clear();
+        if (target_) {
+            excluded_.push_back(target_->id);
+            target_.reset();
+        }
+        move_.reset();
+        send(engine_, resume_point{platform::copy_source(engine_.address, handle), last_event_, events_ > 0});
+        return;
+    }
+    if (source_closed_ && source_complete_) {
+        finish_stream();
+        return;
+    }
+    if (source_closed_) {
+        if (!continue_from_copy(copy.error().message)) {
+            fail(make_error(error_kind::generation_lost, "the engine left before its last copy"));
+        }
+        return;
+    }
+    // The generation still runs, or has just ended; its stream tells.
+    phase_ = phase::streaming;
+    move_.copy_failed(now);
+    schedule_move_step(step_period);
+}
+
+void generation_relay::change_over()
+{
+    ++copy_round_;
+    const auto source = engine_;
+    const auto target = *target_;
+    const auto handle = std::exchange(copy_handle_, {});
+    if (call_) {
+        call_->cancel();
+    }
+    move_.reset();
+    ++moves_;
+    auto fields = identity();
+    fields.emplace_back("target", target.id.str());
+    fields.emplace_back("after_event", std::to_string(last_event_));
+    log(log_level::info, log_event::generation_resumed, fields);
+    context_.counters.add("anvillead_generation_moves_total");
+    target_.reset();
+    send(target, resume_point{platform::copy_source(source.address, handle), last_event_, events_ > 0});
+}
+
+bool generation_relay::continue_from_copy(const std::string& reason)
+{
+    if (copy_handle_.empty() || !target_) {
+        return false;
+    }
+    const auto* entry = context_.directory.find(target_->id);
+    if (entry == nullptr || !entry->usable) {
+        return false;
+    }
+    auto fields = identity();
+    fields.emplace_back("problem", reason);
+    log(log_level::warning, log_event::generation_lost, fields);
+    change_over();
+    return true;
+}
+
+void generation_relay::resume_refused()
+{
+    fail(make_error(error_kind::generation_lost, "the engine that holds the copy did not go on with it"));
+}
+
+void generation_relay::release_copy()
+{
+    context_.client.fetch(platform::release_copy_call(engine_.address, std::exchange(copy_handle_, {})),
+                          copy_answer_bytes, request_.exchange->sequence(),
+                          [](const http_call_end&, const http_answer&) {
+                              // The engine frees the copy by itself when its time is over.
+                          });
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/internal/node_daemon.cpp
@@ -0,0 +1,269 @@
+#include "node/node_daemon.h"
+
+#include <algorithm>
+#include <ctime>
+
+#include "core/log.h"
+#include "platform/configuration_reader.h"
+#include "platform/entry_calls.h"
+#include "platform/object_client.h"
+#include "platform/upstream_reader.h"
+#include "routing/endpoint_selection.h"
+
+namespace anvillead {
+
+namespace {
+
+// Collection in which the hosts register themselves.
+constexpr const char* host_collection = "anvillead-hosts";
+// Callers that keep an answer longer than this may use a host that has left; a shorter time costs more questions.
+constexpr milliseconds endpoint_time_to_live{1000};
+// Some callers keep an answer this many times as long.
+constexpr int endpoint_overstay = 3;
+constexpr std::size_t most_endpoints = 64;
+// With fewer hosts in its own zone a caller is also told of the others, so that it has an alternative.
+constexpr std::size_t fewest_zone_endpoints = 2;
+constexpr milliseconds housekeeping_period{50};
+constexpr milliseconds shutdown_check_period{20};
+// Left of the grace time when open requests are given up, for their last bytes to leave.
+constexpr milliseconds shutdown_margin{300};
+// A suspended process acts on old beliefs; shorter pauses are ordinary scheduling.
+constexpr milliseconds suspension_noticed{500};
+
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+constexpr int http_service_unavailable = 503;
+
+std::chrono::nanoseconds clock_value(clockid_t clock)
+{
+    timespec value = {};
+    clock_gettime(clock, &value);
+    return seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec);
+}
+
+/// Time for which the host has been suspended since its start: only one of the two clocks counts it.
+std::chrono::nanoseconds suspended_time()
+{
+    return clock_value(CLOCK_BOOTTIME) - clock_value(CLOCK_MONOTONIC);
+}
+
+} // namespace
+
+node_daemon::node_daemon(worker_pool& pool, node_settings settings)
+    : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()), client_(make_http_client(pool)),
+      context_{settings_, pool,
+               pool.timers(), counters_,
+               *client_,  upstream_directory(),
+               load_table(), peer_table(settings_.host, settings_.report),
+               nullptr,   {},
+               false,     [] {}},
+      callers_(context_), configuration_(platform::make_object_collection(
+                              *client_, settings_.store, platform::configuration_collection, sequence_)),
+      upstreams_(
+          platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
+      hosts_(platform::make_object_collection(*client_, settings_.store, host_collection, sequence_)),
+      feed_(context_, *configuration_, *upstreams_, [this] { report_readiness(); })
+{
+    reporter_ = std::make_shared<fleet_reporter>(context_, sequence_, [this](host_report& report) {
+        report.ready = ready();
+        report.configuration = feed_.configuration_version();
+        report.directory_revision = feed_.state().upstream_revision;
+    });
+    registration_ = std::make_shared<registration>(context_, *hosts_);
+    state_puller::hooks hooks;
+    hooks.configuration = [this] { return feed_.configuration_version(); };
+    hooks.upstream_revision = [this] { return feed_.state().upstream_revision; };
+    hooks.on_state = [this](const platform_state& value) { feed_.adopt(value); };
+    puller_ = std::make_shared<state_puller>(context_, sequence_, std::move(hooks));
+    connect_hooks();
+}
+
+node_daemon::~node_daemon() = default;
+
+void node_daemon::connect_hooks()
+{
+    context_.work_changed = [this] { reporter_->send_soon(); };
+    context_.directory.set_hooks({[this](const upstream_id& id) {
+                                      log(log_level::info, log_event::upstream_leaving, {{"upstream", id.str()}});
+                                      callers_.upstream_leaving(id);
+                                  },
+                                  [this](const upstream_id& id) {
+                                      log(log_level::info, log_event::upstream_restarted, {{"upstream", id.str()}});
+                                      context_.loads.forget(id);
+                                      callers_.upstream_restarted(id);
+                                  }});
+    context_.peers.set_hooks({[](const host_report& value) {
+                                  log(log_level::info, log_event::member_joined,
+                                      {{"host", value.host.str()}, {"zone", value.availability_zone.str()}});
+                              },
+                              [this](const host_id& host) {
+                                  log(log_level::warning, log_event::member_lost, {{"host", host.str()}});
+                                  context_.loads.drop_peer(host);
+                              }});
+}
+
+void node_daemon::run()
+{
+    start_servers();
+    last_suspended_ = suspended_time();
+    pool_.on_stop_signal([this] { begin_shutdown(); });
+    sequence_->post([this] {
+        reporter_->start();
+        feed_.start();
+        registration_->start();
+    });
+    context_.timers.every(housekeeping_period, [this] {
+        check_clock();
+        context_.directory.expire(context_.timers.now());
+        puller_->check();
+        report_readiness();
+    });
+    log(log_level::info, log_event::process_started,
+        {{"frontend", settings_.frontend}, {"zone", settings_.availability_zone.str()}});
+    pool_.run();
+    log(log_level::info, log_event::process_stopped, {});
+}
+
+void node_daemon::start_servers()
+{
+    const auto listen = [this](const std::string& address, http_handler handler) {
+        http_server_options options;
+        options.address = address;
+        return make_http_server(pool_, options, std::move(handler), counters_);
+    };
+    frontend_ = listen(settings_.frontend, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+        callers_.handle(std::move(request), exchange);
+    });
+    readiness_ = listen(settings_.readiness, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+        if (platform::is_readiness_question(request)) {
+            answer_readiness(*exchange);
+        } else {
+            exchange->reply(http_not_found, {}, {});
+        }
+    });
+    directory_ = listen(settings_.directory, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+        answer_endpoint_question(request, *exchange);
+    });
+    control_ = listen(settings_.control, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+        answer_control(request, *exchange);
+    });
+}
+
+void node_daemon::answer_endpoint_question(const http_request& request, ihttp_exchange& exchange)
+{
+    const auto question = platform::read_endpoint_question(request);
+    if (!question) {
+        exchange.reply(http_not_found, {}, {});
+        return;
+    }
+    const auto addresses = endpoints_for(question->availability_zone);
+    if (addresses.empty()) {
+        exchange.reply(http_service_unavailable, {}, {});
+        return;
+    }
+    const auto time_to_live = std::min(endpoint_time_to_live, settings_.longest_endpoint_age);
+    exchange.reply(http_ok, {{"Content-Type", "application/json"}}, platform::endpoint_answer(addresses, time_to_live));
+}
+
+std::vector<std::string> node_daemon::endpoints_for(const zone_name& zone)
+{
+    auto members = context_.peers.members();
+    host_report self;
+    self.host = settings_.host;
+    self.availability_zone = settings_.availability_zone;
+    self.addresses.frontend = settings_.frontend;
+    self.ready = ready();
+    self.leaving = context_.leaving;
+    members.push_back(to_member(self));
+    endpoint_query query;
+    query.availability_zone = zone;
+    query.most = most_endpoints;
+    const auto selected = select_endpoints(members, query);
+    const auto in_zone = static_cast<std::size_t>(
+        std::count_if(selected.begin(), selected.end(), [&zone](const endpoint& it) {
+            return it.availability_zone == zone;
+        }));
+    const auto count = in_zone >= fewest_zone_endpoints ? in_zone : selected.size();
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.push_back(selected[i].address);
+    }
+    return out;
+}
+
+bool node_daemon::ready() const
+{
+    return context_.routes != nullptr && feed_.has_upstreams() && !context_.leaving;
+}
+
+void node_daemon::report_readiness()
+{
+    const bool now_ready = ready();
+    if (std::exchange(reported_ready_, now_ready) == now_ready) {
+        return;
+    }
+    log(log_level::info, log_event::readiness_changed,
+        {{"ready", now_ready ? "yes" : "no"}, {"reason", context_.leaving ? "leaving" : "state of the platform known"}});
+    reporter_->send_soon();
+}
+
+void node_daemon::answer_readiness(ihttp_exchange& exchange)
+{
+    exchange.reply(ready() ? http_ok : http_service_unavailable, {}, {});
+}
+
+void node_daemon::answer_control(const http_request& request, ihttp_exchange& exchange)
+{
+    if (request.path() == "/state") {
+        exchange.reply(http_ok, {{"Content-Type", "application/json"}}, encode_state(feed_.state()));
+    } else if (request.path() == "/metrics") {
+        exchange.reply(http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
+    } else {
+        exchange.reply(http_not_found, {}, {});
+    }
+}
+
+void node_daemon::check_clock()
+{
+    const auto suspended = suspended_time();
+    const auto pause = std::chrono::duration_cast<milliseconds>(suspended - last_suspended_);
+    last_suspended_ = suspended;
+    if (pause < suspension_noticed) {
+        return;
+    }
+    log(log_level::warning, log_event::process_resumed, {{"suspended_ms", std::to_string(pause.count())}});
+    feed_.refresh();
+}
+
+void node_daemon::begin_shutdown()
+{
+    if (context_.leaving) {
+        return;
+    }
+    context_.leaving = true;
+    leaving_since_ = context_.timers.now();
+    log(log_level::info, log_event::shutdown_began,
+        {{"generations", std::to_string(callers_.open_generations())},
+         {"requests", std::to_string(frontend_->open_exchanges())}});
+    frontend_->drain();
+    report_readiness();
+    context_.timers.every(shutdown_check_period, [this] { check_shutdown(); });
+}
+
+void node_daemon::check_shutdown()
+{
+    const auto elapsed = context_.timers.now() - leaving_since_;
+    const bool callers_know = elapsed >= endpoint_time_to_live * endpoint_overstay;
+    if (callers_know && frontend_->open_exchanges() == 0) {
+        pool_.stop();
+        return;
+    }
+    if (elapsed >= settings_.shutdown_grace - shutdown_margin) {
+        log(log_level::warning, log_event::shutdown_forced,
+            {{"generations", std::to_string(callers_.open_generations())}});
+        callers_.cut_off_all("the host shuts down");
+        pool_.stop();
+    }
+}
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/node_daemon.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <memory>
+
+#include "node/caller_handler.h"
+#include "node/fleet_reporter.h"
+#include "node/node_context.h"
+#include "node/platform_feed.h"
+#include "node/registration.h"
+#include "transport/ihttp_server.h"
+
+namespace anvillead {
+
+/// The program of an entry host: callers' requests, the directory of addresses, readiness, and what the host learns
+/// from the platform and from the other hosts.
+class node_daemon
+{
+public:
+    node_daemon(worker_pool& pool, node_settings settings);
+    ~node_daemon();
+    node_daemon(const node_daemon&) = delete;
+    node_daemon& operator=(const node_daemon&) = delete;
+
+    /// Returns once the process may exit.
+    void run();
+
+private:
+    void connect_hooks();
+    void start_servers();
+    void answer_endpoint_question(const http_request& request, ihttp_exchange& exchange);
+    void answer_readiness(ihttp_exchange& exchange);
+    void answer_control(const http_request& request, ihttp_exchange& exchange);
+    std::vector<std::string> endpoints_for(const zone_name& zone);
+    bool ready() const;
+    void report_readiness();
+    void check_clock();
+    void begin_shutdown();
+    void check_shutdown();
+
+    worker_pool& pool_;
+    node_settings settings_;
+    metrics counters_;
+    std::shared_ptr<isequence> sequence_;
+    std::unique_ptr<ihttp_client> client_;
+    node_context context_;
+    caller_handler callers_;
+    std::unique_ptr<iobject_collection> configuration_;
+    std::unique_ptr<iobject_collection> upstreams_;
+    std::unique_ptr<iobject_collection> hosts_;
+    platform_feed feed_;
+    std::shared_ptr<fleet_reporter> reporter_;
+    std::shared_ptr<registration> registration_;
+    std::shared_ptr<state_puller> puller_;
+    std::unique_ptr<ihttp_server> frontend_;
+    std::unique_ptr<ihttp_server> readiness_;
+    std::unique_ptr<ihttp_server> directory_;
+    std::unique_ptr<ihttp_server> control_;
+    instant leaving_since_{};
+    std::chrono::nanoseconds last_suspended_{0};
+    bool reported_ready_ = false;
+};
+
+} // namespace anvillead
--- /dev/null
+++ b/src/node/platform_feed.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "node/collection_follower.h"
+#include "node/node_context.h"
+#include "node/state_exchange.h"
+
+namespace anvillead {
+
+/// Brings what the platform says into force on this host: the configuration and the directory of upstreams, from the
+/// platform itself or, when it does not answer, from another host.
+class platform_feed
+{
+public:
+    platform_feed(node_context& context, iobject_collection& configuration, iobject_collection& upstreams,
+                  std::function<void()> on_configuration);
+
+    void start();
+    /// Asks the platform again at once, for a process that stood still.
+    void refresh();
+    /// Takes over the state of another host where it is newer.
+    void adopt(const platform_state& value);
+
+    const platform_state& state() const { return state_; }
+    config_generation configuration_version() const { return context_.routes ? context_.routes->version : 0; }
+    /// Whether the directory has been read at all.
+    bool has_upstreams() const { return state_.upstream_revision != 0; }
+
+private:
+    void take_configuration(const std::vector<collection_item>& items);
+    void apply_configuration(const nlohmann::json& object);
+    void list_upstreams(const std::vector<collection_item>& items);
+    void change_upstreams(const std::vector<collection_item>& items);
+    void apply_upstream(const collection_item& item);
+    void upstream_revision_reached();
+    collection_follower::hooks configuration_hooks();
+    collection_follower::hooks upstream_hooks();
+
+    node_context& context_;
+    std::function<void()> on_configuration_;
+    platform_state state_;
+    /// Entries that could not be read and were logged; by name.
+    std::set<std::string> rejected_;
+    std::shared_ptr<collection_follower> configuration_follower_;
+    std::shared_ptr<collection_follower> upstream_follower_;
+};
+
+} // namespace anvillead
--- a/src/platform/http_platform_client.h
+++ b/src/object_store/http_platform_client.h
@@ -3,7 +3,7 @@
 #include <memory>
 
 #include "core/metrics.h"
-#include "platform/iplatform_client.h"
+#include "object_store/iplatform_client.h"
 #include "transport/ihttp_client.h"
 
 namespace anvillead {
--- a/src/platform/internal/http_platform_client.cpp
+++ b/src/object_store/internal/http_platform_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_platform_client.h"
+#include "object_store/http_platform_client.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/iplatform_client.h
+++ b/src/object_store/iplatform_client.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "core/result.h"
-#include "platform/types/object.h"
+#include "object_store/types/object.h"
 
 namespace anvillead {
 
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -42,6 +42,9 @@
     milliseconds head_timeout{10000};
     /// Longest time without a byte of the body; zero means no bound.
     milliseconds idle_timeout{0};
+    /// Time after which a peer that acknowledges nothing is given up, whether or not data is under way; zero leaves the
+    /// system's defaults, with which a connection that has gone silent looks idle.
+    milliseconds dead_peer_timeout{0};
     /// Allows an idle connection to be used. Only for requests that may be sent twice: a stale connection is retried.
     bool reuse_connection = false;
 };
@@ -81,8 +84,9 @@
     virtual std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
                                               std::shared_ptr<isequence> sequence) = 0;
     /// Collects the whole answer. `end.end` is `lost` when the body exceeds `body_limit` bytes.
-    void fetch(http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
-               std::function<void(const http_call_end& end, const http_answer& answer)> callback);
+    std::shared_ptr<ihttp_call> fetch(http_call_request request, std::size_t body_limit,
+                                      std::shared_ptr<isequence> sequence,
+                                      std::function<void(const http_call_end& end, const http_answer& answer)> callback);
 };
 
 std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool);
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <optional>
 
+#include <netinet/tcp.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -20,6 +22,28 @@
 namespace beast = boost::beast;
 using socket_ptr = std::unique_ptr<net::ip::tcp::socket>;
 
+constexpr unsigned http_ok = 200;
+
+/// Keep-alive probes each second, so that a connection that has gone silent ends after `timeout`.
+void watch_for_dead_peer(net::ip::tcp::socket& socket, milliseconds timeout)
+{
+    if (timeout.count() == 0) {
+        return;
+    }
+    using user_timeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using probe_idle = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_interval = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probe_count = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    const int probes = std::max(1, static_cast<int>(timeout / seconds(1)) - 1);
+    // A system that lacks one of these options still has the call's own timeouts.
+    boost::system::error_code ec;
+    socket.set_option(user_timeout(static_cast<int>(timeout.count())), ec);
+    socket.set_option(net::socket_base::keep_alive(true), ec);
+    socket.set_option(probe_idle(1), ec);
+    socket.set_option(probe_interval(1), ec);
+    socket.set_option(probe_count(probes), ec);
+}
+
 /// Idle connections that completed their last answer, by address.
 class connection_cache
 {
@@ -117,11 +141,12 @@
     void connect()
     {
         reused_ = false;
+        ++attempt_;
         socket_ = std::make_unique<net::ip::tcp::socket>(context_);
         arm(request_.connect_timeout);
         socket_->async_connect(parse_endpoint(request_.address),
-                               bound([self = shared_from_this()](const boost::system::error_code& ec) {
-                                   if (self->done_) {
+                               bound([self = shared_from_this(), n = attempt_](const boost::system::error_code& ec) {
+                                   if (self->done_ || n != self->attempt_) {
                                        return;
                                    }
                                    if (ec) {
@@ -137,33 +162,36 @@
     {
         boost::system::error_code ec;
         socket_->set_option(net::ip::tcp::no_delay(true), ec);
+        watch_for_dead_peer(*socket_, request_.dead_peer_timeout);
         message_ = {};
         message_.version(11);
         message_.method_string(request_.method);
         message_.target(request_.target);
-        message_.set(http::field::host, request_.address);
+        if (find_header(request_.headers, "Host").empty()) {
+            message_.set(http::field::host, request_.address);
+        }
         for (const auto& [key, value] : request_.headers) {
-            message_.set(key, value);
+            message_.insert(key, value);
         }
         message_.body() = request_.body;
         message_.prepare_payload();
         sent_ = true;
+        written_ = false;
         arm(request_.head_timeout);
         http::async_write(*socket_, message_,
-                          bound([self = shared_from_this()](const boost::system::error_code& write_ec, std::size_t) {
-                              self->written(write_ec);
+                          bound([self = shared_from_this(), n = attempt_](const boost::system::error_code& write_ec,
+                                                                          std::size_t) {
+                              if (n == self->attempt_ && !write_ec) {
+                                  self->written_ = true;
+                              }
                           }));
+        // Read at once: a peer may answer before it has taken the whole body, and then read no further. A failed write
+        // shows as a failed read, after whatever the peer has answered.
+        await_head();
     }
 
-    void written(const boost::system::error_code& ec)
+    void await_head()
     {
-        if (done_ || retried_stale(ec)) {
-            return;
-        }
-        if (ec) {
-            finish(http_end::lost, ec.message());
-            return;
-        }
         parser_.emplace();
         parser_->header_limit(head_bytes_limit);
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -180,16 +208,19 @@
             head_read(ec);
             return;
         }
-        socket_->async_read_some(
-            buffer_.prepare(head_piece_bytes),
-            bound([self = shared_from_this()](const boost::system::error_code& read_ec, std::size_t count) {
-                if (self->done_ || read_ec) {
-                    self->head_read(read_ec);
-                    return;
-                }
-                self->buffer_.commit(count);
-                self->parse_head();
-            }));
+        socket_->async_read_some(buffer_.prepare(head_piece_bytes),
+                                 bound([self = shared_from_this(), n = attempt_](
+                                           const boost::system::error_code& read_ec, std::size_t count) {
+                                     if (self->done_ || n != self->attempt_) {
+                                         return;
+                                     }
+                                     if (read_ec) {
+                                         self->head_read(read_ec);
+                                         return;
+                                     }
+                                     self->buffer_.commit(count);
+                                     self->parse_head();
+                                 }));
     }
 
     /// A reused connection that the peer had already closed is replaced once by a new one.
@@ -212,6 +243,11 @@
             finish(http_end::lost, ec.message());
             return;
         }
+        if (parser_->get().result_int() < http_ok) {
+            // An interim answer; the final one follows.
+            await_head();
+            return;
+        }
         http_headers headers;
         for (const auto& it : parser_->get()) {
             headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
@@ -267,7 +303,7 @@
 
     void complete()
     {
-        if (request_.reuse_connection && parser_->get().keep_alive() && buffer_.size() == 0) {
+        if (request_.reuse_connection && written_ && parser_->get().keep_alive() && buffer_.size() == 0) {
             cache_->give(request_.address, std::move(socket_));
         }
         finish(http_end::complete, {});
@@ -310,6 +346,10 @@
     std::size_t head_bytes_ = 0;
     std::array<char, chunk_bytes> chunk_ = {};
     std::uint64_t timer_round_ = 0;
+    /// Counts connections; handlers of an earlier one are ignored.
+    std::uint64_t attempt_ = 0;
+    /// The whole request has been sent.
+    bool written_ = false;
     bool reused_ = false;
     bool sent_ = false;
     bool refused_ = false;
@@ -338,8 +378,9 @@
 
 } // namespace
 
-void ihttp_client::fetch(http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
-                         std::function<void(const http_call_end& end, const http_answer& answer)> callback)
+std::shared_ptr<ihttp_call> ihttp_client::fetch(
+    http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
+    std::function<void(const http_call_end& end, const http_answer& answer)> callback)
 {
     struct collector
     {
@@ -370,7 +411,9 @@
         }
         callback(end, state->answer);
     };
-    state->call = start(std::move(request), std::move(handlers), std::move(sequence));
+    auto call = start(std::move(request), std::move(handlers), std::move(sequence));
+    state->call = call;
+    return call;
 }
 
 std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool)
--- a/src/transport/internal/udp_socket.cpp
+++ b/src/transport/internal/udp_socket.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t datagram_bytes = 2048;
+constexpr std::size_t datagram_bytes = 16 * 1024;
 
 class udp_socket : public iudp_socket
 {
