Bound how long a change in the store can stay unseen

Ruled out: a lost connection, a refused listing. Change: waits of 1.3 to 2.5 s, a refresh when another host is ahead.

--- a/src/node/collection_follower.h
+++ b/src/node/collection_follower.h
@@ -14,12 +14,14 @@
 /// Times of a follower.
 struct follower_limits
 {
-    /// Longest time for which one call waits for changes.
-    milliseconds wait{10'000};
+    /// Longest time for which one call waits for changes. A waiting call can go deaf without an error when the store
+    /// drops its history, so this bounds how long a change can stay unseen; the bound on a configuration is 2 s.
+    milliseconds wait{2500};
     /// Pause after the first failed call; doubled with each further one.
     milliseconds first_pause{100};
     milliseconds longest_pause{1600};
-    /// Part of each pause that is random, so that the hosts do not return together after an outage.
+    /// Part of each pause and wait that is random, so that the hosts do not return together after an outage and do not
+    /// all go deaf for the same time.
     double random_part = 0.5;
 };
 
@@ -59,6 +61,7 @@
     void failed(const error& reason, std::function<void()> again);
     void succeeded();
     milliseconds next_pause();
+    milliseconds shortened(milliseconds value);
 
     iobject_collection& source_;
     itimer_service& timers_;
--- a/src/node/internal/collection_follower.cpp
+++ b/src/node/internal/collection_follower.cpp
@@ -64,7 +64,7 @@
 
 void collection_follower::follow()
 {
-    source_.changes(revision_, limits_.wait,
+    source_.changes(revision_, shortened(limits_.wait),
                     [self = shared_from_this(), n = round_](const result<collection_page>& page) {
                         if (n == self->round_) {
                             self->followed(page);
@@ -120,8 +120,13 @@
     const auto doubled = limits_.first_pause * (1 << std::min(failures_, 8));
     ++failures_;
     const auto pause = std::min<milliseconds>(doubled, limits_.longest_pause);
+    return shortened(pause);
+}
+
+milliseconds collection_follower::shortened(milliseconds value)
+{
     const double part = limits_.random_part * std::uniform_real_distribution<double>(0, 1)(random_);
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(pause.count()) * (1 - part)));
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * (1 - part)));
 }
 
 } // namespace anvillead
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -141,9 +141,14 @@
 
 void platform_feed::adopt(const platform_state& value)
 {
+    const auto version = configuration_version();
     if (value.configuration.is_object()) {
         apply_configuration(value.configuration);
     }
+    if (configuration_version() > version && configuration_follower_->connected()) {
+        // The platform's notification went missing without an error.
+        configuration_follower_->refresh();
+    }
     if (value.upstream_revision <= state_.upstream_revision) {
         return;
     }
@@ -154,6 +159,9 @@
     const auto revision = value.upstream_revision;
     list_upstreams(items);
     state_.upstream_revision = std::max(state_.upstream_revision, revision);
+    if (upstream_follower_->connected()) {
+        upstream_follower_->refresh();
+    }
 }
 
 } // namespace anvillead
