Let the generations of a leaving engine take turns on its link

Ruled out: late first events, preemption. Change: one generation copies and changes over before the next begins, targets in the same zone first, no busy target.

--- a/src/dispatch/internal/generation_move.cpp
+++ b/src/dispatch/internal/generation_move.cpp
@@ -1,24 +1,41 @@
 #include "dispatch/generation_move.h"
 
+#include <utility>
+
 namespace anvillead {
 
-void generation_move::begin(instant noticed, double spread)
+void generation_move::begin(instant noticed, double turn)
 {
     reset();
     begun_ = true;
     noticed_ = noticed;
-    not_before_ =
-        noticed + milliseconds(static_cast<std::int64_t>(spread * static_cast<double>(limits_.start_spread.count())));
+    turn_ = turn;
+    not_before_ = noticed + own_turn();
 }
 
-move_step generation_move::next(instant now, bool others_copying) const
+milliseconds generation_move::own_turn() const
 {
-    if (!begun_ || copying_ || now < not_before_) {
+    return milliseconds(static_cast<std::int64_t>(turn_ * static_cast<double>(limits_.spread.count())));
+}
+
+move_step generation_move::next(instant now, bool link_busy)
+{
+    if (!begun_ || copying_) {
+        return move_step::wait;
+    }
+    const bool late = now >= noticed_ + limits_.latest_start;
+    if (link_busy && !late) {
+        saw_busy_ = true;
         return move_step::wait;
     }
     if (copied_) {
-        const bool late = now >= noticed_ + limits_.latest_switch;
-        return others_copying && !late ? move_step::wait : move_step::change_over;
+        return move_step::change_over;
+    }
+    if (std::exchange(saw_busy_, false)) {
+        not_before_ = now + own_turn();
+    }
+    if (now < not_before_) {
+        return move_step::wait;
     }
     return copies_ < limits_.most_copies ? move_step::copy : move_step::stay;
 }
--- a/src/dispatch/internal/selection.cpp
+++ b/src/dispatch/internal/selection.cpp
@@ -56,7 +56,7 @@
         }
         double cost = common_cost(input, record, weights);
         cost += static_cast<double>(work.unread_tokens) / weights.prompt_tokens_per_ms;
-        cost += weights.active_ms * work.active;
+        cost += weights.active_ms * work.active + weights.copy_ms * work.copies;
         cost += spread_ms(record.id, need.tie_breaker);
         if (!best || cost < best_cost) {
             best = record;
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -20,6 +20,8 @@
     double other_zone_ms = 60;
     /// Cost of a request that fails, multiplied with the recent failure ratio.
     double failure_ms = 3000;
+    /// Wait behind one copy that an engine receives; 0 where nothing is copied.
+    double copy_ms = 0;
     /// Part of an engine's memory that may be planned; the rest absorbs answers that are longer than expected.
     double memory_share = 0.92;
     /// Service time of a plain call, by which queueing is measured.
--- a/src/dispatch/types/upstream_work.h
+++ b/src/dispatch/types/upstream_work.h
@@ -13,7 +13,7 @@
     std::int64_t unread_tokens = 0;
     /// Tokens of memory that its generations and incoming copies are expected to need.
     std::int64_t memory_tokens = 0;
-    /// First copies of generations that still leave this upstream.
+    /// Copies of generations that this upstream sends or receives.
     int copies = 0;
 
     bool empty() const { return active == 0 && unread_tokens == 0 && memory_tokens == 0 && copies == 0; }
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -94,6 +94,10 @@
     std::int64_t events_ = 0;
     instant placed_at_{};
     instant room_until_{};
+    instant last_event_at_{};
+    /// Longest time between two events, and the event before it.
+    std::chrono::steady_clock::duration longest_pause_{};
+    sequence_number longest_pause_after_ = 0;
     phase phase_ = phase::placing;
     int offers_ = 0;
     int moves_ = 0;
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -237,12 +237,17 @@
             return;
         }
     }
+    const auto now = context_.timers.now();
+    if (events_ > 0 && now - last_event_at_ > longest_pause_) {
+        longest_pause_ = now - last_event_at_;
+        longest_pause_after_ = last_event_;
+    }
+    last_event_at_ = now;
     last_event_ = number.value_or(last_event_);
     if (++events_ == 1) {
         work_.prompt_read();
-        context_.counters.observe_ms("anvillead_first_event_ms", std::chrono::duration<double, std::milli>(
-                                                                     context_.timers.now() - request_.arrived)
-                                                                     .count());
+        context_.counters.observe_ms("anvillead_first_event_ms",
+                                     std::chrono::duration<double, std::milli>(now - request_.arrived).count());
     }
     request_.exchange->write(bytes);
 }
@@ -348,7 +353,11 @@
     context_.loads.on_outcome(context_.timers.now(), engine_.id, false);
     context_.repeats_of(request_.service).refill();
     auto fields = identity();
+    const double pause = std::chrono::duration<double, std::milli>(longest_pause_).count();
     fields.emplace_back("outcome", "answered");
+    fields.emplace_back("longest_pause_ms", std::to_string(static_cast<int>(pause)));
+    fields.emplace_back("pause_after_event", std::to_string(longest_pause_after_));
+    context_.counters.observe_ms("anvillead_longest_pause_ms", pause);
     log(log_level::info, log_event::request_ended, fields);
     context_.counters.add("anvillead_requests_total{kind=\"generation\",outcome=\"answered\"}");
     auto exchange = request_.exchange;
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-constexpr milliseconds step_period{15};
+constexpr milliseconds step_period{5};
 // The stream of a stopped generation ends within a few milliseconds of the answer to its last copy.
 constexpr milliseconds stopped_stream_wait{120};
 constexpr std::size_t copy_answer_bytes = 16 * 1024;
 // Tokens that an engine certainly still makes between its notice and its end, at under 10 ms a token.
 constexpr std::int64_t tokens_within_notice = 100;
 // A copy to another availability zone takes twice as long, and bytes between zones are dear.
-constexpr double target_zone_ms = 150;
+constexpr double target_zone_ms = 600;
+// Time for which the memory of one long generation occupies a link.
+constexpr double copy_ms = 200;
 
 } // namespace
 
@@ -85,8 +87,13 @@
 
 bool generation_relay::others_copying() const
 {
-    const int own = move_.copying() ? 1 : 0;
-    return context_.loads.total(context_.timers.now(), engine_.id).copies > own;
+    const auto now = context_.timers.now();
+    const int own = work_.copying() ? 1 : 0;
+    if (context_.loads.total(now, engine_.id).copies > own) {
+        return true;
+    }
+    const int own_at_target = target_work_.copying() ? 1 : 0;
+    return move_.copied() && target_ && context_.loads.total(now, target_->id).copies > own_at_target;
 }
 
 std::optional<upstream_record> generation_relay::move_target()
@@ -96,6 +103,7 @@
     input.own_zone = engine_.availability_zone;
     selection_weights weights;
     weights.other_zone_ms = target_zone_ms;
+    weights.copy_ms = copy_ms;
     generation_need need;
     need.memory_tokens = request_.caller.prompt_tokens + planned_output_;
     need.tie_breaker = placement_hash(request_.caller.id.str());
@@ -152,7 +160,7 @@
         source_complete_ = false;
         stop_copy_done_ = false;
     } else {
-        target_work_.take(target.id, {1, 0, request_.caller.prompt_tokens + planned_output_, 0});
+        target_work_.take(target.id, {1, 0, request_.caller.prompt_tokens + planned_output_, 1});
         move_.copy_started();
         work_.set_copying(true);
     }
@@ -182,12 +190,16 @@
         copy_handle_ = copy.value().handle;
     }
     if (!stopping) {
-        work_.set_copying(false);
+        target_work_.set_copying(false);
         if (copy) {
             move_.copy_succeeded();
+            // With the link still in use by another copy, the change-over waits and leaves the turn to others.
+            work_.set_copying(!others_copying());
+            move_step_due();
             return;
         }
         move_.copy_failed(now);
+        work_.set_copying(false);
         target_work_.release();
         if (copy.error().kind == error_kind::overloaded && target_) {
             excluded_.push_back(target_->id);
--- a/src/node/work_claim.h
+++ b/src/node/work_claim.h
@@ -20,6 +20,7 @@
     void prompt_read();
     /// A first copy begins or ends.
     void set_copying(bool copying);
+    bool copying() const { return amount_.copies > 0; }
 
     const upstream_id& upstream() const { return upstream_; }
 
