--- a/src/apps/node/main.cpp
+++ b/src/apps/node/main.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 
 #include <fmt/format.h>
@@ -49,7 +50,10 @@
 
 int main(int argc, char** argv)
 {
-    const auto settings = platform::read_node_settings(settings_path(argc, argv));
+    // A reader of the log that goes away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto path = settings_path(argc, argv);
+    const auto settings = platform::read_node_settings(path);
     if (!settings) {
         fmt::print(stderr, "anvillead-node: {}\n", settings.error().message);
         return exit_usage;
@@ -61,7 +65,7 @@
     int code = exit_ok;
     try {
         worker_pool pool(worker_threads);
-        node_daemon daemon(pool, settings.value());
+        node_daemon daemon(pool, settings.value(), [path] { return platform::read_node_settings(path); });
         daemon.run();
     } catch (const std::system_error& problem) {
         log(log_level::error, log_event::start_failed, {{"problem", problem.what()}});
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -14,8 +14,9 @@
 
 // A live engine takes a connection within a few milliseconds; the request has not been sent meanwhile.
 constexpr milliseconds connect_timeout{300};
-// An engine that went dark acknowledges nothing; its streams can then go on from a copy.
-constexpr milliseconds dead_engine_timeout{2500};
+// A connection on which an engine acknowledges nothing for this long is lost. Shorter cuts heal, and callers wait about
+// four times the latency target of a generation for its next event.
+constexpr milliseconds dead_engine_timeout{7000};
 // A request without a free engine waits for one during this part of its latency target; a longer wait would use up the
 // time in which the caller can still be served on time elsewhere.
 constexpr int room_wait_part = 8;
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t fewest_zone_endpoints = 2;
 constexpr milliseconds housekeeping_period{50};
 constexpr milliseconds shutdown_check_period{20};
+// The settings file may change without a signal.
+constexpr milliseconds settings_check_period{5000};
 // Left of the grace time when open requests are given up, for their last bytes to leave.
 constexpr milliseconds shutdown_margin{300};
 // A suspended process acts on old beliefs; shorter pauses are ordinary scheduling.
@@ -49,8 +51,9 @@
 
 } // namespace
 
-node_daemon::node_daemon(worker_pool& pool, node_settings settings)
-    : pool_(pool), settings_(std::move(settings)), sequence_(pool.make_sequence()), client_(make_http_client(pool)),
+node_daemon::node_daemon(worker_pool& pool, node_settings settings,
+                         std::function<result<node_settings>()> read_settings)
+    : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)), sequence_(pool.make_sequence()), client_(make_http_client(pool)),
       context_{settings_, pool,
                pool.timers(), counters_,
                *client_,  upstream_directory(),
@@ -115,6 +118,8 @@
     start_servers();
     last_suspended_ = suspended_time();
     pool_.on_stop_signal([this] { begin_shutdown(); });
+    pool_.on_reload_signal([this] { reload_settings(); });
+    context_.timers.every(settings_check_period, [this] { reload_settings(); });
     sequence_->post([this] {
         reporter_->start();
         feed_.start();
@@ -263,6 +268,30 @@
     }
 }
 
+void node_daemon::reload_settings()
+{
+    auto next = read_settings_();
+    if (!next) {
+        log(log_level::error, log_event::settings_rejected, {{"problem", next.error().message}});
+        return;
+    }
+    if (next.value() == settings_) {
+        return;
+    }
+    const bool needs_restart = !same_addresses(next.value(), settings_);
+    log(log_level::info, log_event::settings_reloaded, {{"needs_restart", needs_restart ? "addresses" : "nothing"}});
+    for (const auto& it : next.value().seeds) {
+        context_.peers.add_contact(context_.timers.now(), it);
+    }
+    // Addresses in use stay until the process starts again.
+    settings_.seeds = next.value().seeds;
+    settings_.shutdown_grace = next.value().shutdown_grace;
+    settings_.retry_share = next.value().retry_share;
+    settings_.retry_slack = next.value().retry_slack;
+    settings_.longest_endpoint_age = next.value().longest_endpoint_age;
+    context_.repeats.clear();
+}
+
 void node_daemon::begin_shutdown()
 {
     if (context_.leaving) {
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -17,7 +17,8 @@
 class node_daemon
 {
 public:
-    node_daemon(worker_pool& pool, node_settings settings);
+    /// `read_settings` reads the settings file again.
+    node_daemon(worker_pool& pool, node_settings settings, std::function<result<node_settings>()> read_settings);
     ~node_daemon();
     node_daemon(const node_daemon&) = delete;
     node_daemon& operator=(const node_daemon&) = delete;
@@ -37,11 +38,13 @@
     void check_clock();
     bool directory_known() const;
     void take_leaving_marks(const host_report& report);
+    void reload_settings();
     void begin_shutdown();
     void check_shutdown();
 
     worker_pool& pool_;
     node_settings settings_;
+    std::function<result<node_settings>()> read_settings_;
     metrics counters_;
     std::shared_ptr<isequence> sequence_;
     std::unique_ptr<ihttp_client> client_;
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -39,4 +39,8 @@
     milliseconds longest_endpoint_age{5000};
 };
 
+/// Whether two settings name the same places: what takes effect only when the process starts.
+bool same_addresses(const node_settings& a, const node_settings& b);
+bool operator==(const node_settings& a, const node_settings& b);
+
 } // namespace anvillead
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -113,6 +113,21 @@
     });
 }
 
+void worker_pool::on_reload_signal(std::function<void()> handler)
+{
+    auto& signals = implementation_->reload_signals;
+    if (!signals) {
+        signals = std::make_unique<net::signal_set>(implementation_->context, SIGHUP);
+    }
+    signals->async_wait([this, handler](const boost::system::error_code& ec, int) {
+        if (ec) {
+            return;
+        }
+        on_reload_signal(handler);
+        handler();
+    });
+}
+
 void worker_pool::start()
 {
     for (unsigned i = 0; i < implementation_->threads; ++i) {
--- a/src/transport/internal/worker_pool_implementation.h
+++ b/src/transport/internal/worker_pool_implementation.h
@@ -65,6 +65,7 @@
     net::executor_work_guard<net::io_context::executor_type> guard = net::make_work_guard(context);
     asio_timer_service timers;
     std::unique_ptr<net::signal_set> signals;
+    std::unique_ptr<net::signal_set> reload_signals;
     std::vector<std::thread> workers;
 };
 
--- a/src/transport/worker_pool.h
+++ b/src/transport/worker_pool.h
@@ -32,6 +32,8 @@
     itimer_service& timers();
     /// Calls `handler` for each SIGTERM or SIGINT.
     void on_stop_signal(std::function<void()> handler);
+    /// Calls `handler` for each SIGHUP. Without it the signal ends the process.
+    void on_reload_signal(std::function<void()> handler);
     /// Runs until stop() is called; all workers have ended on return.
     void run();
     /// Starts the workers and returns; used by clients that wait on something else.
