--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -107,8 +107,9 @@
 void generation_relay::wait_for_room()
 {
     if (context_.timers.now() < room_until_) {
-        step_timer_ = context_.timers.after(room_check, [weak = weak_from_this()] {
-            if (const auto self = weak.lock(); self && !self->done_) {
+        // Nothing else owns the request while it waits: no call is under way.
+        step_timer_ = context_.timers.after(room_check, [self = shared_from_this()] {
+            if (!self->done_) {
                 self->place();
             }
         });
@@ -188,6 +189,8 @@
         context_.loads.on_report(context_.timers.now(), engine_.id, *head_.load);
     }
     if (head_.refused) {
+        // An engine that refuses looks idle and would draw all further requests.
+        context_.loads.on_outcome(context_.timers.now(), engine_.id, true);
         not_run(make_error(error_kind::overloaded, "the engine refused the request"), true);
         return;
     }
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -212,8 +212,8 @@
             change_over();
             return;
         }
-        step_timer_ = context_.timers.after(stopped_stream_wait, [weak = weak_from_this(), n = call_round_] {
-            if (const auto self = weak.lock(); self && !self->done_ && n == self->call_round_) {
+        step_timer_ = context_.timers.after(stopped_stream_wait, [self = shared_from_this(), n = call_round_] {
+            if (!self->done_ && n == self->call_round_) {
                 self->change_over();
             }
         });
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -120,6 +120,7 @@
         context_.loads.on_report(now, upstream.id, *facts.load);
     }
     if (end.end == http_end::complete && facts.refused) {
+        context_.loads.on_outcome(now, upstream.id, true);
         excluded_.push_back(upstream.id);
         repeat_or_fail(make_error(error_kind::overloaded, "the upstream refused the request"));
         return;
