--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -4,6 +4,7 @@
 #include <ctime>
 
 #include "core/log.h"
+#include "dispatch/responsibility.h"
 #include "platform/configuration_reader.h"
 #include "platform/entry_calls.h"
 #include "platform/object_client.h"
@@ -23,6 +24,9 @@
 constexpr std::size_t most_endpoints = 64;
 // With fewer hosts in its own zone a caller is also told of the others, so that it has an alternative.
 constexpr std::size_t fewest_zone_endpoints = 2;
+// Hosts that watch the directory closely for all others. Two, because the store may turn a single host away.
+constexpr std::size_t close_watcher_count = 2;
+constexpr const char* close_watcher_key = "close-watcher";
 constexpr milliseconds housekeeping_period{50};
 constexpr milliseconds shutdown_check_period{20};
 // The settings file may change without a signal.
@@ -129,6 +133,8 @@
         check_clock();
         context_.directory.expire(context_.timers.now());
         puller_->check();
+        const auto watchers = close_watchers();
+        feed_.watch_closely(std::find(watchers.begin(), watchers.end(), settings_.host) != watchers.end());
         poller_->check(directory_known());
         report_readiness();
     });
@@ -251,11 +257,32 @@
 
 bool node_daemon::directory_known() const
 {
-    if (feed_.connected()) {
+    // The close watchers notice first; the other hosts may still wait for an answer of a store that is gone.
+    const auto watchers = close_watchers();
+    const auto is_watcher = [&watchers](const host_id& host) {
+        return std::find(watchers.begin(), watchers.end(), host) != watchers.end();
+    };
+    if (is_watcher(settings_.host) && feed_.connected()) {
         return true;
     }
     const auto live = context_.peers.live();
-    return std::any_of(live.begin(), live.end(), [](const host_report* it) { return it->platform_reachable; });
+    return std::any_of(live.begin(), live.end(), [&is_watcher](const host_report* it) {
+        return it->platform_reachable && is_watcher(it->host);
+    });
+}
+
+std::vector<host_id> node_daemon::close_watchers() const
+{
+    std::vector<host_id> hosts = {settings_.host};
+    for (const auto* it : context_.peers.live()) {
+        hosts.push_back(it->host);
+    }
+    std::vector<host_id> out;
+    while (!hosts.empty() && out.size() < close_watcher_count) {
+        out.push_back(responsible_host(hosts, close_watcher_key));
+        hosts.erase(std::find(hosts.begin(), hosts.end(), out.back()));
+    }
+    return out;
 }
 
 void node_daemon::take_leaving_marks(const host_report& report)
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -8,6 +8,13 @@
 
 namespace anvillead {
 
+namespace {
+
+// Calls that wait show an outage of the store only when their wait ends, and engines leave within two seconds.
+constexpr milliseconds close_wait{500};
+
+} // namespace
+
 platform_feed::platform_feed(node_context& context, iobject_collection& configuration, iobject_collection& upstreams,
                              std::function<void()> on_configuration)
     : context_(context), on_configuration_(std::move(on_configuration)),
@@ -23,6 +30,11 @@
     upstream_follower_->start();
 }
 
+void platform_feed::watch_closely(bool value)
+{
+    upstream_follower_->set_wait(value ? close_wait : follower_limits().wait);
+}
+
 void platform_feed::refresh()
 {
     configuration_follower_->refresh();
--- a/src/node/platform_feed.h
+++ b/src/node/platform_feed.h
@@ -29,6 +29,8 @@
     /// This host follows the directory at the platform.
     bool connected() const { return upstream_follower_->connected(); }
     bool configuration_connected() const { return configuration_follower_->connected(); }
+    /// A host that watches closely notices an outage within a second, for the others too; it costs more calls.
+    void watch_closely(bool value);
     /// Whether the directory has been read at all.
     bool has_upstreams() const { return state_.upstream_revision != 0; }
 
