Follow the store on one host of each zone and pass changes on

Change: one host a zone follows, the others fetch what is newer from a host of their zone when its report shows it; a host that cannot reach those follows the store itself.

--- a/src/core/log.h
+++ b/src/core/log.h
@@ -33,6 +33,7 @@
     platform_history_lost = 305,
     state_pulled = 306,
     registration_failed = 307,
+    platform_follower_changed = 308,
     member_joined = 400,
     member_suspected = 401,
     member_lost = 402,
--- a/src/dispatch/internal/responsibility.cpp
+++ b/src/dispatch/internal/responsibility.cpp
@@ -1,5 +1,9 @@
 #include "dispatch/responsibility.h"
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 #include "core/crypto.h"
 
 namespace anvillead {
@@ -18,4 +22,34 @@
     return best;
 }
 
+bool follows_platform(const std::vector<follower_candidate>& candidates, const host_id& self, bool follows)
+{
+    constexpr const char* key = "platform-follower";
+    std::map<zone_name, std::vector<host_id>> zones;
+    for (const auto& it : candidates) {
+        zones[it.availability_zone].push_back(it.host);
+    }
+    std::set<host_id> designated;
+    for (auto& [zone, hosts] : zones) {
+        designated.insert(responsible_host(hosts, key));
+        if (zones.size() == 1 && hosts.size() > 1) {
+            hosts.erase(std::find(hosts.begin(), hosts.end(), *designated.begin()));
+            designated.insert(responsible_host(hosts, key));
+        }
+    }
+    if (designated.count(self) != 0) {
+        return true;
+    }
+    bool any_reachable = false;
+    bool designated_reachable = false;
+    for (const auto& it : candidates) {
+        if (it.host == self || !it.reachable) {
+            continue;
+        }
+        any_reachable = true;
+        designated_reachable = designated_reachable || designated.count(it.host) != 0;
+    }
+    return !any_reachable || (follows && !designated_reachable);
+}
+
 } // namespace anvillead
--- a/src/node/collection_follower.h
+++ b/src/node/collection_follower.h
@@ -45,8 +45,6 @@
                         follower_limits limits = {});
 
     void start() { list({}); }
-    /// Bounds the next waits for changes.
-    void set_wait(milliseconds value) { limits_.wait = value; }
     /// Drops the pending call and asks again at once, for a process that was suspended or knows that it is behind.
     void refresh();
     void stop();
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t most_endpoints = 64;
 // With fewer hosts in its own zone a caller is also told of the others, so that it has an alternative.
 constexpr std::size_t fewest_zone_endpoints = 2;
-// Hosts that watch the directory closely for all others. Two, because the store may turn a single host away.
-constexpr std::size_t close_watcher_count = 2;
-constexpr const char* close_watcher_key = "close-watcher";
 constexpr milliseconds housekeeping_period{50};
 constexpr milliseconds shutdown_check_period{20};
 // The settings file may change without a signal.
@@ -80,10 +77,11 @@
     });
     registration_ = std::make_shared<registration>(context_, *hosts_);
     state_puller::hooks hooks;
-    hooks.configuration = [this] { return feed_.configuration_version(); };
-    hooks.upstream_revision = [this] { return feed_.state().upstream_revision; };
+    hooks.known = [this] {
+        return state_question{feed_.configuration_version(), feed_.state().upstream_revision};
+    };
+    hooks.on_update = [this](const state_update& value) { feed_.adopt(value); };
     hooks.platform_connected = [this] { return feed_.connected() && feed_.configuration_connected(); };
-    hooks.on_state = [this](const platform_state& value) { feed_.adopt(value); };
     puller_ = std::make_shared<state_puller>(context_, sequence_, std::move(hooks));
     poller_ = std::make_shared<engine_poller>(context_, sequence_);
     connect_hooks();
@@ -133,8 +131,7 @@
         check_clock();
         context_.directory.expire(context_.timers.now());
         puller_->check();
-        const auto watchers = close_watchers();
-        feed_.watch_closely(std::find(watchers.begin(), watchers.end(), settings_.host) != watchers.end());
+        feed_.set_following(!feed_.has_upstreams() || should_follow());
         poller_->check(directory_known());
         report_readiness();
     });
@@ -234,8 +231,9 @@
 
 void node_daemon::answer_control(const http_request& request, ihttp_exchange& exchange)
 {
-    if (request.path() == "/state") {
-        exchange.reply(http_ok, {{"Content-Type", "application/json"}}, encode_state(feed_.state()));
+    if (const auto question = read_state_question(request)) {
+        exchange.reply(http_ok, {{"Content-Type", "application/json"}},
+                       encode_update(make_update(feed_.state(), *question)));
     } else if (request.path() == "/metrics") {
         exchange.reply(http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
     } else {
@@ -257,32 +255,19 @@
 
 bool node_daemon::directory_known() const
 {
-    // The close watchers notice first; the other hosts may still wait for an answer of a store that is gone.
-    const auto watchers = close_watchers();
-    const auto is_watcher = [&watchers](const host_id& host) {
-        return std::find(watchers.begin(), watchers.end(), host) != watchers.end();
-    };
-    if (is_watcher(settings_.host) && feed_.connected()) {
-        return true;
-    }
     const auto live = context_.peers.live();
-    return std::any_of(live.begin(), live.end(), [&is_watcher](const host_report* it) {
-        return it->platform_reachable && is_watcher(it->host);
-    });
+    return feed_.connected() ||
+           std::any_of(live.begin(), live.end(), [](const host_report* it) { return it->platform_reachable; });
 }
 
-std::vector<host_id> node_daemon::close_watchers() const
+bool node_daemon::should_follow() const
 {
-    std::vector<host_id> hosts = {settings_.host};
+    std::vector<follower_candidate> candidates = {
+        {settings_.host, settings_.availability_zone, feed_.connected()}};
     for (const auto* it : context_.peers.live()) {
-        hosts.push_back(it->host);
-    }
-    std::vector<host_id> out;
-    while (!hosts.empty() && out.size() < close_watcher_count) {
-        out.push_back(responsible_host(hosts, close_watcher_key));
-        hosts.erase(std::find(hosts.begin(), hosts.end(), out.back()));
+        candidates.push_back({it->host, it->availability_zone, it->platform_reachable});
     }
-    return out;
+    return puller_->failed_lately() || follows_platform(candidates, settings_.host, feed_.following());
 }
 
 void node_daemon::take_leaving_marks(const host_report& report)
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -1,5 +1,9 @@
 #include "node/state_exchange.h"
 
+#include <charconv>
+
+#include <fmt/format.h>
+
 #include "core/bounded_json.h"
 #include "core/log.h"
 
@@ -7,35 +11,83 @@
 
 namespace {
 
-// The platform notifies all hosts within milliseconds of each other; a peer that stays ahead has news that the platform
-// does not give to this host.
+// The platform notifies all hosts that follow it within milliseconds of each other; a peer that stays ahead has news
+// that the platform does not give to this host.
 constexpr milliseconds behind_tolerance{250};
-constexpr milliseconds pull_timeout{800};
+constexpr milliseconds pull_timeout{500};
+// After a failed pull a host follows the platform itself for this long.
+constexpr milliseconds failure_memory{5000};
 constexpr std::size_t state_bytes = 8 * 1024 * 1024;
 constexpr int http_ok = 200;
+constexpr const char* state_path = "/state";
+
+std::uint64_t query_number(const http_request& request, std::string_view name)
+{
+    const auto text = request.query(name);
+    std::uint64_t out = 0;
+    // A number that cannot be read asks for everything.
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
 
 } // namespace
 
-std::string encode_state(const platform_state& value)
+std::string state_target(const state_question& question)
+{
+    return fmt::format("{}?configuration={}&upstreams={}", state_path, question.configuration_version,
+                       question.upstream_revision);
+}
+
+std::optional<state_question> read_state_question(const http_request& request)
+{
+    if (request.path() != state_path) {
+        return std::nullopt;
+    }
+    return state_question{query_number(request, "configuration"), query_number(request, "upstreams")};
+}
+
+state_update make_update(const platform_state& state, const state_question& question)
+{
+    state_update out;
+    if (state.configuration_version > question.configuration_version) {
+        out.configuration = state.configuration;
+    }
+    out.upstream_revision = state.upstream_revision;
+    out.whole = question.upstream_revision == 0;
+    for (const auto& [name, entry] : state.upstreams) {
+        if (entry.revision > question.upstream_revision) {
+            out.upstreams.emplace(name, entry.value);
+        }
+    }
+    return out;
+}
+
+std::string encode_update(const state_update& value)
 {
     const nlohmann::json out = {{"configuration", value.configuration},
                                 {"upstreams", value.upstreams},
-                                {"upstream_revision", value.upstream_revision}};
+                                {"upstream_revision", value.upstream_revision},
+                                {"whole", value.whole}};
     return out.dump();
 }
 
-std::optional<platform_state> decode_state(const std::string& text)
+std::optional<state_update> decode_update(const std::string& text)
 {
     const auto parsed = parse_bounded_json(text);
-    if (!parsed || !parsed->is_object() || !parsed->contains("upstreams") || !(*parsed)["upstreams"].is_object() ||
-        !parsed->contains("upstream_revision") || !(*parsed)["upstream_revision"].is_number_unsigned()) {
+    if (!parsed || !parsed->is_object()) {
+        return std::nullopt;
+    }
+    try {
+        state_update out;
+        out.configuration = parsed->at("configuration");
+        out.upstreams = parsed->at("upstreams").get<std::map<std::string, nlohmann::json>>();
+        out.upstream_revision = parsed->at("upstream_revision").get<std::uint64_t>();
+        out.whole = parsed->at("whole").get<bool>();
+        return out;
+    } catch (const nlohmann::json::exception&) {
+        // A field is missing or has another type: the text is from another program.
         return std::nullopt;
     }
-    platform_state out;
-    out.configuration = parsed->value("configuration", nlohmann::json());
-    out.upstreams = (*parsed)["upstreams"];
-    out.upstream_revision = (*parsed)["upstream_revision"].get<std::uint64_t>();
-    return out;
 }
 
 state_puller::state_puller(node_context& context, std::shared_ptr<isequence> sequence, hooks reactions)
@@ -44,12 +96,21 @@
 
 const host_report* state_puller::newer_peer() const
 {
+    const auto known = hooks_.known();
     const host_report* best = nullptr;
+    bool best_in_zone = false;
     for (const auto* it : context_.peers.live()) {
         const bool newer =
-            it->configuration > hooks_.configuration() || it->directory_revision > hooks_.upstream_revision();
-        if (newer && (best == nullptr || it->directory_revision > best->directory_revision)) {
+            it->configuration > known.configuration_version || it->directory_revision > known.upstream_revision;
+        if (!newer) {
+            continue;
+        }
+        // Bytes within the zone are free, and the hosts of a zone share the load of its followers.
+        const bool in_zone = it->availability_zone == context_.settings.availability_zone;
+        if (best == nullptr || in_zone > best_in_zone ||
+            (in_zone == best_in_zone && it->directory_revision > best->directory_revision)) {
             best = it;
+            best_in_zone = in_zone;
         }
     }
     return best;
@@ -66,38 +127,45 @@
     if (behind_since_ == instant{}) {
         behind_since_ = now;
     }
-    // A host without configuration serves nobody, and one without the platform gets no other news.
-    const bool urgent = hooks_.configuration() == 0 || !hooks_.platform_connected();
+    const bool urgent = hooks_.known().configuration_version == 0 || !hooks_.platform_connected();
     if (!pulling_ && (urgent || now - behind_since_ >= behind_tolerance)) {
         pull(*peer);
     }
 }
 
+bool state_puller::failed_lately() const
+{
+    return failed_ && context_.timers.now() - failed_at_ < failure_memory;
+}
+
 void state_puller::pull(const host_report& peer)
 {
     pulling_ = true;
     http_call_request request;
     request.address = peer.addresses.control;
-    request.target = "/state";
+    request.target = state_target(hooks_.known());
     request.connect_timeout = pull_timeout;
     request.head_timeout = pull_timeout;
     request.idle_timeout = pull_timeout;
-    context_.client.fetch(std::move(request), state_bytes, sequence_,
-                          [self = shared_from_this(), host = peer.host](const http_call_end& end,
-                                                                        const http_answer& answer) {
-                              self->pulling_ = false;
-                              const bool good = end.end == http_end::complete && answer.status == http_ok;
-                              const auto state = good ? decode_state(answer.body) : std::nullopt;
-                              if (!state) {
-                                  log(log_level::warning, log_event::message_rejected,
-                                      {{"from", host.str()}, {"problem", good ? "unreadable state" : end.detail}});
-                                  return;
-                              }
-                              log(log_level::info, log_event::state_pulled,
-                                  {{"from", host.str()},
-                                   {"upstream_revision", std::to_string(state->upstream_revision)}});
-                              self->hooks_.on_state(*state);
-                          });
+    request.reuse_connection = true;
+    context_.client.fetch(
+        std::move(request), state_bytes, sequence_,
+        [self = shared_from_this(), host = peer.host](const http_call_end& end, const http_answer& answer) {
+            self->pulling_ = false;
+            const bool good = end.end == http_end::complete && answer.status == http_ok;
+            const auto update = good ? decode_update(answer.body) : std::nullopt;
+            if (!update) {
+                self->failed_ = true;
+                self->failed_at_ = self->context_.timers.now();
+                log(log_level::warning, log_event::message_rejected,
+                    {{"from", host.str()}, {"problem", good ? "unreadable state" : end.detail}});
+                return;
+            }
+            log(log_level::info, log_event::state_pulled,
+                {{"from", host.str()}, {"upstream_revision", std::to_string(update->upstream_revision)}});
+            self->hooks_.on_update(*update);
+            self->check();
+        });
 }
 
 } // namespace anvillead
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -36,7 +36,7 @@
     bool ready() const;
     void report_readiness();
     void check_clock();
-    std::vector<host_id> close_watchers() const;
+    bool should_follow() const;
     bool directory_known() const;
     void take_leaving_marks(const host_report& report);
     void reload_settings();
