--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -92,13 +92,12 @@
 {
     const auto steady = std::chrono::steady_clock::now().time_since_epoch();
     // The wall clock may step; the steady time orders the lines of one process.
-    nlohmann::ordered_json line = {
-        {"time", time_text()},
-        {"steady_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady).count()},
-        {"level", level_name(level)},
-        {"process", state().process},
-        {"event", static_cast<int>(event)},
-        {"name", event_name(event)}};
+    nlohmann::ordered_json line = {{"time", time_text()},
+                                   {"steady_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady).count()},
+                                   {"level", level_name(level)},
+                                   {"process", state().process},
+                                   {"event", static_cast<int>(event)},
+                                   {"name", event_name(event)}};
     for (const auto& [key, value] : fields) {
         line[std::string(key)] = value;
     }
--- /dev/null
+++ b/src/dispatch/tests/load_table_test.cpp
@@ -0,0 +1,65 @@
+#include "dispatch/load_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(load_table_test)
+{
+    instant now = instant{} + seconds(100);
+    upstream_id engine{"e"};
+    host_id peer{"p"};
+    load_table table;
+};
+
+TEST(load_table_test, sums_the_work_of_all_hosts)
+{
+    table.add(engine, {1, 3000, 4000, 0});
+    table.set_peer(now, peer, {{engine, {2, 500, 9000, 1}}});
+    const auto total = table.total(now, engine);
+    LONGS_EQUAL(3, total.active);
+    LONGS_EQUAL(3500, total.unread_tokens);
+    LONGS_EQUAL(13'000, total.memory_tokens);
+    LONGS_EQUAL(1, total.copies);
+}
+
+// Guards against work that stays counted after its host has died, so that engines look full for ever.
+TEST(load_table_test, work_of_a_silent_or_lost_host_is_dropped)
+{
+    table.set_peer(now, peer, {{engine, {2, 0, 0, 0}}});
+    LONGS_EQUAL(0, table.total(now + load_table_limits().peer_age + milliseconds(1), engine).active);
+    table.set_peer(now, peer, {{engine, {2, 0, 0, 0}}});
+    table.drop_peer(peer);
+    LONGS_EQUAL(0, table.total(now, engine).active);
+}
+
+TEST(load_table_test, own_work_ends_exactly)
+{
+    table.add(engine, {1, 3000, 4000, 0});
+    table.subtract(engine, {1, 3000, 4000, 0});
+    CHECK(table.own().empty());
+    table.subtract(engine, {1, 0, 0, 0});
+    LONGS_EQUAL(0, table.total(now, engine).active);
+}
+
+// Guards against an old report that hides or invents load.
+TEST(load_table_test, a_report_counts_while_it_is_fresh)
+{
+    table.add(engine, {1, 0, 0, 0});
+    table.on_report(now, engine, 5);
+    LONGS_EQUAL(5, table.requests(now, engine));
+    LONGS_EQUAL(1, table.requests(now + load_table_limits().report_age + milliseconds(1), engine));
+}
+
+TEST(load_table_test, failures_fade_and_one_is_not_a_pattern)
+{
+    table.on_outcome(now, engine, true);
+    CHECK(table.failure_ratio(now, engine) < 0.5);
+    for (int i = 0; i < 10; ++i) {
+        table.on_outcome(now, engine, true);
+    }
+    CHECK(table.failure_ratio(now, engine) > 0.8);
+    CHECK(table.failure_ratio(now + seconds(60), engine) < 0.01);
+    table.forget(engine);
+    DOUBLES_EQUAL(0, table.failure_ratio(now, engine), 1e-9);
+}
--- /dev/null
+++ b/src/dispatch/tests/responsibility_test.cpp
@@ -0,0 +1,88 @@
+#include "dispatch/responsibility.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+namespace {
+
+/// Seven hosts in three zones, as the users have them.
+std::vector<follower_candidate> seven_hosts()
+{
+    std::vector<follower_candidate> out;
+    for (int i = 0; i < 7; ++i) {
+        out.push_back({host_id("host-" + std::to_string(i)), zone_name("zone-" + std::to_string(i % 3)), true});
+    }
+    return out;
+}
+
+int count_followers(const std::vector<follower_candidate>& candidates, bool follows)
+{
+    return static_cast<int>(std::count_if(candidates.begin(), candidates.end(), [&](const follower_candidate& it) {
+        return follows_platform(candidates, it.host, follows);
+    }));
+}
+
+} // namespace
+
+TEST_GROUP(responsibility_test){};
+
+TEST(responsibility_test, hosts_agree_on_one_host_for_a_task)
+{
+    const std::vector<host_id> hosts = {host_id("a"), host_id("b"), host_id("c")};
+    const std::vector<host_id> reversed(hosts.rbegin(), hosts.rend());
+    CHECK(responsible_host(hosts, "engine-1") == responsible_host(reversed, "engine-1"));
+}
+
+TEST(responsibility_test, tasks_of_a_lost_host_move_and_the_others_stay)
+{
+    const std::vector<host_id> all = {host_id("a"), host_id("b"), host_id("c")};
+    const std::vector<host_id> rest = {host_id("a"), host_id("b")};
+    for (int i = 0; i < 50; ++i) {
+        const auto key = "engine-" + std::to_string(i);
+        const auto before = responsible_host(all, key);
+        if (before != host_id("c")) {
+            CHECK(responsible_host(rest, key) == before);
+        }
+    }
+}
+
+// Guards against calls to the platform that grow with the number of hosts.
+TEST(responsibility_test, one_host_of_each_zone_follows_the_platform)
+{
+    LONGS_EQUAL(3, count_followers(seven_hosts(), false));
+    auto one_zone = seven_hosts();
+    for (auto& it : one_zone) {
+        it.availability_zone = zone_name("zone-0");
+    }
+    LONGS_EQUAL(2, count_followers(one_zone, false));
+}
+
+// Pattern: the platform turns the designated hosts away and serves others. Guards against hosts without news.
+TEST(responsibility_test, others_follow_while_no_designated_host_reaches_the_platform)
+{
+    auto hosts = seven_hosts();
+    for (auto& it : hosts) {
+        it.reachable = false;
+    }
+    LONGS_EQUAL(7, count_followers(hosts, false));
+}
+
+// Guards against two stand-ins that both hand over to each other, so that nobody follows.
+TEST(responsibility_test, a_host_that_stands_in_stays_until_a_designated_one_is_back)
+{
+    auto hosts = seven_hosts();
+    std::vector<host_id> others;
+    for (auto& it : hosts) {
+        it.reachable = !follows_platform(seven_hosts(), it.host, false);
+        if (it.reachable) {
+            others.push_back(it.host);
+        }
+    }
+    for (const auto& it : others) {
+        CHECK(follows_platform(hosts, it, true));
+        CHECK(!follows_platform(hosts, it, false));
+    }
+}
--- /dev/null
+++ b/src/dispatch/tests/upstream_directory_test.cpp
@@ -0,0 +1,92 @@
+#include "dispatch/upstream_directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(upstream_directory_test)
+{
+    instant now = instant{} + seconds(100);
+    upstream_directory directory;
+    std::vector<std::string> left;
+    std::vector<std::string> restarted;
+
+    void setup() override
+    {
+        directory.set_hooks({[this](const upstream_id& id) { left.push_back(id.str()); },
+                             [this](const upstream_id& id) { restarted.push_back(id.str()); }});
+    }
+
+    static upstream_record record(const std::string& id, bool leaving = false, std::int64_t started = 1)
+    {
+        upstream_record out;
+        out.id = upstream_id(id);
+        out.service = service_name("s");
+        out.address = "10.0.0.1:80";
+        out.leaving = leaving;
+        out.started_at_ms = started;
+        return out;
+    }
+
+    std::size_t usable() const
+    {
+        return directory.usable(service_name("s")).size();
+    }
+};
+
+TEST(upstream_directory_test, leaving_is_announced_once_and_ends_new_work)
+{
+    directory.apply(now, record("a"));
+    directory.apply(now, record("a", true));
+    directory.apply(now, record("a", true));
+    directory.remove(now, upstream_id("a"));
+    LONGS_EQUAL(1, left.size());
+    LONGS_EQUAL(0, usable());
+}
+
+// Guards against an upstream that never announces its leaving: its entry just disappears.
+TEST(upstream_directory_test, removal_without_notice_counts_as_leaving)
+{
+    directory.apply(now, record("a"));
+    directory.remove(now, upstream_id("a"));
+    LONGS_EQUAL(1, left.size());
+    CHECK(directory.find(upstream_id("a")) != nullptr);
+    directory.expire(now + directory_limits().departed_age + seconds(1));
+    CHECK(directory.find(upstream_id("a")) == nullptr);
+}
+
+TEST(upstream_directory_test, a_listing_removes_what_it_does_not_hold)
+{
+    directory.replace(now, {record("a"), record("b")});
+    directory.replace(now, {record("b")});
+    LONGS_EQUAL(1, usable());
+    STRCMP_EQUAL("a", left.at(0).c_str());
+}
+
+// Pattern: leases of all upstreams run out while the store is away. Guards against a fleet without upstreams after its
+// return, and against using one for ever that does not come back.
+TEST(upstream_directory_test, lapsed_entries_have_a_grace_time_after_an_outage)
+{
+    directory.replace(now, {record("a"), record("b")});
+    directory.platform_lost();
+    now += seconds(8);
+    directory.platform_regained(now);
+    directory.replace(now, {});
+    LONGS_EQUAL(2, usable());
+    directory.apply(now + milliseconds(900), record("a"));
+    directory.expire(now + milliseconds(2400));
+    LONGS_EQUAL(2, usable());
+    directory.expire(now + milliseconds(2600));
+    LONGS_EQUAL(1, usable());
+    STRCMP_EQUAL("b", left.at(0).c_str());
+}
+
+// Guards against generations that are believed to run on an engine that has started again under its id.
+TEST(upstream_directory_test, a_restart_under_the_same_id_is_announced)
+{
+    directory.apply(now, record("a", false, 1));
+    directory.apply(now, record("a", true, 1));
+    directory.apply(now, record("a", false, 2));
+    LONGS_EQUAL(1, restarted.size());
+    LONGS_EQUAL(1, usable());
+}
--- /dev/null
+++ b/src/fleet/tests/peer_table_test.cpp
@@ -0,0 +1,70 @@
+#include "fleet/peer_table.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(peer_table_test)
+{
+    instant now = instant{} + seconds(100);
+    peer_table table{host_id("self"), "10.0.0.1:7200"};
+
+    static host_report report(const std::string& host, const std::string& incarnation, std::uint64_t sequence)
+    {
+        host_report out;
+        out.host = host_id(host);
+        out.incarnation = incarnation;
+        out.sequence = sequence;
+        out.addresses.report = "10.0.0.9:7200";
+        out.addresses.frontend = "10.0.0.9:8740";
+        out.ready = true;
+        return out;
+    }
+};
+
+TEST(peer_table_test, a_silent_host_is_lost_and_still_contacted)
+{
+    CHECK(table.on_report(now, report("p", "i", 1)));
+    LONGS_EQUAL(1, table.live().size());
+    now += peer_limits().silence + milliseconds(1);
+    table.expire(now);
+    LONGS_EQUAL(0, table.live().size());
+    LONGS_EQUAL(1, table.due_addresses(now).size());
+    CHECK(table.on_report(now, report("p", "i", 2)));
+    LONGS_EQUAL(1, table.live().size());
+}
+
+// Guards against datagrams that arrive twice or late and bring an old state back, also from before a restart.
+TEST(peer_table_test, late_reports_are_ignored)
+{
+    CHECK(table.on_report(now, report("p", "first", 5)));
+    CHECK(!table.on_report(now, report("p", "first", 5)));
+    CHECK(!table.on_report(now, report("p", "first", 4)));
+    CHECK(table.on_report(now, report("p", "second", 1)));
+    CHECK(!table.on_report(now, report("p", "first", 9)));
+    CHECK(!table.on_report(now, report("self", "x", 1)));
+}
+
+TEST(peer_table_test, hosts_learn_of_each_other_through_contacts)
+{
+    auto value = report("p", "i", 1);
+    value.contacts = {"10.0.0.7:7200", "10.0.0.1:7200"};
+    table.on_report(now, value);
+    const auto due = table.due_addresses(now);
+    CHECK(std::find(due.begin(), due.end(), "10.0.0.7:7200") != due.end());
+    CHECK(std::find(due.begin(), due.end(), "10.0.0.1:7200") == due.end());
+}
+
+// Guards against callers that are sent to a host that leaves or has no configuration.
+TEST(peer_table_test, members_offer_only_hosts_that_take_callers)
+{
+    auto leaving = report("a", "i", 1);
+    leaving.leaving = true;
+    auto starting = report("b", "i", 1);
+    starting.ready = false;
+    CHECK(to_member(leaving).state == member_state::leaving);
+    STRCMP_EQUAL("", to_member(starting).addresses.gateway_http.c_str());
+    STRCMP_EQUAL("10.0.0.9:8740", to_member(report("c", "i", 1)).addresses.gateway_http.c_str());
+}
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -148,7 +148,8 @@
     out.dead_peer_timeout = dead_engine_timeout;
 
     resumed_ = resume.has_value();
-    const auto made = events_ * request_.table->service(request_.service)->engine.value_or(engine_profile{}).tokens_per_event;
+    const auto made =
+        events_ * request_.table->service(request_.service)->engine.value_or(engine_profile{}).tokens_per_event;
     const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, made);
     work_.take(upstream.id, {1, resumed_ ? 0 : request_.caller.prompt_tokens, memory, 0});
     target_work_.release();
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -54,17 +54,17 @@
 
 node_daemon::node_daemon(worker_pool& pool, node_settings settings,
                          std::function<result<node_settings>()> read_settings)
-    : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)), sequence_(pool.make_sequence()), client_(make_http_client(pool)),
-      context_{settings_, pool,
-               pool.timers(), counters_,
-               *client_,  upstream_directory(),
-               load_table(), peer_table(settings_.host, settings_.report),
-               nullptr,   {},
-               false,     [] {}},
+    : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
+      sequence_(pool.make_sequence()),
+      client_(make_http_client(pool)), context_{settings_,     pool,
+                                                pool.timers(), counters_,
+                                                *client_,      upstream_directory(),
+                                                load_table(),  peer_table(settings_.host, settings_.report),
+                                                nullptr,       {},
+                                                false,         [] {}},
       callers_(context_), configuration_(platform::make_object_collection(
                               *client_, settings_.store, platform::configuration_collection, sequence_)),
-      upstreams_(
-          platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
+      upstreams_(platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
       hosts_(platform::make_object_collection(*client_, settings_.store, host_collection, sequence_)),
       feed_(context_, *configuration_, *upstreams_, [this] { report_readiness(); })
 {
@@ -77,9 +77,7 @@
     });
     registration_ = std::make_shared<registration>(context_, *hosts_);
     state_puller::hooks hooks;
-    hooks.known = [this] {
-        return state_question{feed_.configuration_version(), feed_.state().upstream_revision};
-    };
+    hooks.known = [this] { return state_question{feed_.configuration_version(), feed_.state().upstream_revision}; };
     hooks.on_update = [this](const state_update& value) { feed_.adopt(value); };
     hooks.platform_connected = [this] { return feed_.connected() && feed_.configuration_connected(); };
     puller_ = std::make_shared<state_puller>(context_, sequence_, std::move(hooks));
@@ -196,10 +194,8 @@
     query.availability_zone = zone;
     query.most = most_endpoints;
     const auto selected = select_endpoints(members, query);
-    const auto in_zone = static_cast<std::size_t>(
-        std::count_if(selected.begin(), selected.end(), [&zone](const endpoint& it) {
-            return it.availability_zone == zone;
-        }));
+    const auto in_zone = static_cast<std::size_t>(std::count_if(
+        selected.begin(), selected.end(), [&zone](const endpoint& it) { return it.availability_zone == zone; }));
     const auto count = in_zone >= fewest_zone_endpoints ? in_zone : selected.size();
     std::vector<std::string> out;
     for (std::size_t i = 0; i < count; ++i) {
@@ -220,7 +216,8 @@
         return;
     }
     log(log_level::info, log_event::readiness_changed,
-        {{"ready", now_ready ? "yes" : "no"}, {"reason", context_.leaving ? "leaving" : "state of the platform known"}});
+        {{"ready", now_ready ? "yes" : "no"},
+         {"reason", context_.leaving ? "leaving" : "state of the platform known"}});
     reporter_->send_soon();
 }
 
@@ -262,8 +259,7 @@
 
 bool node_daemon::should_follow() const
 {
-    std::vector<follower_candidate> candidates = {
-        {settings_.host, settings_.availability_zone, feed_.connected()}};
+    std::vector<follower_candidate> candidates = {{settings_.host, settings_.availability_zone, feed_.connected()}};
     for (const auto* it : context_.peers.live()) {
         candidates.push_back({it->host, it->availability_zone, it->platform_reachable});
     }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -58,8 +58,8 @@
 
 void plain_call::attempt()
 {
-    const auto chosen = select_instance(context_.selection(excluded_), request_.service,
-                                        placement_hash(request_.caller.id.str()));
+    const auto chosen =
+        select_instance(context_.selection(excluded_), request_.service, placement_hash(request_.caller.id.str()));
     if (!chosen) {
         auto reason = make_error(error_kind::no_upstream, "no upstream of the service takes the request");
         reason.retry_after = retry_after;
@@ -88,9 +88,10 @@
         const auto remaining = std::max(left(), milliseconds(1));
         call.deadline = remaining;
         const bool another = request_.way->idempotent && accepted_ + 1 < request_.way->max_attempts;
-        out.head_timeout = another ? std::max(milliseconds(1), milliseconds(static_cast<std::int64_t>(
-                                                                   attempt_part * static_cast<double>(remaining.count()))))
-                                   : remaining;
+        out.head_timeout = another
+                               ? std::max(milliseconds(1), milliseconds(static_cast<std::int64_t>(
+                                                               attempt_part * static_cast<double>(remaining.count()))))
+                               : remaining;
         out.idle_timeout = out.head_timeout;
     }
     out.headers = platform::upstream_headers(request_.message.headers, call);
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-// Calls that wait show an outage of the store only when their wait ends, and engines leave within two seconds. Few hosts
-// follow the platform, so short waits cost little.
+// Calls that wait show an outage of the store only when their wait ends, and engines leave within two seconds. Few
+// hosts follow the platform, so short waits cost little.
 constexpr milliseconds upstream_wait{700};
-// Removed entries are told to other hosts for as many revisions; a host that is further behind takes the whole directory
-// from the platform.
+// Removed entries are told to other hosts for as many revisions; a host that is further behind takes the whole
+// directory from the platform.
 constexpr std::uint64_t removal_memory = 2000;
 
 follower_limits upstream_limits()
@@ -29,11 +29,10 @@
 platform_feed::platform_feed(node_context& context, iobject_collection& configuration, iobject_collection& upstreams,
                              std::function<void()> on_configuration)
     : context_(context), on_configuration_(std::move(on_configuration)),
-      configuration_follower_(std::make_shared<collection_follower>(configuration, context.timers, "configuration",
-                                                                    configuration_hooks())),
-      upstream_follower_(
-          std::make_shared<collection_follower>(upstreams, context.timers, "upstreams", upstream_hooks(),
-                                                upstream_limits()))
+      configuration_follower_(
+          std::make_shared<collection_follower>(configuration, context.timers, "configuration", configuration_hooks())),
+      upstream_follower_(std::make_shared<collection_follower>(upstreams, context.timers, "upstreams", upstream_hooks(),
+                                                               upstream_limits()))
 {}
 
 void platform_feed::start()
@@ -73,9 +72,7 @@
         log(log_level::warning, log_event::platform_unreachable,
             {{"collection", "configuration"}, {"problem", reason.message}});
     };
-    out.on_regained = [] {
-        log(log_level::info, log_event::platform_reachable, {{"collection", "configuration"}});
-    };
+    out.on_regained = [] { log(log_level::info, log_event::platform_reachable, {{"collection", "configuration"}}); };
     return out;
 }
 
--- a/src/node/internal/stdout_log.cpp
+++ b/src/node/internal/stdout_log.cpp
@@ -38,7 +38,8 @@
 {
     while (!held_.empty() && writable()) {
         if (dropped_ != reported_ && held_.size() < held_bytes / 2) {
-            held_ += fmt::format("{{\"event\":109,\"name\":\"log_lines_dropped\",\"lines\":{}}}\n", dropped_ - reported_);
+            held_ +=
+                fmt::format("{{\"event\":109,\"name\":\"log_lines_dropped\",\"lines\":{}}}\n", dropped_ - reported_);
             reported_ = dropped_;
         }
         // Whole lines of at most PIPE_BUF bytes in one write, which is then atomic.
--- a/src/node/state_exchange.h
+++ b/src/node/state_exchange.h
@@ -59,8 +59,8 @@
 /// Nothing for a text that is no update.
 std::optional<state_update> decode_update(const std::string& text);
 
-/// Fetches news from another host that reports a newer configuration or directory. Most hosts learn everything this way:
-/// a few follow the platform for all, and a host that the platform turns away stays current.
+/// Fetches news from another host that reports a newer configuration or directory. Most hosts learn everything this
+/// way: a few follow the platform for all, and a host that the platform turns away stays current.
 class state_puller : public std::enable_shared_from_this<state_puller>
 {
 public:
--- /dev/null
+++ b/src/node/tests/collection_follower_test.cpp
@@ -0,0 +1,183 @@
+#include "node/collection_follower.h"
+
+#include <deque>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+namespace {
+
+/// Timers that the test advances.
+class manual_timers : public itimer_service
+{
+public:
+    instant now() const override { return now_; }
+    wall_time wall_now() const override { return {}; }
+    timer_token after(milliseconds delay, std::function<void()> callback) override
+    {
+        pending_[++last_] = {now_ + delay, std::move(callback)};
+        return last_;
+    }
+    timer_token every(milliseconds, std::function<void()>) override { return 0; }
+    void cancel(timer_token token) override { pending_.erase(token); }
+
+    void advance(milliseconds time)
+    {
+        now_ += time;
+        const auto due = pending_;
+        for (const auto& [token, value] : due) {
+            if (value.at <= now_ && pending_.erase(token) != 0) {
+                value.callback();
+            }
+        }
+    }
+
+private:
+    struct entry
+    {
+        instant at{};
+        std::function<void()> callback;
+    };
+
+    instant now_ = instant{} + seconds(100);
+    std::map<timer_token, entry> pending_;
+    timer_token last_ = 0;
+};
+
+/// A collection whose answers the test gives.
+class scripted_collection : public iobject_collection
+{
+public:
+    void list(const std::string& after, read_freshness, page_callback callback) override
+    {
+        calls.push_back("list " + after);
+        pending.push_back(std::move(callback));
+    }
+    void changes(std::uint64_t revision, std::chrono::milliseconds wait, page_callback callback) override
+    {
+        calls.push_back("changes " + std::to_string(revision));
+        last_wait = wait;
+        pending.push_back(std::move(callback));
+    }
+    void put(const std::string&, const nlohmann::json&, std::function<void(result<void>)>) override {}
+    void remove(const std::string&, std::function<void(result<void>)>) override {}
+
+    void answer(result<collection_page> page)
+    {
+        auto callback = std::move(pending.front());
+        pending.pop_front();
+        callback(std::move(page));
+    }
+
+    std::vector<std::string> calls;
+    std::deque<page_callback> pending;
+    std::chrono::milliseconds last_wait{0};
+};
+
+collection_page page(std::uint64_t revision, const std::vector<std::string>& names, const std::string& after = "")
+{
+    collection_page out;
+    out.revision = revision;
+    out.continue_after = after;
+    for (const auto& it : names) {
+        out.items.push_back({it, {}, false});
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(collection_follower_test)
+{
+    manual_timers timers;
+    scripted_collection source;
+    std::size_t listed = 0;
+    int listings = 0;
+    int changes = 0;
+    int lost = 0;
+    int regained = 0;
+    std::shared_ptr<collection_follower> follower;
+
+    void setup() override
+    {
+        collection_follower::hooks hooks;
+        hooks.on_listing = [this](const std::vector<collection_item>& items) {
+            ++listings;
+            listed = items.size();
+        };
+        hooks.on_changes = [this](const std::vector<collection_item>&) { ++changes; };
+        hooks.on_lost = [this](const error&) { ++lost; };
+        hooks.on_regained = [this] { ++regained; };
+        follower = std::make_shared<collection_follower>(source, timers, "c", std::move(hooks));
+        follower->start();
+    }
+};
+
+// Guards against changes that are missed between the pages of a listing.
+TEST(collection_follower_test, a_listing_in_pages_is_followed_from_its_first_revision)
+{
+    source.answer(page(10, {"a", "b"}, "b"));
+    LONGS_EQUAL(0, listings);
+    source.answer(page(15, {"c"}));
+    LONGS_EQUAL(3, listed);
+    STRCMP_EQUAL("list b", source.calls.at(1).c_str());
+    STRCMP_EQUAL("changes 10", source.calls.at(2).c_str());
+    source.answer(page(17, {"a"}));
+    LONGS_EQUAL(1, changes);
+    STRCMP_EQUAL("changes 17", source.calls.at(3).c_str());
+}
+
+TEST(collection_follower_test, lists_again_when_the_history_is_gone)
+{
+    source.answer(page(10, {"a"}));
+    collection_page gone;
+    gone.history_lost = true;
+    source.answer(gone);
+    STRCMP_EQUAL("list ", source.calls.back().c_str());
+    source.answer(page(30, {}));
+    LONGS_EQUAL(2, listings);
+    LONGS_EQUAL(0, listed);
+    LONGS_EQUAL(30, follower->revision());
+}
+
+// Guards against a busy loop on a store that is down, and against a pause that outlasts its return by seconds.
+TEST(collection_follower_test, failures_are_reported_once_and_retried_with_pauses)
+{
+    source.answer(page(10, {"a"}));
+    for (int i = 0; i < 8; ++i) {
+        const auto calls = source.calls.size();
+        source.answer(make_error(error_kind::platform_unavailable, "down"));
+        LONGS_EQUAL(calls, source.calls.size());
+        timers.advance(follower_limits().longest_pause);
+        LONGS_EQUAL(calls + 1, source.calls.size());
+    }
+    LONGS_EQUAL(1, lost);
+    CHECK(!follower->connected());
+    source.answer(page(11, {}));
+    CHECK(follower->connected());
+    LONGS_EQUAL(2, regained);
+}
+
+// Guards against a deaf wait that hides a configuration for longer than the bound of 2 s allows after a calm second.
+TEST(collection_follower_test, waits_are_bounded)
+{
+    source.answer(page(10, {}));
+    CHECK(source.last_wait <= follower_limits().wait);
+    CHECK(source.last_wait >= follower_limits().wait / 3);
+}
+
+// Guards against an old call's answer that is applied after a newer one.
+TEST(collection_follower_test, answers_from_before_a_refresh_are_ignored)
+{
+    source.answer(page(10, {"a"}));
+    follower->refresh();
+    source.answer(page(20, {"b"}));
+    LONGS_EQUAL(0, changes);
+    source.answer(page(21, {"b"}));
+    LONGS_EQUAL(1, changes);
+    follower->stop();
+    source.answer(page(22, {"b"}));
+    LONGS_EQUAL(1, changes);
+}
--- /dev/null
+++ b/src/node/tests/stdout_log_test.cpp
@@ -0,0 +1,62 @@
+#include "node/stdout_log.h"
+
+#include <array>
+
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace anvillead;
+
+TEST_GROUP(stdout_log_test)
+{
+    std::array<int, 2> pipe_ends = {-1, -1};
+    int saved = -1;
+
+    void setup() override
+    {
+        LONGS_EQUAL(0, ::pipe(pipe_ends.data()));
+        saved = ::dup(STDOUT_FILENO);
+        ::dup2(pipe_ends[1], STDOUT_FILENO);
+    }
+
+    void teardown() override
+    {
+        ::dup2(saved, STDOUT_FILENO);
+        ::close(saved);
+        ::close(pipe_ends[0]);
+        ::close(pipe_ends[1]);
+    }
+
+    std::string take(std::size_t count) const
+    {
+        std::string out(count, '\0');
+        const auto n = ::read(pipe_ends[0], out.data(), count);
+        out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return out;
+    }
+};
+
+// Pattern: the reader of standard output stops under load. Guards against a process that waits for it, against memory
+// that grows without bound, and against lines that are lost without a word.
+TEST(stdout_log_test, a_reader_that_stops_costs_old_lines_and_their_number_is_told)
+{
+    stdout_log log;
+    const std::string line(99, 'x');
+    constexpr int lines = 10'000;
+    for (int i = 0; i < lines; ++i) {
+        log.write(line + "\n");
+    }
+    const auto dropped = log.dropped();
+    CHECK(dropped > 0);
+    CHECK(dropped < lines);
+    std::string read;
+    for (int i = 0; i < 100; ++i) {
+        read += take(8192);
+        log.flush();
+        if (read.find("log_lines_dropped") != std::string::npos) {
+            break;
+        }
+    }
+    STRCMP_CONTAINS(("\"lines\":" + std::to_string(dropped)).c_str(), read.c_str());
+}
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -84,9 +84,9 @@
     virtual std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
                                               std::shared_ptr<isequence> sequence) = 0;
     /// Collects the whole answer. `end.end` is `lost` when the body exceeds `body_limit` bytes.
-    std::shared_ptr<ihttp_call> fetch(http_call_request request, std::size_t body_limit,
-                                      std::shared_ptr<isequence> sequence,
-                                      std::function<void(const http_call_end& end, const http_answer& answer)> callback);
+    std::shared_ptr<ihttp_call>
+    fetch(http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
+          std::function<void(const http_call_end& end, const http_answer& answer)> callback);
 };
 
 std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool);
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -178,13 +178,13 @@
         sent_ = true;
         written_ = false;
         arm(request_.head_timeout);
-        http::async_write(*socket_, message_,
-                          bound([self = shared_from_this(), n = attempt_](const boost::system::error_code& write_ec,
-                                                                          std::size_t) {
-                              if (n == self->attempt_ && !write_ec) {
-                                  self->written_ = true;
-                              }
-                          }));
+        http::async_write(
+            *socket_, message_,
+            bound([self = shared_from_this(), n = attempt_](const boost::system::error_code& write_ec, std::size_t) {
+                if (n == self->attempt_ && !write_ec) {
+                    self->written_ = true;
+                }
+            }));
         // Read at once: a peer may answer before it has taken the whole body, and then read no further. A failed write
         // shows as a failed read, after whatever the peer has answered.
         await_head();
@@ -209,8 +209,8 @@
             return;
         }
         socket_->async_read_some(buffer_.prepare(head_piece_bytes),
-                                 bound([self = shared_from_this(), n = attempt_](
-                                           const boost::system::error_code& read_ec, std::size_t count) {
+                                 bound([self = shared_from_this(),
+                                        n = attempt_](const boost::system::error_code& read_ec, std::size_t count) {
                                      if (self->done_ || n != self->attempt_) {
                                          return;
                                      }
@@ -378,9 +378,9 @@
 
 } // namespace
 
-std::shared_ptr<ihttp_call> ihttp_client::fetch(
-    http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
-    std::function<void(const http_call_end& end, const http_answer& answer)> callback)
+std::shared_ptr<ihttp_call>
+ihttp_client::fetch(http_call_request request, std::size_t body_limit, std::shared_ptr<isequence> sequence,
+                    std::function<void(const http_call_end& end, const http_answer& answer)> callback)
 {
     struct collector
     {
--- /dev/null
+++ b/standins/batch_engine/engine_server.cpp
@@ -0,0 +1,233 @@
+#include "standins/batch_engine/engine_server.h"
+
+#include <fmt/format.h>
+
+#include "core/bounded_json.h"
+
+namespace standin {
+
+namespace {
+
+using namespace anvillead;
+using nlohmann::json;
+
+constexpr const char* memory_path = "/standin/memory";
+
+json record_of(const http_request& request)
+{
+    json out = {{"id", request.header("Request-Id")}, {"target", request.target}, {"body", request.body}};
+    for (const auto* name : {"Tenant", "Authorization", "Expect-Instance", "Kv-From", "Last-Event-Id", "Deadline-Ms",
+                             "Priority-Class", "Pin-Ms", "Cache-Hold", "Host"}) {
+        out[name] = request.header(name);
+    }
+    return out;
+}
+
+std::string handle_of(std::string_view source)
+{
+    return std::string(source.substr(source.rfind('/') + 1));
+}
+
+} // namespace
+
+engine_server::engine_server(worker_pool& pool, const standin_options& options)
+    : pool_(pool), sequence_(pool.make_sequence()), client_(make_http_client(pool))
+{
+    control(options.control);
+    server_ = make_http_server(
+        pool, {options.listen, {}},
+        [this](const http_request& request, const exchange_ptr& exchange) {
+            sequence_->post([this, request, exchange] { handle(request, exchange); });
+        },
+        counters_);
+}
+
+void engine_server::reply(const exchange_ptr& exchange, int status, const json& body)
+{
+    exchange->sequence()->post([exchange, status, body] { reply_json(*exchange, status, body); });
+}
+
+void engine_server::refuse(const exchange_ptr& exchange, int status)
+{
+    exchange->sequence()->post([exchange, status] { exchange->reply(status, {{"Not-Executed", "1"}}, {}); });
+}
+
+void engine_server::handle(const http_request& request, const exchange_ptr& exchange)
+{
+    if (request.path() == "/control") {
+        control(parse_bounded_json(request.body).value_or(json::object()));
+        reply(exchange, 200, json::object());
+    } else if (request.path() == "/ran") {
+        reply(exchange, 200, {{"ran", ran_}});
+    } else if (request.path() == "/report") {
+        reply(exchange, 200, {{"phase", leaving_ ? "draining" : "ready"}, {"active", runs_.size()}});
+    } else if (request.path() == memory_path) {
+        const auto body = parse_bounded_json(request.body).value_or(json::object());
+        memories_[body.value("handle", "")] = body.value("id", "");
+        reply(exchange, 200, json::object());
+    } else if (request.path() == "/kv-move") {
+        copy(request, exchange);
+    } else if (request.path().rfind("/kv-handle/", 0) == 0) {
+        memories_.erase(handle_of(request.path()));
+        reply(exchange, 200, json::object());
+    } else {
+        serve(request, exchange);
+    }
+}
+
+void engine_server::serve(const http_request& request, const exchange_ptr& exchange)
+{
+    const auto expected = request.header("Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+        refuse(exchange, 421);
+    } else if (refuse_) {
+        refuse(exchange, 503);
+    } else if (request.header("Token-Usage").empty()) {
+        answer_plain(request, exchange);
+    } else {
+        start_generation(request, exchange);
+    }
+}
+
+http_headers engine_server::answer_headers(const http_request& request) const
+{
+    http_headers out = {
+        {"Request-Id", foreign_ ? std::string("another-request") : std::string(request.header("Request-Id"))},
+        {"Instance-Id", id_},
+        {"Instance-Load", fmt::format("{},0,24", runs_.size())}};
+    if (!unstamped_) {
+        out.emplace_back("Response-Stamp", "stamp-of-" + id_);
+    }
+    return out;
+}
+
+void engine_server::answer_plain(const http_request& request, const exchange_ptr& exchange)
+{
+    ran_.push_back(record_of(request));
+    if (resets_ > 0) {
+        --resets_;
+        exchange->sequence()->post([exchange] { exchange->abort(); });
+        return;
+    }
+    const int status = errors_ > 0 ? 500 : 200;
+    errors_ -= errors_ > 0 ? 1 : 0;
+    const auto headers = answer_headers(request);
+    const auto body = "answer to " + std::string(request.header("Request-Id"));
+    exchange->sequence()->post([exchange, status, headers, body] { exchange->reply(status, headers, body); });
+}
+
+void engine_server::start_generation(const http_request& request, const exchange_ptr& exchange)
+{
+    const std::string id(request.header("Request-Id"));
+    const auto source = request.header("Kv-From");
+    auto value = std::make_shared<run>();
+    if (!source.empty()) {
+        const auto memory = memories_.find(handle_of(source));
+        if (memory == memories_.end() || memory->second != id) {
+            refuse(exchange, 503);
+            return;
+        }
+        memories_.erase(memory);
+        value->next = std::atoi(std::string(request.header("Last-Event-Id")).c_str()) + 1;
+    }
+    const auto usage = request.header("Token-Usage");
+    value->last = std::atoi(std::string(usage.substr(usage.find(',') + 1)).c_str());
+    value->request = request;
+    value->exchange = exchange;
+    value->break_after = std::exchange(break_after_, 0);
+    ran_.push_back(record_of(request));
+    runs_[id] = value;
+    auto headers = answer_headers(request);
+    headers.emplace_back("Content-Type", "text/event-stream; charset=utf-8");
+    exchange->sequence()->post([this, exchange, headers, value] {
+        exchange->on_closed([this, value] { sequence_->post([value] { value->stopped = true; }); });
+        exchange->begin_stream(200, headers);
+    });
+    pool_.timers().after(source.empty() ? read_time_ : milliseconds(1),
+                         [this, value] { sequence_->post([this, value] { next_event(value); }); });
+}
+
+void engine_server::next_event(const std::shared_ptr<run>& value)
+{
+    const std::string id(value->request.header("Request-Id"));
+    if (value->stopped) {
+        const auto it = runs_.find(id);
+        if (it != runs_.end() && it->second == value) {
+            runs_.erase(it);
+        }
+        return;
+    }
+    const bool breaks = value->break_after > 0 && value->next > value->break_after;
+    if (breaks || value->next > value->last) {
+        runs_.erase(id);
+        value->exchange->sequence()->post([exchange = value->exchange, breaks] {
+            if (breaks) {
+                exchange->abort();
+            } else {
+                exchange->end_stream();
+            }
+        });
+        return;
+    }
+    const auto event = fmt::format("id: {}\ndata: {}:{}\n\n", value->next, id, value->next);
+    ++value->next;
+    value->exchange->sequence()->post([exchange = value->exchange, event] { exchange->write(event); });
+    pool_.timers().after(event_time_, [this, value] { sequence_->post([this, value] { next_event(value); }); });
+}
+
+void engine_server::copy(const http_request& request, const exchange_ptr& exchange)
+{
+    const auto body = parse_bounded_json(request.body).value_or(json::object());
+    const auto it = runs_.find(body.value("id", ""));
+    if (it == runs_.end() || it->second->stopped) {
+        reply(exchange, 404, json::object());
+        return;
+    }
+    const auto value = it->second;
+    const bool last = body.value("last", false);
+    if (last) {
+        value->stopped = true;
+        value->exchange->sequence()->post([stopped = value->exchange] { stopped->abort(); });
+    }
+    pool_.timers().after(copy_time_, [this, value, last, exchange, target = body.value("to", "")] {
+        sequence_->post([this, value, last, exchange, target] { finish_copy(value, target, last, exchange); });
+    });
+}
+
+void engine_server::finish_copy(const std::shared_ptr<run>& value, const std::string& target, bool last,
+                                const exchange_ptr& exchange)
+{
+    const std::string id(value->request.header("Request-Id"));
+    const auto handle = fmt::format("{}-h{}", id_, ++handles_);
+    if (last) {
+        memories_[handle] = id;
+    }
+    http_call_request call;
+    call.address = target;
+    call.method = "POST";
+    call.target = memory_path;
+    call.body = json({{"handle", handle}, {"id", id}}).dump();
+    constexpr std::size_t answer_bytes = 4096;
+    client_->fetch(std::move(call), answer_bytes, sequence_,
+                   [this, exchange, handle, value](const http_call_end& end, const http_answer&) {
+                       const bool copied = end.end == http_end::complete;
+                       reply(exchange, copied ? 200 : 503, {{"cache-handle", handle}, {"created", value->next - 1}});
+                   });
+}
+
+void engine_server::control(const json& value)
+{
+    id_ = value.value("id", id_);
+    event_time_ = milliseconds(value.value("event_ms", event_time_.count()));
+    read_time_ = milliseconds(value.value("read_ms", read_time_.count()));
+    copy_time_ = milliseconds(value.value("copy_ms", copy_time_.count()));
+    break_after_ = value.value("break_after", break_after_);
+    errors_ = value.value("errors", errors_);
+    resets_ = value.value("resets", resets_);
+    refuse_ = value.value("refuse", refuse_);
+    leaving_ = value.value("leaving", leaving_);
+    unstamped_ = value.value("unstamped", unstamped_);
+    foreign_ = value.value("foreign", foreign_);
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/metadata_store/main.cpp
@@ -0,0 +1,12 @@
+#include "standins/metadata_store/store_server.h"
+
+int main(int argc, char** argv)
+{
+    const auto options = standin::parse_options(argc, argv, "Stand-in for the users' metadata store.");
+    anvillead::worker_pool pool(2);
+    const standin::store_server server(pool, options);
+    standin::announce(server.address());
+    pool.on_stop_signal([&pool] { pool.stop(); });
+    pool.run();
+    return 0;
+}
--- /dev/null
+++ b/standins/metadata_store/store_server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "core/metrics.h"
+#include "standins/common/standin_options.h"
+#include "standins/metadata_store/metadata_store.h"
+#include "transport/ihttp_server.h"
+
+namespace standin {
+
+/// Stand-in for the users' metadata store: objects with revisions, listings in pages, watches, and its troubles.
+///
+/// `POST /control` takes: `outage` ("", "busy", "reset" or "silent"), `deaf` (waiting watches hear nothing until their
+/// time is over), `compact` (forgets the history) and `page` (objects in one listing). It answers the calls counted.
+class store_server
+{
+public:
+    store_server(anvillead::worker_pool& pool, const standin_options& options);
+
+    std::string address() const { return server_->address(); }
+
+private:
+    using exchange_ptr = std::shared_ptr<anvillead::ihttp_exchange>;
+
+    struct watcher
+    {
+        std::string kind;
+        std::uint64_t after = 0;
+        exchange_ptr exchange;
+        anvillead::instant until;
+    };
+
+    void handle(const anvillead::http_request& request, const exchange_ptr& exchange);
+    void serve(const anvillead::http_request& request, const exchange_ptr& exchange);
+    void write(const anvillead::http_request& request, const std::string& kind, const std::string& name,
+               const exchange_ptr& exchange);
+    void answer_watchers();
+    void control(const nlohmann::json& value);
+    void answer(const exchange_ptr& exchange, const metadata_store::outcome& value);
+
+    anvillead::worker_pool& pool_;
+    std::shared_ptr<anvillead::isequence> sequence_;
+    anvillead::metrics counters_;
+    metadata_store store_;
+    std::list<watcher> watchers_;
+    /// Exchanges of a silent outage are kept open without an answer.
+    std::list<exchange_ptr> unanswered_;
+    std::string outage_;
+    bool deaf_ = false;
+    std::size_t page_ = 500;
+    std::int64_t calls_ = 0;
+    std::unique_ptr<anvillead::ihttp_server> server_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/invariants/node_test.cpp
@@ -0,0 +1,362 @@
+#include <csignal>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include "tests/support/node_fleet.h"
+
+using namespace testing;
+using nlohmann::json;
+
+// The entry host of the users' platform as a real process, before stand-ins that speak the platform's calls.
+TEST_GROUP(node){static node_fleet::options sized(int hosts, int engines = 2){node_fleet::options out;
+out.hosts = hosts;
+out.engines = engines;
+return out;
+}
+
+/// Starts all hosts with configuration 3 in force.
+static void start(node_fleet& it, int hosts)
+{
+    it.configure(3);
+    for (int i = 1; i <= hosts; ++i) {
+        it.start_node(i);
+    }
+    for (int i = 1; i <= hosts; ++i) {
+        CHECK(it.wait_ready(i));
+    }
+}
+
+static std::size_t received(const stream::ptr& value)
+{
+    return value->head().body.size();
+}
+
+/// Engine that runs the request; empty when none does.
+static std::string engine_of(node_fleet& it, const std::string& request)
+{
+    for (const auto* name : {"engine-1", "engine-2"}) {
+        if (it.runs_of(name, request) > 0) {
+            return name;
+        }
+    }
+    return {};
+}
+}
+;
+
+// Guards against answers that are changed on the way, keys that reach an engine, and headers that only this system may
+// set.
+TEST(node, whole_generation_with_the_organisation_in_place_of_its_key)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    const auto answer = it.ask(1, "POST", "/sheet/week?round=2", "r-1",
+                               {{"Token-Usage", "100,20"},
+                                {"Tenant", "forged"},
+                                {"Pin-Ms", "4000"},
+                                {"Cache-Hold", "h"},
+                                {"Kv-From", "10.0.0.1:1/h"},
+                                {"Deadline-Ms", "9000"}},
+                               "draft the sheet");
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL(expected_events("r-1", 20).c_str(), answer.body.c_str());
+    const auto engine = engine_of(it, "r-1");
+    CHECK(!engine.empty());
+    const auto ran = it.ran(engine)[0];
+    STRCMP_EQUAL(("stamp-of-" + engine).c_str(),
+                 std::string(anvillead::find_header(answer.headers, "Response-Stamp")).c_str());
+    STRCMP_EQUAL("galle", ran.value("Tenant", "").c_str());
+    STRCMP_EQUAL("", ran.value("Authorization", "").c_str());
+    STRCMP_EQUAL("", ran.value("Pin-Ms", "").c_str());
+    STRCMP_EQUAL("", ran.value("Cache-Hold", "").c_str());
+    STRCMP_EQUAL("", ran.value("Kv-From", "").c_str());
+    STRCMP_EQUAL(engine.c_str(), ran.value("Expect-Instance", "").c_str());
+    STRCMP_EQUAL("/sheet/week?round=2", ran.value("target", "").c_str());
+    STRCMP_EQUAL("draft the sheet", ran.value("body", "").c_str());
+    STRCMP_EQUAL("roster.example", ran.value("Host", "").c_str());
+    CHECK(std::stoi(ran.value("Deadline-Ms", "0")) <= 9000);
+}
+
+// Guards against a refusal that blames the caller while this host knows no configuration.
+TEST(node, refusals_are_true_and_name_their_cause)
+{
+    node_fleet it(sized(1));
+    it.start_node(1);
+    CHECK(eventually([&] { return it.ask(1, "GET", "/lookup/1", "r-0").status == 503; }));
+    const auto early = it.ask(1, "GET", "/lookup/1", "r-0");
+    LONGS_EQUAL(503, early.status);
+    CHECK(!anvillead::find_header(early.headers, "Retry-After").empty());
+    LONGS_EQUAL(503, it.client().call(it.address("node-1/ready"), "GET", "/readyz").status);
+    it.configure(3);
+    CHECK(it.wait_ready(1));
+    LONGS_EQUAL(404, it.ask(1, "GET", "/elsewhere/1", "r-1").status);
+    LONGS_EQUAL(401, it.ask(1, "GET", "/lookup/1", "r-2", {{"Authorization", "Token key-unknown"}}).status);
+    LONGS_EQUAL(200, it.ask(1, "GET", "/lookup/1", "r-3").status);
+    LONGS_EQUAL(0, it.runs_of("instance-1", "r-2") + it.runs_of("instance-2", "r-2"));
+}
+
+// Pattern: an engine is reclaimed with a notice while it generates. Guards against a lost, repeated or reordered event
+// and against two engines at work on one generation.
+TEST(node, generation_moves_when_its_engine_leaves)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    const auto answer = it.open_generation(1, "r-1", 150);
+    CHECK(eventually([&] { return received(answer) > 100; }));
+    const auto first = engine_of(it, "r-1");
+    const std::string second = first == "engine-1" ? "engine-2" : "engine-1";
+    it.set_phase(first, "draining");
+    CHECK(answer->wait_end());
+    STRCMP_EQUAL(expected_events("r-1", 150).c_str(), answer->head().body.c_str());
+    LONGS_EQUAL(1, it.runs_of(first, "r-1"));
+    LONGS_EQUAL(1, it.runs_of(second, "r-1"));
+    CHECK(!it.ran(second)[0].value("Kv-From", "").empty());
+}
+
+// Guards against a stream that ends as if it were whole after its engine broke off.
+TEST(node, broken_generation_does_not_look_complete)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    it.control("engine-1", {{"break_after", 10}});
+    it.control("engine-2", {{"break_after", 10}});
+    const auto answer = it.generate(1, "r-1", 50);
+    CHECK(!answer.complete());
+    STRCMP_EQUAL(expected_events("r-1", 10).c_str(), answer.body.c_str());
+    LONGS_EQUAL(1, it.runs_of("engine-1", "r-1") + it.runs_of("engine-2", "r-1"));
+}
+
+// Guards against a second run of a request that may run once, and against giving up one that may be repeated.
+TEST(node, only_idempotent_requests_are_repeated)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    const auto total = [&](const std::string& request) {
+        return it.runs_of("instance-1", request) + it.runs_of("instance-2", request);
+    };
+    it.control("instance-1", {{"resets", 1}});
+    it.control("instance-2", {{"resets", 1}});
+    LONGS_EQUAL(502, it.ask(1, "POST", "/notice/1", "once-1", {{"Deadline-Ms", "1500"}}, "x").status);
+    LONGS_EQUAL(1, total("once-1"));
+    it.control("instance-1", {{"resets", 0}, {"errors", 0}});
+    it.control("instance-2", {{"resets", 0}, {"errors", 0}});
+    it.control("instance-1", {{"errors", 1}});
+    it.control("instance-2", {{"errors", 1}});
+    LONGS_EQUAL(500, it.ask(1, "POST", "/notice/1", "once-2", {{"Deadline-Ms", "1500"}}, "x").status);
+    LONGS_EQUAL(1, total("once-2"));
+    // The other instance still has one failure to give: two attempts may both fail, a third is not allowed.
+    it.ask(1, "GET", "/lookup/1", "twice-1", {{"Deadline-Ms", "1500"}});
+    CHECK(total("twice-1") <= 2);
+    LONGS_EQUAL(200, it.ask(1, "GET", "/lookup/1", "twice-2", {{"Deadline-Ms", "1500"}}).status);
+}
+
+// Guards against delivering an answer that is not the upstream's, or that belongs to another request.
+TEST(node, unstamped_and_foreign_answers_are_not_delivered)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    for (const auto* fault : {"unstamped", "foreign"}) {
+        it.control("instance-1", {{fault, true}});
+        it.control("instance-2", {{fault, true}});
+        const auto answer = it.ask(1, "POST", "/notice/1", "r-1", {{"Deadline-Ms", "1500"}}, "x");
+        LONGS_EQUAL(502, answer.status);
+        CHECK(answer.body.find("answer to") == std::string::npos);
+        it.control("instance-1", {{fault, false}});
+        it.control("instance-2", {{fault, false}});
+    }
+}
+
+// Guards against a run at a program that has taken over the address of an engine, and against losing the request.
+TEST(node, reused_address_does_not_run_the_request)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    it.control("instance-1", {{"id", "another-program"}});
+    for (int i = 0; i < 6; ++i) {
+        const auto request = fmt::format("r-{}", i);
+        LONGS_EQUAL(200, it.ask(1, "POST", "/notice/1", request, {{"Deadline-Ms", "1500"}}, "x").status);
+        LONGS_EQUAL(0, it.runs_of("instance-1", request));
+    }
+}
+
+// Guards against entries of other writers that stop the host or name an upstream to use.
+TEST(node, unreadable_entries_leave_the_rest_in_force)
+{
+    node_fleet it(sized(1));
+    it.write("servers", "x-1", "not an entry");
+    it.write("servers", "x-2", {{"service", "registry"}, {"address", 7}, {"phase", "ready"}});
+    it.write(
+        "servers", "x-3",
+        {{"service", "registry"}, {"address", "127.0.0.1:1"}, {"zone", "a"}, {"capacity", 4}, {"phase", "resting"}});
+    start(it, 1);
+    it.write("servers", "x-4", json::array({1, 2}));
+    for (int i = 0; i < 6; ++i) {
+        LONGS_EQUAL(200, it.ask(1, "GET", "/lookup/1", fmt::format("r-{}", i)).status);
+    }
+    CHECK(it.log_of(1).find("upstream_entry_rejected") != std::string::npos);
+}
+
+// Guards against a key that still works, or a route table that falls back, after a new configuration.
+TEST(node, configurations_take_effect_and_never_fall)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    it.configure(9, {"key-colombo"});
+    CHECK(it.wait_version(1, 9));
+    LONGS_EQUAL(401, it.ask(1, "GET", "/lookup/1", "r-1").status);
+    LONGS_EQUAL(200, it.ask(1, "GET", "/lookup/1", "r-2", {{"Authorization", "Token key-colombo"}}).status);
+    it.configure(5);
+    it.configure(12, {"key-colombo"});
+    CHECK(it.wait_version(1, 12));
+    CHECK(it.log_of(1).find("\"version\":\"5\"") == std::string::npos);
+}
+
+// Pattern: the store drops its history while a waiting call hears nothing. Guards against a configuration that stays
+// unseen until that call's time is over.
+TEST(node, change_behind_a_deaf_watch_is_seen_within_three_seconds)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    it.control("store", {{"deaf", true}});
+    it.configure(7);
+    it.control("store", {{"compact", true}});
+    CHECK(it.wait_version(1, 7, milliseconds(3000)));
+}
+
+// Pattern: the store turns everybody away. Guards against hosts that stop serving, and against a host that starts
+// during the outage and never gets the configuration from the others.
+TEST(node, outage_of_the_store_is_borne)
+{
+    node_fleet it(sized(2));
+    it.configure(3);
+    it.start_node(1);
+    CHECK(it.wait_ready(1));
+    it.control("store", {{"outage", "busy"}});
+    it.start_node(2);
+    CHECK(it.wait_ready(2));
+    LONGS_EQUAL(200, it.ask(2, "GET", "/lookup/1", "r-1").status);
+    const auto answer = it.generate(2, "r-2", 20);
+    STRCMP_EQUAL(expected_events("r-2", 20).c_str(), answer.body.c_str());
+}
+
+// Pattern: an engine is reclaimed while no host can read the directory. Guards against losing its generations although
+// the engine itself says that it leaves.
+TEST(node, engine_that_leaves_during_an_outage_is_noticed)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    const auto answer = it.open_generation(1, "r-1", 300);
+    CHECK(eventually([&] { return received(answer) > 100; }));
+    const auto first = engine_of(it, "r-1");
+    it.control("store", {{"outage", "silent"}});
+    it.control(first, {{"leaving", true}});
+    const std::string second = first == "engine-1" ? "engine-2" : "engine-1";
+    CHECK(eventually([&] { return it.runs_of(second, "r-1") == 1; }));
+    CHECK(answer->wait_end(milliseconds(20'000)));
+    STRCMP_EQUAL(expected_events("r-1", 300).c_str(), answer->head().body.c_str());
+}
+
+// Guards against calls to the store that grow with the number of hosts, and against hosts that miss news because they
+// do not follow the store themselves.
+TEST(node, one_host_of_a_zone_follows_the_store_for_all)
+{
+    node_fleet it(sized(4));
+    start(it, 4);
+    const auto followers = [&] {
+        int out = 0;
+        for (int i = 1; i <= 4; ++i) {
+            const auto log = it.log_of(i);
+            out += log.rfind("\"follows\":\"no\"") == std::string::npos ||
+                           (log.rfind("\"follows\":\"yes\"") != std::string::npos &&
+                            log.rfind("\"follows\":\"yes\"") > log.rfind("\"follows\":\"no\""))
+                       ? 1
+                       : 0;
+        }
+        return out;
+    };
+    CHECK(eventually([&] { return followers() == 2; }));
+    it.configure(8);
+    for (int i = 1; i <= 4; ++i) {
+        CHECK(it.wait_version(i, 8, milliseconds(2000)));
+    }
+}
+
+// Guards against a graceful shutdown that cuts an answer, and against callers that are still sent to a leaving host.
+TEST(node, sigterm_finishes_open_answers)
+{
+    node_fleet it(sized(2));
+    start(it, 2);
+    const auto listed = [&](int node) {
+        const auto answer = it.client().get(it.address("node-1/directory"), "/resolve?name=roster.example&zone=none");
+        for (const auto& address : answer.value("addresses", json::array())) {
+            if (address == it.address(fmt::format("node-{}", node))) {
+                return true;
+            }
+        }
+        return false;
+    };
+    CHECK(eventually([&] { return listed(1) && listed(2); }));
+    const auto answer = it.open_generation(2, "r-1", 120);
+    CHECK(eventually([&] { return received(answer) > 100; }));
+    it.program_of("node-2").send_signal(SIGTERM);
+    CHECK(eventually([&] { return !listed(2); }, milliseconds(1000)));
+    LONGS_EQUAL(503, it.client().call(it.address("node-2/ready"), "GET", "/readyz").status);
+    CHECK(answer->wait_end());
+    STRCMP_EQUAL(expected_events("r-1", 120).c_str(), answer->head().body.c_str());
+    const auto code = it.program_of("node-2").wait_exit();
+    CHECK(code.has_value());
+    LONGS_EQUAL(0, code.value_or(-1));
+}
+
+// Guards against SIGHUP ending the process (the signal's default), and against a bad file replacing good settings.
+TEST(node, sighup_reads_the_settings_again)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    it.program_of("node-1").send_signal(SIGHUP);
+    LONGS_EQUAL(200, it.ask(1, "GET", "/lookup/1", "r-1").status);
+    CHECK(it.program_of("node-1").running());
+}
+
+// Guards against an engine that keeps working for a caller who has left.
+TEST(node, caller_that_leaves_ends_the_run)
+{
+    node_fleet it(sized(1));
+    start(it, 1);
+    const auto answer = it.open_generation(1, "r-1", 500);
+    CHECK(eventually([&] { return received(answer) > 100; }));
+    const auto engine = engine_of(it, "r-1");
+    answer->disconnect();
+    CHECK(eventually([&] { return it.client().get(it.address(engine), "/report").value("active", 9) == 0; },
+                     milliseconds(1000)));
+}
+
+// Pattern: all engines are full. Guards against a request that is held although no room is expected in time.
+TEST(node, request_without_room_is_refused_with_a_time_to_come_back)
+{
+    node_fleet it(sized(1, 1));
+    start(it, 1);
+    // 0.92 of the engine's 30,000 tokens may be planned, and each of these plans 100 + 13,000.
+    const auto first = it.open_generation(1, "r-1", 26'000);
+    const auto second = it.open_generation(1, "r-2", 26'000);
+    CHECK(eventually([&] { return it.runs_of("engine-1", "r-1") + it.runs_of("engine-1", "r-2") == 2; }));
+    const auto refused = it.generate(1, "r-3", 26'000);
+    LONGS_EQUAL(503, refused.status);
+    CHECK(!anvillead::find_header(refused.headers, "Retry-After").empty());
+    LONGS_EQUAL(0, it.runs_of("engine-1", "r-3"));
+}
+
+// Pattern: all engines are full for a moment. Guards against a request that is forgotten while it waits for room.
+TEST(node, request_that_waits_for_room_is_served)
+{
+    node_fleet it(sized(1, 1));
+    start(it, 1);
+    const auto first = it.open_generation(1, "r-1", 50'000);
+    CHECK(eventually([&] { return it.runs_of("engine-1", "r-1") == 1; }));
+    const auto second = it.open_generation(1, "r-2", 10'000);
+    std::this_thread::yield();
+    first->disconnect();
+    CHECK(eventually([&] { return it.runs_of("engine-1", "r-2") == 1; }));
+}
--- /dev/null
+++ b/tests/support/node_fleet.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/support/caller.h"
+#include "tests/support/port_reservation.h"
+#include "tests/support/process.h"
+
+namespace testing {
+
+/// Hosts running anvillead-node, with stand-ins of the users' store, engines and a plain service, as processes on
+/// loopback.
+class node_fleet
+{
+public:
+    struct options
+    {
+        int hosts = 1;
+        int engines = 2;
+        int instances = 2;
+        int grace_seconds = 8;
+    };
+
+    explicit node_fleet(const options& value);
+
+    /// Address of a program: "store", "engine-1", "instance-1", "node-1" (callers' requests), "node-1/ready",
+    /// "node-1/directory" or "node-1/control".
+    const std::string& address(const std::string& name) const { return addresses_.at(name); }
+    process& program_of(const std::string& name) { return *processes_.at(name); }
+    caller& client() { return caller_; }
+
+    void start_node(int number);
+    void kill(const std::string& name);
+    bool wait_ready(int number, milliseconds bound = default_bound);
+    bool wait_version(int number, int version, milliseconds bound = default_bound);
+
+    /// Writes an object of the store as its operator or an engine.
+    void write(const std::string& kind, const std::string& name, const nlohmann::json& value);
+    void remove(const std::string& kind, const std::string& name);
+    /// Writes the configuration with this version; `keys` are those of the organisation "galle".
+    void configure(int version, const std::vector<std::string>& keys = {"key-galle"});
+    void set_phase(const std::string& engine, const std::string& phase);
+    nlohmann::json control(const std::string& name, const nlohmann::json& value);
+    /// Requests that ran at an upstream, in order.
+    nlohmann::json ran(const std::string& name);
+    int runs_of(const std::string& upstream, const std::string& request);
+
+    /// One request through a host; the whole answer.
+    reply ask(int node, const std::string& method, const std::string& path, const std::string& request,
+              http_headers headers = {}, const std::string& body = "");
+    /// A generation of `events` events, without waiting for its end.
+    stream::ptr open_generation(int node, const std::string& request, int events);
+    /// The same with its whole answer.
+    reply generate(int node, const std::string& request, int events);
+    std::string log_of(int node) { return program_of("node-" + std::to_string(node)).output(); }
+
+private:
+    void start(const std::string& name, std::vector<std::string> arguments);
+    std::string write_settings(int number) const;
+    nlohmann::json entry_of(const std::string& upstream, const std::string& service, const std::string& phase) const;
+    nlohmann::json operate(const std::string& method, const std::string& target, const nlohmann::json& body);
+
+    work_directory directory_;
+    options options_;
+    caller caller_;
+    std::vector<std::unique_ptr<port_reservation>> ports_;
+    std::map<std::string, std::string> addresses_;
+    std::map<std::string, std::unique_ptr<process>> processes_;
+};
+
+/// Events "ID:1" to "ID:count" as the engine stand-in sends them.
+std::string expected_events(const std::string& request, int count);
+
+} // namespace testing
