--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -10,6 +10,7 @@
 #include "apps/common/daemon.h"
 #include "apps/ctl/config_folder.h"
 #include "apps/ctl/drain_file.h"
+#include "apps/ctl/explain.h"
 #include "apps/ctl/folder_upload.h"
 #include "apps/ctl/platform_session.h"
 #include "configuration/diff.h"
@@ -251,6 +252,14 @@
     if (options.command == "audit") {
         return audit(options);
     }
+    if (options.command == "explain") {
+        const auto timeline = explain_files(options.request, options.log_files);
+        if (!timeline) {
+            return fail(options, timeline.error());
+        }
+        fmt::print("{}", timeline.value());
+        return exit_ok;
+    }
     if (options.command == "drain") {
         const auto edited = edit_drain_file(options.folder, options.drain_kind, options.drain_name, options.remove);
         if (!edited) {
--- a/src/apps/ctl/ctl_options.cpp
+++ b/src/apps/ctl/ctl_options.cpp
@@ -13,7 +13,7 @@
 
 constexpr const char* summary =
     "Client for operators. Commands: config validate DIR | config diff DIR | config apply DIR | config status | audit "
-    "| drain host|upstream NAME --dir DIR [--remove]";
+    "| drain host|upstream NAME --dir DIR [--remove] | explain REQUEST-ID LOGFILE...";
 
 [[noreturn]] void usage(const std::string& problem)
 {
@@ -47,6 +47,10 @@
         out.command = "drain";
         out.drain_kind = words[1];
         out.drain_name = words[2];
+    } else if (is(0, "explain") && words.size() >= 3) {
+        out.command = "explain";
+        out.request = words[1];
+        out.log_files.assign(words.begin() + 2, words.end());
     } else {
         usage("the command is not known or not complete");
     }
@@ -54,7 +58,7 @@
 
 void check(const ctl_options& options)
 {
-    if (options.command != "validate" && options.platform.empty()) {
+    if (options.command != "validate" && options.command != "explain" && options.platform.empty()) {
         usage("--platform ADDRESS:PORT is required");
     }
     if (options.command == "drain" && options.folder.empty()) {
--- a/src/apps/ctl/ctl_options.h
+++ b/src/apps/ctl/ctl_options.h
@@ -8,7 +8,7 @@
 /// The parsed command line.
 struct ctl_options
 {
-    /// "validate", "diff", "apply", "status", "audit" or "drain"
+    /// "validate", "diff", "apply", "status", "audit", "drain" or "explain"
     std::string command;
     /// Folder of configuration files.
     std::string folder;
@@ -17,6 +17,9 @@
     /// "host" or "upstream"
     std::string drain_kind;
     std::string drain_name;
+    /// Request whose handling is explained, and the log files to read.
+    std::string request;
+    std::vector<std::string> log_files;
     bool remove = false;
     bool json = false;
     int days = 7;
--- a/src/apps/node/main.cpp
+++ b/src/apps/node/main.cpp
@@ -19,17 +19,30 @@
 // Everything that a node decides runs on one thread, and its processor share is a fraction of a core.
 constexpr unsigned worker_threads = 1;
 
-/// Path of the settings file: from the command line, otherwise from the platform's environment variable.
-std::string settings_path(int argc, char** argv)
+struct command_line
 {
+    /// From the command line, otherwise from the platform's environment variable.
+    std::string settings_path;
+    /// 0 for no port of its own.
+    int metrics_port = 0;
+};
+
+command_line read_command_line(int argc, char** argv)
+{
+    command_line out;
     try {
         TCLAP::CmdLine line("Entry host of anvillead on the users' platform.", ' ', ANVILLEAD_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> settings("s", "settings", "settings file of the platform, rendered as JSON", false,
                                               "", "FILE", line);
+        TCLAP::ValueArg<int> metrics("m", "metrics-port", "port of /metrics on the host's address", false, 0, "PORT",
+                                     line);
         line.parse(argc, argv);
-        if (settings.isSet()) {
-            return settings.getValue();
+        out.settings_path = settings.getValue();
+        out.metrics_port = metrics.getValue();
+        if (out.metrics_port < 0 || out.metrics_port > UINT16_MAX) {
+            fmt::print(stderr, "anvillead-node: --metrics-port: expected a port number\n");
+            std::exit(exit_usage);
         }
     } catch (const TCLAP::ArgException& ex) {
         fmt::print(stderr, "anvillead-node: {}: {}\n", ex.argId(), ex.error());
@@ -38,12 +51,15 @@
         std::exit(ex.getExitStatus());
     }
     const char* path = std::getenv(platform::settings_variable);
-    if (path == nullptr) {
+    if (out.settings_path.empty() && path == nullptr) {
         fmt::print(stderr, "anvillead-node: settings: expected --settings FILE or the variable {}\n",
                    platform::settings_variable);
         std::exit(exit_usage);
     }
-    return path;
+    if (out.settings_path.empty()) {
+        out.settings_path = path;
+    }
+    return out;
 }
 
 } // namespace
@@ -52,8 +68,15 @@
 {
     // A reader of the log that goes away must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    const auto path = settings_path(argc, argv);
-    const auto settings = platform::read_node_settings(path);
+    const auto options = read_command_line(argc, argv);
+    const auto read_settings = [&options] {
+        auto out = platform::read_node_settings(options.settings_path);
+        if (out && options.metrics_port != 0) {
+            out.value().metrics = fmt::format("{}:{}", out.value().ip, options.metrics_port);
+        }
+        return out;
+    };
+    const auto settings = read_settings();
     if (!settings) {
         fmt::print(stderr, "anvillead-node: {}\n", settings.error().message);
         return exit_usage;
@@ -65,7 +88,7 @@
     int code = exit_ok;
     try {
         worker_pool pool(worker_threads);
-        node_daemon daemon(pool, settings.value(), [path] { return platform::read_node_settings(path); });
+        node_daemon daemon(pool, settings.value(), read_settings);
         daemon.run();
     } catch (const std::system_error& problem) {
         log(log_level::error, log_event::start_failed, {{"problem", problem.what()}});
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -166,6 +166,11 @@
     directory_ = listen(settings_.directory, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
         answer_endpoint_question(request, *exchange);
     });
+    if (!settings_.metrics.empty()) {
+        metrics_ = listen(settings_.metrics, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+            answer_control(request, *exchange);
+        });
+    }
     control_ = listen(settings_.control, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
         answer_control(request, *exchange);
     });
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -85,9 +85,7 @@
         log(log_level::warning, log_event::platform_unreachable,
             {{"collection", "upstreams"}, {"problem", reason.message}});
     };
-    out.on_regained = [] {
-        log(log_level::info, log_event::platform_reachable, {{"collection", "upstreams"}});
-    };
+    out.on_regained = [] { log(log_level::info, log_event::platform_reachable, {{"collection", "upstreams"}}); };
     return out;
 }
 
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -63,6 +63,7 @@
     std::unique_ptr<ihttp_server> readiness_;
     std::unique_ptr<ihttp_server> directory_;
     std::unique_ptr<ihttp_server> control_;
+    std::unique_ptr<ihttp_server> metrics_;
     instant leaving_since_{};
     std::chrono::nanoseconds last_suspended_{0};
     bool reported_ready_ = false;
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -21,8 +21,10 @@
     std::string readiness;
     /// "address:port" at which callers ask which addresses to use.
     std::string directory;
-    /// "address:port" for the other hosts and for metrics.
+    /// "address:port" for the other hosts.
     std::string control;
+    /// "address:port" of /metrics; empty for none beside the one at `control`.
+    std::string metrics;
     /// "address:port" for the reports of other hosts (UDP).
     std::string report;
     /// Report addresses of hosts that may be reached first; some may be stale.
