--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -21,7 +21,7 @@
 // time in which the caller can still be served on time elsewhere.
 constexpr int room_wait_part = 8;
 constexpr milliseconds room_check{25};
-// Engines that one request is offered to, counting refusals and failed connections.
+// Engines that one request is offered to.
 constexpr int most_offers = 4;
 // About the time in which one of the running generations ends.
 constexpr milliseconds retry_after_full{300};
@@ -341,6 +341,10 @@
         return;
     }
     excluded_.push_back(engine_.id);
+    if (!arrived) {
+        // Nothing was sent. During an outage of the platform several engines may be gone that are still listed.
+        --offers_;
+    }
     if (offers_ < most_offers && (!arrived || context_.repeats_of(request_.service).take())) {
         auto fields = identity();
         fields.emplace_back("reason", reason.message);
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds connect_timeout{250};
 // Part of the remaining time that one of several allowed attempts may take.
 constexpr double attempt_part = 0.5;
-// Upstreams that one request is offered to, counting refusals and failed connections.
+// Upstreams that one request is offered to.
 constexpr int most_offers = 3;
 // Answers of plain services are held whole, so that a broken one can be replaced.
 constexpr std::size_t answer_bytes = 8 * 1024 * 1024;
@@ -113,6 +113,8 @@
     if (end.end == http_end::connect_failed) {
         context_.loads.on_outcome(now, upstream.id, true);
         excluded_.push_back(upstream.id);
+        // Nothing was sent.
+        --sent_;
         repeat_or_fail(make_error(error_kind::no_upstream, "the upstream cannot be reached: " + end.detail));
         return;
     }
