Pause before a failed change-over is repeated

Cause: found in the read of the whole change: after a copy, a refused change-over was repeated every 5 ms until the engine's copy in progress had ended.

--- a/src/dispatch/internal/generation_move.cpp
+++ b/src/dispatch/internal/generation_move.cpp
@@ -29,7 +29,7 @@
         return move_step::wait;
     }
     if (copied_) {
-        return move_step::change_over;
+        return now < not_before_ ? move_step::wait : move_step::change_over;
     }
     if (std::exchange(saw_busy_, false)) {
         not_before_ = now + own_turn();
--- a/src/dispatch/tests/generation_move_test.cpp
+++ b/src/dispatch/tests/generation_move_test.cpp
@@ -70,6 +70,18 @@
     CHECK(move.next(now, true) == move_step::copy);
 }
 
+// Guards against an engine that is asked to stop a generation in a tight loop while it still copies.
+TEST(generation_move_test, a_failed_change_over_is_repeated_after_a_pause)
+{
+    begin();
+    move.copy_started();
+    move.copy_succeeded();
+    CHECK(move.next(now, false) == move_step::change_over);
+    move.copy_failed(now);
+    CHECK(move.next(now, false) == move_step::wait);
+    CHECK(move.next(now + move_limits().retry_pause, false) == move_step::change_over);
+}
+
 TEST(generation_move_test, gives_up_after_several_failed_copies)
 {
     begin();
