State what a generation needs once, and list the live hosts once a poll

Read of the whole change: the need of a generation was built in two places, the live hosts again for each engine that is asked, a copy's call was kept and never used, two includes served nothing. Behaviour is as before.

--- a/src/node/engine_poller.h
+++ b/src/node/engine_poller.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "node/node_context.h"
 
@@ -23,7 +24,7 @@
     const std::set<upstream_id>& leaving() const { return leaving_; }
 
 private:
-    bool is_responsible(const upstream_id& engine) const;
+    std::vector<host_id> live_hosts() const;
     void ask(const upstream_record& engine);
 
     node_context& context_;
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -68,6 +68,8 @@
     void fail(const error& reason);
     void finish();
     milliseconds left() const;
+    /// What the request needs of an engine, at its placement and for a move.
+    generation_need need() const;
     log_fields identity() const;
 
     node_context& context_;
@@ -78,7 +80,6 @@
     generation_move move_;
     event_splitter splitter_;
     std::shared_ptr<ihttp_call> call_;
-    std::shared_ptr<ihttp_call> copy_call_;
     timer_token deadline_timer_ = 0;
     timer_token step_timer_ = 0;
     std::vector<upstream_id> excluded_;
--- a/src/node/internal/engine_poller.cpp
+++ b/src/node/internal/engine_poller.cpp
@@ -1,6 +1,5 @@
 #include "node/engine_poller.h"
 
-#include "core/log.h"
 #include "dispatch/responsibility.h"
 #include "platform/engine_calls.h"
 
@@ -29,22 +28,23 @@
         return;
     }
     next_ = now + poll_period;
+    const auto hosts = live_hosts();
     for (const auto& [id, entry] : context_.directory.entries()) {
         const auto* service = context_.routes->service(entry.record.service);
         const bool moves = service != nullptr && service->engine && service->engine->moves;
-        if (entry.usable && moves && is_responsible(id)) {
+        if (entry.usable && moves && responsible_host(hosts, id.str()) == context_.settings.host) {
             ask(entry.record);
         }
     }
 }
 
-bool engine_poller::is_responsible(const upstream_id& engine) const
+std::vector<host_id> engine_poller::live_hosts() const
 {
-    std::vector<host_id> hosts = {context_.settings.host};
+    std::vector<host_id> out = {context_.settings.host};
     for (const auto* it : context_.peers.live()) {
-        hosts.push_back(it->host);
+        out.push_back(it->host);
     }
-    return responsible_host(hosts, engine.str()) == context_.settings.host;
+    return out;
 }
 
 void engine_poller::ask(const upstream_record& engine)
--- a/src/node/internal/fleet_reporter.cpp
+++ b/src/node/internal/fleet_reporter.cpp
@@ -1,7 +1,6 @@
 #include "node/fleet_reporter.h"
 
 #include "core/crypto.h"
-#include "core/log.h"
 #include "fleet/report_codec.h"
 
 namespace anvillead {
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -83,14 +83,19 @@
             {"moves", std::to_string(moves_)}};
 }
 
+generation_need generation_relay::need() const
+{
+    generation_need out;
+    out.memory_tokens = request_.caller.prompt_tokens + planned_output_;
+    out.tie_breaker = placement_hash(request_.caller.id.str());
+    return out;
+}
+
 void generation_relay::place()
 {
     phase_ = phase::placing;
     const auto* service = request_.table->service(request_.service);
-    generation_need need;
-    need.memory_tokens = request_.caller.prompt_tokens + planned_output_;
-    need.tie_breaker = placement_hash(request_.caller.id.str());
-    const auto chosen = select_engine(context_.selection(excluded_), *service, need);
+    const auto chosen = select_engine(context_.selection(excluded_), *service, need());
     if (!chosen) {
         wait_for_room();
         return;
@@ -166,9 +171,10 @@
     phase_ = phase::sent;
     ++offers_;
 
+    ++call_round_;
     http_call_handlers handlers;
     const auto guarded = [this](auto action) {
-        return [self = shared_from_this(), n = call_round_ + 1, action](auto&&... arguments) {
+        return [self = shared_from_this(), n = call_round_, action](auto&&... arguments) {
             if (!self->done_ && n == self->call_round_) {
                 action(*self, arguments...);
             }
@@ -178,7 +184,6 @@
         guarded([](generation_relay& self, int status, const http_headers& headers) { self.on_head(status, headers); });
     handlers.on_data = guarded([](generation_relay& self, std::string_view data) { self.on_data(data); });
     handlers.on_end = guarded([](generation_relay& self, const http_call_end& end) { self.on_end(end); });
-    ++call_round_;
     call_ = context_.client.start(std::move(out), std::move(handlers), request_.exchange->sequence());
     // The engine may have begun to leave between the choice and now.
     const auto* entry = context_.directory.find(engine_.id);
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -104,10 +104,7 @@
     selection_weights weights;
     weights.other_zone_ms = target_zone_ms;
     weights.copy_ms = copy_ms;
-    generation_need need;
-    need.memory_tokens = request_.caller.prompt_tokens + planned_output_;
-    need.tie_breaker = placement_hash(request_.caller.id.str());
-    return select_engine(input, *request_.table->service(request_.service), need, weights);
+    return select_engine(input, *request_.table->service(request_.service), need(), weights);
 }
 
 void generation_relay::move_step_due()
@@ -166,7 +163,7 @@
     }
     ++copy_round_;
     const auto mode = stopping ? platform::copy_mode::stopping : platform::copy_mode::running;
-    copy_call_ = context_.client.fetch(
+    context_.client.fetch(
         platform::copy_call(engine_.address, request_.caller.id, target.address, mode), copy_answer_bytes,
         request_.exchange->sequence(),
         [self = shared_from_this(), stopping, n = copy_round_](const http_call_end& end, const http_answer& answer) {
@@ -249,7 +246,6 @@
 void generation_relay::change_over()
 {
     ++copy_round_;
-    const auto source = engine_;
     const auto target = *target_;
     const auto handle = std::exchange(copy_handle_, {});
     if (call_) {
@@ -263,7 +259,7 @@
     log(log_level::info, log_event::generation_resumed, fields);
     context_.counters.add("anvillead_generation_moves_total");
     target_.reset();
-    send(target, resume_point{platform::copy_source(source.address, handle), last_event_, events_ > 0});
+    send(target, resume_point{platform::copy_source(engine_.address, handle), last_event_, events_ > 0});
 }
 
 bool generation_relay::continue_from_copy(const std::string& reason)
