--- a/src/dispatch/internal/load_table.cpp
+++ b/src/dispatch/internal/load_table.cpp
@@ -25,6 +25,12 @@
     }
 }
 
+upstream_work largest(const upstream_work& a, const upstream_work& b)
+{
+    return {std::max(a.active, b.active), std::max(a.unread_tokens, b.unread_tokens),
+            std::max(a.memory_tokens, b.memory_tokens), std::max(a.copies, b.copies)};
+}
+
 } // namespace
 
 void load_table::add(const upstream_id& id, const upstream_work& amount)
@@ -61,8 +67,27 @@
     }
 }
 
+void load_table::set_fleet_work(instant now, const work_map& work)
+{
+    fleet_work_updated_ = now;
+    while (!peers_.empty()) {
+        remove_peer(host_id(peers_.begin()->first));
+    }
+    for (const auto& [id, amount] : work) {
+        if (amount.empty()) {
+            fleet_work_.erase(id);
+        } else {
+            fleet_work_[id] = amount;
+        }
+    }
+}
+
 void load_table::expire(instant now)
 {
+    if (now - fleet_work_updated_ > limits_.fleet_work_timeout) {
+        fleet_work_.clear();
+        fleet_work_updated_ = {};
+    }
     std::vector<host_id> timed_out;
     for (const auto& [host, value] : peers_) {
         if (now - value.updated > limits_.peer_timeout) {
@@ -122,6 +147,24 @@
     if (const auto it = remote_work_.find(id); it != remote_work_.end()) {
         out += it->second;
     }
+    if (const auto it = fleet_work_.find(id); it != fleet_work_.end()) {
+        // The sum includes the work of this host, but possibly not its latest changes.
+        out = largest(out, it->second);
+    }
+    return out;
+}
+
+load_table::work_map load_table::totals() const
+{
+    work_map out;
+    for (const auto* map : {&own_, &remote_work_, &fleet_work_}) {
+        for (const auto& [id, amount] : *map) {
+            out.emplace(id, upstream_work{});
+        }
+    }
+    for (auto& [id, amount] : out) {
+        amount = total(id);
+    }
     return out;
 }
 
--- a/src/dispatch/internal/responsibility.cpp
+++ b/src/dispatch/internal/responsibility.cpp
@@ -40,12 +40,15 @@
     return out;
 }
 
-bool follows_platform(const std::vector<follower_candidate>& candidates, const host_id& self, bool follows)
+bool follows_platform(const std::vector<follower_candidate>& candidates, const host_id& self, bool follows,
+                      std::size_t most_designated)
 {
     constexpr const char* key = "platform-follower";
     std::map<zone_name, std::vector<task_candidate>> by_zone;
     for (const auto& it : candidates) {
-        by_zone[it.availability_zone].push_back({it.host, it.link_mbps, false});
+        if (it.eligible) {
+            by_zone[it.availability_zone].push_back({it.host, it.link_mbps, false});
+        }
     }
     std::map<zone_name, std::vector<host_id>> zones;
     for (const auto& [zone, hosts] : by_zone) {
@@ -59,6 +62,12 @@
             designated.insert(responsible_host(hosts, key));
         }
     }
+    std::vector<host_id> removable(designated.begin(), designated.end());
+    while (designated.size() > most_designated) {
+        const auto chosen = responsible_host(removable, key);
+        designated.erase(chosen);
+        removable.erase(std::find(removable.begin(), removable.end(), chosen));
+    }
     if (designated.count(self) != 0) {
         return true;
     }
@@ -74,4 +83,17 @@
     return !any_reachable || (follows && !designated_reachable);
 }
 
+bool stands_in_as_follower(const host_id& self, std::size_t hosts, milliseconds unreachable_time)
+{
+    // The designated hosts are replaced within this time when they are lost.
+    constexpr milliseconds first_delay{1000};
+    constexpr milliseconds turn{2000};
+    constexpr std::size_t stand_ins = 12;
+    if (unreachable_time < first_delay || hosts == 0) {
+        return false;
+    }
+    const auto number = static_cast<std::uint64_t>((unreachable_time - first_delay) / turn);
+    return placement_hash(self.str(), number) % hosts < stand_ins;
+}
+
 } // namespace anvillead
--- a/src/dispatch/internal/upstream_directory.cpp
+++ b/src/dispatch/internal/upstream_directory.cpp
@@ -118,6 +118,17 @@
     return out;
 }
 
+std::vector<upstream_id> upstream_directory::recently_leaving(instant now) const
+{
+    std::vector<upstream_id> out;
+    for (const auto& [id, value] : entries_) {
+        if (!value.usable && now - value.leaving_since <= limits_.announcement_time) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 void upstream_directory::begin_leaving(instant now, entry& value)
 {
     if (!value.usable) {
--- a/src/dispatch/load_table.h
+++ b/src/dispatch/load_table.h
@@ -15,6 +15,8 @@
     /// The work of a host that has sent no report for this long is dropped. Longer than the fleet takes to replace a
     /// lost report relay.
     milliseconds peer_timeout{3000};
+    /// The same for the sums of the whole fleet, which arrive several times per second.
+    milliseconds fleet_work_timeout{1500};
     /// Half-life of the failure counts.
     milliseconds failure_half_life{4000};
     /// Maximum age at which a load reported by an upstream is used.
@@ -39,6 +41,10 @@
     void reserve(instant until, const upstream_id& id, const upstream_work& amount);
     void set_peer_work(instant now, const host_id& host, work_map work);
     void remove_peer(const host_id& host);
+    /// Sets the work of the whole fleet, this host included, on some upstreams. The sums replace the work of single
+    /// hosts that was received before. A host that becomes a relay receives the work of single hosts again while it
+    /// still has sums; until they expire, the larger amount counts.
+    void set_fleet_work(instant now, const work_map& work);
     /// Removes expired reservations and the work of hosts that have stopped reporting.
     void expire(instant now);
     /// Records the number of running and queued requests that the upstream itself reported.
@@ -49,6 +55,8 @@
 
     /// Work of all hosts at the upstream. Expired entries count until the next call of `expire`.
     upstream_work total(const upstream_id& id) const;
+    /// Work of all hosts at all upstreams.
+    work_map totals() const;
     /// Requests at the upstream: the larger of its own report, if recent, and the sum over the hosts.
     int requests(instant now, const upstream_id& id) const;
     /// Fraction of recent requests that failed, 0 to 1; biased towards 0 while there are few.
@@ -92,6 +100,9 @@
     /// Sum of `peers_` and `reservations_`, kept up to date because adding up many hosts for each selection is too
     /// slow.
     work_map remote_work_;
+    work_map fleet_work_;
+    /// When the last sums were received; unset while there are none.
+    instant fleet_work_updated_{};
     std::map<upstream_id, outcome_counts> outcomes_;
     std::map<upstream_id, load_report> reports_;
 };
--- a/src/dispatch/tests/load_table_test.cpp
+++ b/src/dispatch/tests/load_table_test.cpp
@@ -77,3 +77,27 @@
     LONGS_EQUAL(1, table.total(engine).active);
     CHECK(table.own().empty());
 }
+
+// Guards against work that is counted twice because the sums of the fleet include the work of this host.
+TEST(load_table_test, sums_of_the_fleet_include_the_own_work)
+{
+    table.add(engine, {2, 0, 20, 0});
+    table.set_peer_work(now, peer, {{engine, {1, 0, 10, 0}}});
+    LONGS_EQUAL(3, table.total(engine).active);
+    table.set_fleet_work(now, {{engine, {5, 0, 50, 0}}});
+    LONGS_EQUAL(5, table.total(engine).active);
+    table.add(engine, {4, 0, 40, 0});
+    LONGS_EQUAL(6, table.total(engine).active);
+    table.subtract(engine, {6, 0, 60, 0});
+    table.set_fleet_work(now, {{engine, {}}});
+    LONGS_EQUAL(0, table.total(engine).active);
+}
+
+// Guards against sums that count for good after their relay was lost.
+TEST(load_table_test, sums_of_the_fleet_expire)
+{
+    table.set_fleet_work(now, {{engine, {5, 0, 50, 0}}});
+    table.expire(now + load_table_limits().fleet_work_timeout + milliseconds(1));
+    LONGS_EQUAL(0, table.total(engine).active);
+    CHECK(table.totals().empty());
+}
--- a/src/dispatch/tests/responsibility_test.cpp
+++ b/src/dispatch/tests/responsibility_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/responsibility.h"
 
 #include <algorithm>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -74,6 +75,43 @@
     LONGS_EQUAL(2, count_followers(one_zone, false));
 }
 
+// Guards against calls to the platform by one host of each of many zones of a large fleet.
+TEST(responsibility_test, a_large_fleet_has_few_followers_among_its_relays)
+{
+    auto hosts = seven_hosts();
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        hosts[i].eligible = i < 3;
+    }
+    int followers = 0;
+    for (const auto& it : hosts) {
+        const bool follows = follows_platform(hosts, it.host, false, 2);
+        CHECK(it.eligible || !follows);
+        followers += follows ? 1 : 0;
+    }
+    LONGS_EQUAL(2, followers);
+}
+
+// The platform is away for all. Guards against hundreds of hosts that try to reach it at the same time, and against a
+// fleet that never asks the hosts that the platform still serves.
+TEST(responsibility_test, few_hosts_of_a_large_fleet_stand_in_and_all_take_turns)
+{
+    constexpr int hosts = 300;
+    constexpr int most_at_once = 30;
+    std::set<int> tried;
+    for (milliseconds time{0}; time < seconds(120); time += milliseconds(500)) {
+        int now = 0;
+        for (int i = 0; i < hosts; ++i) {
+            if (stands_in_as_follower(host_id("host-" + std::to_string(i)), hosts, time)) {
+                ++now;
+                tried.insert(i);
+            }
+        }
+        CHECK(now <= most_at_once);
+        CHECK(time < milliseconds(1000) || now > 0);
+    }
+    CHECK(tried.size() > hosts * 3 / 4);
+}
+
 // The platform rejects the designated hosts but serves others. Guards against a fleet that receives no updates.
 TEST(responsibility_test, others_follow_while_no_designated_host_reaches_the_platform)
 {
--- a/src/dispatch/upstream_directory.h
+++ b/src/dispatch/upstream_directory.h
@@ -16,6 +16,8 @@
     milliseconds lease_grace{2500};
     /// The record of an upstream that has left is kept this long for streams that still run there.
     milliseconds departed_retention{30'000};
+    /// Other hosts are told for this long that an upstream leaves, until they have read the change of the directory.
+    milliseconds announcement_time{2000};
 };
 
 /// The upstreams known to this host, and whether they are leaving. Sans-I/O; not thread-safe.
@@ -63,6 +65,8 @@
 
     const entry* find(const upstream_id& id) const;
     const std::map<upstream_id, entry>& entries() const { return entries_; }
+    /// Upstreams that have begun to leave recently, to be announced to other hosts.
+    std::vector<upstream_id> recently_leaving(instant now) const;
     /// Usable upstreams of a service, ordered by id.
     std::vector<const entry*> usable(const service_name& service) const;
 
--- a/src/fleet/internal/peer_table.cpp
+++ b/src/fleet/internal/peer_table.cpp
@@ -2,10 +2,21 @@
 
 #include <algorithm>
 
+#include "core/crypto.h"
+
 namespace anvillead {
 
 namespace {
 
+/// Whether the reports differ in a property that `peer_table::version` covers.
+bool same_membership(const host_report& a, const host_report& b)
+{
+    return a.incarnation == b.incarnation && a.ready == b.ready && a.leaving == b.leaving &&
+           a.platform_reachable == b.platform_reachable && a.availability_zone == b.availability_zone &&
+           a.link_mbps == b.link_mbps && a.addresses.frontend == b.addresses.frontend &&
+           a.addresses.control == b.addresses.control && a.addresses.report == b.addresses.report;
+}
+
 /// Applies an incremental entry to the last full report.
 void merge(host_report& known, const host_report& update)
 {
@@ -16,6 +27,7 @@
     known.configuration = update.configuration;
     known.directory_revision = update.directory_revision;
     known.leaving_upstreams = update.leaving_upstreams;
+    known.requests_member_list = update.requests_member_list;
     for (const auto& [id, work] : update.work) {
         if (work.empty()) {
             known.work.erase(id);
@@ -38,7 +50,7 @@
     }
 }
 
-bool peer_table::is_new_report(const peer* known, const report_entry& value) const
+bool peer_table::is_new_report(const peer* known, const report_entry& value, bool direct) const
 {
     const auto& report = value.report;
     if (report.host == self_ || (!value.incremental && report.addresses.report == own_report_address_)) {
@@ -50,20 +62,32 @@
     if (known->report.incarnation == report.incarnation) {
         return report.sequence > known->report.sequence;
     }
-    return !value.incremental && report.incarnation != known->previous_incarnation;
+    if (value.incremental || report.incarnation == known->previous_incarnation) {
+        return false;
+    }
+    // Another host may still describe the process before a restart.
+    return direct || !known->live || report.incarnation > known->report.incarnation;
 }
 
-bool peer_table::on_report(instant now, const report_entry& value, bool direct)
+bool peer_table::on_report(instant now, const report_entry& value, bool direct, bool repeats, bool from_relay)
 {
     if (value.lost) {
         on_reported_lost(now, value);
         return false;
     }
     const auto found = peers_.find(value.report.host);
-    if (!is_new_report(found == peers_.end() ? nullptr : &found->second, value)) {
+    if (!is_new_report(found == peers_.end() ? nullptr : &found->second, value, direct)) {
+        // The list of the relay states that a host lives, even if this one already knows more about it. Other lists do
+        // not, or hosts would confirm a lost host to each other.
+        const bool confirmed = from_relay && found != peers_.end() && found->second.live &&
+                               found->second.report.incarnation == value.report.incarnation;
+        if (confirmed) {
+            found->second.last_heard = now;
+        }
         return false;
     }
     auto& known = peers_[value.report.host];
+    const auto before = known.report;
     if (known.report.incarnation != value.report.incarnation) {
         known.previous_incarnation = known.report.incarnation;
         known.last_heard_directly = {};
@@ -72,17 +96,31 @@
         merge(known.report, value.report);
     } else {
         known.report = value.report;
+        if (value.without_work && before.incarnation == value.report.incarnation) {
+            known.report.work = before.work;
+        }
     }
     known.last_heard = now;
     if (direct) {
-        record_direct_report(now, known);
+        record_direct_report(now, known, repeats);
     }
     for (const auto& it : value.report.contacts) {
-        if (contacts_.count(it) == 0) {
+        if (contacts_.count(it) == 0 && live_addresses_.count(it) == 0) {
             add_contact(now, it);
         }
     }
-    if (!std::exchange(known.live, true)) {
+    const bool joined = !std::exchange(known.live, true);
+    if (joined || !same_membership(before, known.report)) {
+        ++version_;
+    }
+    if (!joined && before.addresses.report != known.report.addresses.report) {
+        remove_live_address(before.addresses.report);
+    }
+    if (joined || before.addresses.report != known.report.addresses.report) {
+        ++live_addresses_[known.report.addresses.report];
+        contacts_.erase(known.report.addresses.report);
+    }
+    if (joined) {
         ++live_count_;
         if (hooks_.on_joined) {
             hooks_.on_joined(known.report);
@@ -94,19 +132,48 @@
     return true;
 }
 
-void peer_table::on_relay_datagram(instant now, const host_id& host)
+void peer_table::on_relay_datagram(instant now, const host_id& host, bool repeats)
 {
     const auto found = peers_.find(host);
     if (found != peers_.end() && found->second.live) {
         found->second.last_heard = now;
-        record_direct_report(now, found->second);
+        record_direct_report(now, found->second, repeats);
+    }
+}
+
+void peer_table::on_relay_summary(instant now, const host_id& relay, config_generation configuration,
+                                  std::uint64_t directory_revision)
+{
+    last_summary_ = now;
+    on_relay_datagram(now, relay);
+    const auto found = peers_.find(relay);
+    if (found != peers_.end()) {
+        found->second.report.configuration = configuration;
+        found->second.report.directory_revision = directory_revision;
+    }
+}
+
+void peer_table::remove_if_silent(instant now, const host_id& host, milliseconds timeout)
+{
+    const auto found = peers_.find(host);
+    if (found != peers_.end() && found->second.live && now - found->second.last_heard_directly > timeout) {
+        mark_lost(now, host, found->second);
+    }
+}
+
+void peer_table::remove_unheard(instant now, instant time, const host_id& relay)
+{
+    for (auto& [host, value] : peers_) {
+        if (value.live && value.last_heard < time && host != relay) {
+            mark_lost(now, host, value);
+        }
     }
 }
 
-void peer_table::record_direct_report(instant now, peer& value) const
+void peer_table::record_direct_report(instant now, peer& value, bool repeats) const
 {
     value.reports_periodically =
-        value.last_heard_directly != instant{} && now - value.last_heard_directly <= limits_.direct_timeout;
+        repeats && value.last_heard_directly != instant{} && now - value.last_heard_directly <= limits_.direct_timeout;
     value.last_heard_directly = now;
 }
 
@@ -130,12 +197,22 @@
 {
     value.live = false;
     --live_count_;
+    ++version_;
+    remove_live_address(value.report.addresses.report);
     add_contact(now, value.report.addresses.report);
     if (hooks_.on_lost) {
         hooks_.on_lost(host);
     }
 }
 
+void peer_table::remove_live_address(const std::string& address)
+{
+    const auto found = live_addresses_.find(address);
+    if (found != live_addresses_.end() && --found->second == 0) {
+        live_addresses_.erase(found);
+    }
+}
+
 void peer_table::compensate_pause(instant now)
 {
     const auto pause = last_expire_ == instant{} ? instant::duration{} : now - last_expire_;
@@ -143,6 +220,7 @@
     if (pause <= limits_.pause_threshold) {
         return;
     }
+    last_summary_ = last_summary_ == instant{} ? last_summary_ : std::min(now, last_summary_ + pause);
     for (auto& [host, value] : peers_) {
         const bool direct = value.last_heard_directly == value.last_heard;
         value.last_heard = std::min(now, value.last_heard + pause);
@@ -150,13 +228,23 @@
     }
 }
 
+milliseconds peer_table::timeout_of(const peer& value, bool direct) const
+{
+    if (direct) {
+        return limits_.direct_timeout;
+    }
+    const bool remote = !relay_zone_.empty() && value.report.availability_zone != relay_zone_;
+    return remote ? limits_.remote_timeout : limits_.relayed_timeout;
+}
+
 void peer_table::expire(instant now, const std::function<bool(const host_report&)>& expects_direct_reports)
 {
     compensate_pause(now);
     for (auto& [host, value] : peers_) {
         const bool direct = value.reports_periodically && value.last_heard_directly == value.last_heard &&
                             expects_direct_reports(value.report);
-        if (value.live && now - value.last_heard > (direct ? limits_.direct_timeout : limits_.relayed_timeout)) {
+        const auto heard = direct ? value.last_heard : std::max(value.last_heard, last_summary_);
+        if (value.live && now - heard > timeout_of(value, direct)) {
             mark_lost(now, host, value);
         }
     }
@@ -167,17 +255,19 @@
 
 std::vector<std::string> peer_table::due_contacts(instant now)
 {
-    const auto known = live_addresses();
-    std::vector<std::string> out;
-    for (auto& [address, value] : contacts_) {
-        if (now - value.last_tried < limits_.contact_period) {
-            continue;
-        }
-        value.last_tried = now;
-        if (std::find(known.begin(), known.end(), address) == known.end()) {
-            out.push_back(address);
+    std::vector<std::pair<instant, std::string>> due;
+    for (const auto& [address, value] : contacts_) {
+        if (now - value.last_tried >= limits_.contact_period && live_addresses_.count(address) == 0) {
+            due.emplace_back(value.last_tried, address);
         }
     }
+    const auto count = std::min(due.size(), limits_.max_contacts_per_report);
+    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        contacts_[due[i].second].last_tried = now;
+        out.push_back(std::move(due[i].second));
+    }
     return out;
 }
 
@@ -190,15 +280,31 @@
     return out;
 }
 
-std::vector<const host_report*> peer_table::live() const
+const std::vector<const host_report*>& peer_table::live() const
 {
-    std::vector<const host_report*> out;
+    if (live_version_ == version_) {
+        return live_;
+    }
+    live_.clear();
     for (const auto& [host, value] : peers_) {
         if (value.live) {
-            out.push_back(&value.report);
+            live_.push_back(&value.report);
         }
     }
-    return out;
+    live_version_ = version_;
+    return live_;
+}
+
+std::uint64_t peer_table::member_digest() const
+{
+    if (digest_version_ != version_) {
+        digest_ = 0;
+        for (const auto* it : live()) {
+            digest_ ^= member_hash(*it);
+        }
+        digest_version_ = version_;
+    }
+    return digest_;
 }
 
 bool peer_table::is_live(const host_id& host) const
@@ -222,6 +328,12 @@
     return out;
 }
 
+std::uint64_t member_hash(const host_report& value)
+{
+    const char state[] = {value.ready ? 'r' : '-', value.leaving ? 'l' : '-', '\0'};
+    return placement_hash(value.host.str() + '\n' + value.incarnation + '\n' + state);
+}
+
 member to_member(const host_report& value)
 {
     member out;
--- a/src/fleet/internal/report_codec.cpp
+++ b/src/fleet/internal/report_codec.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr int format_version = 2;
+constexpr int format_version = 3;
 
 // Index of each field in the array that encodes a datagram.
 enum datagram_field : std::size_t
@@ -19,6 +19,7 @@
     d_sender,
     d_zone,
     d_direct,
+    d_repeats,
     d_entries,
     d_count
 };
@@ -44,11 +45,30 @@
     f_count
 };
 
+// Index of each field in the array that encodes a summary.
+enum summary_field : std::size_t
+{
+    s_version,
+    s_relay,
+    s_incarnation,
+    s_sequence,
+    s_digest,
+    s_configuration,
+    s_directory,
+    s_reachable,
+    s_work,
+    s_leaving_upstreams,
+    s_count
+};
+
 constexpr unsigned flag_ready = 1;
 constexpr unsigned flag_leaving = 2;
 constexpr unsigned flag_platform_reachable = 4;
 constexpr unsigned flag_incremental = 8;
 constexpr unsigned flag_lost = 16;
+constexpr unsigned flag_without_work = 32;
+constexpr unsigned flag_requests_member_list = 64;
+constexpr unsigned flag_uses_relay = 128;
 constexpr std::size_t work_field_count = 5;
 
 unsigned flags_of(const report_entry& value)
@@ -56,30 +76,45 @@
     const auto& report = value.report;
     return (report.ready ? flag_ready : 0) | (report.leaving ? flag_leaving : 0) |
            (report.platform_reachable ? flag_platform_reachable : 0) | (value.incremental ? flag_incremental : 0) |
-           (value.lost ? flag_lost : 0);
+           (value.lost ? flag_lost : 0) | (value.without_work ? flag_without_work : 0) |
+           (report.requests_member_list ? flag_requests_member_list : 0) | (report.uses_relay ? flag_uses_relay : 0);
+}
+
+json encode_amounts(const upstream_id& id, const upstream_work& work)
+{
+    return {id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies};
 }
 
 json encode_work(const report_entry& value)
 {
     auto out = json::array();
+    if (value.without_work) {
+        return out;
+    }
     for (const auto& [id, work] : value.report.work) {
         // In an incremental entry, an amount of zero means that the work has ended.
         if (value.incremental || !work.empty()) {
-            out.push_back({id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies});
+            out.push_back(encode_amounts(id, work));
         }
     }
     return out;
 }
 
+json encode_ids(const std::vector<upstream_id>& ids)
+{
+    auto out = json::array();
+    for (const auto& it : ids) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
 json encode_entry(const report_entry& value)
 {
     const auto& report = value.report;
-    auto leaving_upstreams = json::array();
-    for (const auto& it : report.leaving_upstreams) {
-        leaving_upstreams.push_back(it.str());
-    }
-    json out = {flags_of(value),      report.host.str(),         report.incarnation, report.sequence,
-                report.configuration, report.directory_revision, encode_work(value), leaving_upstreams};
+    json out = {
+        flags_of(value),      report.host.str(),         report.incarnation, report.sequence,
+        report.configuration, report.directory_revision, encode_work(value), encode_ids(report.leaving_upstreams)};
     if (!value.incremental) {
         out.push_back(report.availability_zone.str());
         out.push_back(report.addresses.frontend);
@@ -96,6 +131,22 @@
     return {in.at(1).get<int>(), in.at(2).get<std::int64_t>(), in.at(3).get<std::int64_t>(), in.at(4).get<int>()};
 }
 
+void decode_work_list(const json& in, std::map<upstream_id, upstream_work>& out)
+{
+    for (const auto& it : in) {
+        if (it.size() == work_field_count) {
+            out[upstream_id(it.at(0).get<std::string>())] = decode_work(it);
+        }
+    }
+}
+
+void decode_ids(const json& in, std::vector<upstream_id>& out)
+{
+    for (const auto& it : in) {
+        out.emplace_back(it.get<std::string>());
+    }
+}
+
 /// Throws json::exception where a field has another type.
 report_entry decode_entry(const json& in)
 {
@@ -103,23 +154,20 @@
     const auto flags = in.at(f_flags).get<unsigned>();
     out.incremental = (flags & flag_incremental) != 0;
     out.lost = (flags & flag_lost) != 0;
+    out.without_work = (flags & flag_without_work) != 0;
     auto& report = out.report;
     report.ready = (flags & flag_ready) != 0;
     report.leaving = (flags & flag_leaving) != 0;
     report.platform_reachable = (flags & flag_platform_reachable) != 0;
+    report.uses_relay = (flags & flag_uses_relay) != 0;
+    report.requests_member_list = (flags & flag_requests_member_list) != 0;
     report.host = host_id(in.at(f_host).get<std::string>());
     report.incarnation = in.at(f_incarnation).get<std::string>();
     report.sequence = in.at(f_sequence).get<std::uint64_t>();
     report.configuration = in.at(f_configuration).get<config_generation>();
     report.directory_revision = in.at(f_directory).get<std::uint64_t>();
-    for (const auto& it : in.at(f_work)) {
-        if (it.size() == work_field_count) {
-            report.work[upstream_id(it.at(0).get<std::string>())] = decode_work(it);
-        }
-    }
-    for (const auto& it : in.at(f_leaving_upstreams)) {
-        report.leaving_upstreams.emplace_back(it.get<std::string>());
-    }
+    decode_work_list(in.at(f_work), report.work);
+    decode_ids(in.at(f_leaving_upstreams), report.leaving_upstreams);
     if (!out.incremental) {
         report.availability_zone = zone_name(in.at(f_zone).get<std::string>());
         report.addresses = {in.at(f_frontend).get<std::string>(), in.at(f_control).get<std::string>(),
@@ -130,13 +178,18 @@
     return out;
 }
 
-std::string encode_packet(const fleet_datagram& value, json entries)
+std::string to_text(const json& value)
 {
-    const json out = {format_version, value.sender.str(), value.sender_zone.str(), value.direct, std::move(entries)};
-    const auto bytes = json::to_cbor(out);
+    const auto bytes = json::to_cbor(value);
     return {bytes.begin(), bytes.end()};
 }
 
+std::string encode_packet(const fleet_datagram& value, json entries)
+{
+    return to_text(
+        {format_version, value.sender.str(), value.sender_zone.str(), value.direct, value.repeats, std::move(entries)});
+}
+
 } // namespace
 
 std::vector<std::string> encode_datagrams(const fleet_datagram& value)
@@ -172,6 +225,7 @@
         out.sender = host_id(in[d_sender].get<std::string>());
         out.sender_zone = zone_name(in[d_zone].get<std::string>());
         out.direct = in[d_direct].get<bool>();
+        out.repeats = in[d_repeats].get<bool>();
         for (const auto& it : in[d_entries]) {
             out.entries.push_back(decode_entry(it));
         }
@@ -185,4 +239,40 @@
     }
 }
 
+std::string encode_summary(const fleet_summary& value)
+{
+    auto work = json::array();
+    for (const auto& [id, amounts] : value.work) {
+        work.push_back(encode_amounts(id, amounts));
+    }
+    return to_text({format_version, value.relay.str(), value.incarnation, value.sequence, value.member_digest,
+                    value.configuration, value.directory_revision, value.platform_reachable, std::move(work),
+                    encode_ids(value.leaving_upstreams)});
+}
+
+std::optional<fleet_summary> decode_summary(std::string_view datagram)
+{
+    const auto parsed = parse_bounded_cbor(datagram);
+    if (!parsed || !parsed->is_array() || parsed->size() != s_count || (*parsed)[s_version] != format_version) {
+        return std::nullopt;
+    }
+    const auto& in = *parsed;
+    try {
+        fleet_summary out;
+        out.relay = host_id(in[s_relay].get<std::string>());
+        out.incarnation = in[s_incarnation].get<std::string>();
+        out.sequence = in[s_sequence].get<std::uint64_t>();
+        out.member_digest = in[s_digest].get<std::uint64_t>();
+        out.configuration = in[s_configuration].get<config_generation>();
+        out.directory_revision = in[s_directory].get<std::uint64_t>();
+        out.platform_reachable = in[s_reachable].get<bool>();
+        decode_work_list(in[s_work], out.work);
+        decode_ids(in[s_leaving_upstreams], out.leaving_upstreams);
+        return out;
+    } catch (const json::exception&) {
+        // A field has another type: the datagram was sent by another program or version.
+        return std::nullopt;
+    }
+}
+
 } // namespace anvillead
--- a/src/fleet/report_codec.h
+++ b/src/fleet/report_codec.h
@@ -18,4 +18,8 @@
 /// Returns nothing for a datagram that is not a report datagram of this version.
 std::optional<fleet_datagram> decode_datagram(std::string_view datagram);
 
+std::string encode_summary(const fleet_summary& value);
+/// Returns nothing for a datagram that is not a summary of this version.
+std::optional<fleet_summary> decode_summary(std::string_view datagram);
+
 } // namespace anvillead
--- a/src/fleet/tests/peer_table_test.cpp
+++ b/src/fleet/tests/peer_table_test.cpp
@@ -85,3 +85,21 @@
     }
     LONGS_EQUAL(0, table.live().size());
 }
+
+// Guards against a host that stays lost after its restart, because a late list of another host described the process
+// before it and the reports of the new one then looked old.
+TEST(peer_table_test, a_late_list_does_not_bring_back_the_process_before_a_restart)
+{
+    CHECK(table.on_report(now, report("p", "2-new", 1), false));
+    auto late = report("p", "1-old", 90);
+    late.without_work = true;
+    CHECK(!table.on_report(now, late, false));
+    CHECK(table.on_report(now, report("p", "2-new", 2), false));
+}
+
+// A host whose clock was set back before its restart.
+TEST(peer_table_test, a_restarted_host_is_believed_itself_whatever_its_clock)
+{
+    CHECK(table.on_report(now, report("p", "2-old", 9), false));
+    CHECK(table.on_report(now, report("p", "1-new", 1), true));
+}
--- a/src/fleet/tests/report_codec_test.cpp
+++ b/src/fleet/tests/report_codec_test.cpp
@@ -6,7 +6,7 @@
 using namespace anvillead;
 
 TEST_GROUP(report_codec_test){static fleet_datagram direct(const host_report& value){
-    return {value.host, value.availability_zone, true, {{value, false, false}}};
+    return {value.host, value.availability_zone, true, {{value, false, false}}, true};
 }
 }
 ;
@@ -85,3 +85,40 @@
     }
     LONGS_EQUAL(count, next);
 }
+
+TEST(report_codec_test, a_summary_round_trips_and_is_no_report)
+{
+    fleet_summary value;
+    value.relay = host_id("relay");
+    value.incarnation = "i";
+    value.sequence = 9;
+    value.member_digest = 0xfedcba9876543210;
+    value.configuration = 3;
+    value.directory_revision = 4;
+    value.platform_reachable = true;
+    value.work[upstream_id("busy")] = {1, 2, 3, 4};
+    value.work[upstream_id("ended")] = {};
+    value.leaving_upstreams = {upstream_id("gone")};
+    const auto text = encode_summary(value);
+    CHECK(!decode_datagram(text).has_value());
+    const auto out = decode_summary(text);
+    CHECK(out.has_value());
+    CHECK(out->relay == value.relay && out->sequence == 9 && out->member_digest == value.member_digest);
+    CHECK(out->configuration == 3 && out->directory_revision == 4 && out->platform_reachable);
+    CHECK(out->work == value.work);
+    CHECK(out->leaving_upstreams == value.leaving_upstreams);
+}
+
+// Guards against a damaged summary that crashes the process.
+TEST(report_codec_test, damaged_summaries_are_rejected_or_harmless)
+{
+    fleet_summary value;
+    value.work[upstream_id("busy")] = {1, 2, 3, 4};
+    const auto text = encode_summary(value);
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        auto damaged = text;
+        damaged[i] = static_cast<char>(damaged[i] ^ 0x5f);
+        decode_summary(damaged);
+        CHECK(!decode_summary(text.substr(0, i)).has_value());
+    }
+}
--- a/src/fleet/types/host_report.h
+++ b/src/fleet/types/host_report.h
@@ -25,7 +25,8 @@
 struct host_report
 {
     host_id host;
-    /// Identifies one start of the process. Not ordered, because the wall clock may be adjusted.
+    /// Identifies one start of the process. A later start is usually greater; not always, because the wall clock may be
+    /// adjusted.
     std::string incarnation;
     /// Increases with each report of an incarnation.
     std::uint64_t sequence = 0;
@@ -48,6 +49,10 @@
     std::vector<upstream_id> leaving_upstreams;
     /// Report addresses of other live hosts, so that a host that starts with one contact discovers all others.
     std::vector<std::string> contacts;
+    /// The host's list of live hosts has differed from its relay's for some time; the relay sends it the complete list.
+    bool requests_member_list = false;
+    /// The host reports to one relay, so it depends on it; otherwise, to all hosts that it knows.
+    bool uses_relay = false;
 };
 
 /// Report of one host as an element of a datagram.
@@ -59,6 +64,8 @@
     bool incremental = false;
     /// The relay no longer receives reports from the host.
     bool lost = false;
+    /// `work` is omitted although the host may have some, because the receiver gets sums instead.
+    bool without_work = false;
 };
 
 /// Datagram that hosts exchange.
@@ -69,6 +76,28 @@
     /// The only entry is the sender's own report. Otherwise, the sender forwards reports that it has received.
     bool direct = true;
     std::vector<report_entry> entries;
+    /// The sender will send to this receiver in each period, so a silence means that the sender is lost.
+    bool repeats = true;
+};
+
+/// What a relay tells the hosts that report to it, in each period and after important changes. One datagram.
+struct fleet_summary
+{
+    host_id relay;
+    /// Start of the relay's process, and a number that increases within it.
+    std::string incarnation;
+    std::uint64_t sequence = 0;
+    /// Hash of the relay's list of live hosts, by which a host notices that its own list differs.
+    std::uint64_t member_digest = 0;
+    /// Versions of the platform's state that the relay holds and hands out.
+    config_generation configuration = 0;
+    std::uint64_t directory_revision = 0;
+    /// At least one host follows the platform's upstream directory and can reach it.
+    bool platform_reachable = false;
+    /// Work of the whole fleet on upstreams where it has changed; an amount of zero means that all work has ended.
+    std::map<upstream_id, upstream_work> work;
+    /// Upstreams that have begun to leave in the last seconds.
+    std::vector<upstream_id> leaving_upstreams;
 };
 
 } // namespace anvillead
--- a/src/node/collection_follower.h
+++ b/src/node/collection_follower.h
@@ -40,6 +40,9 @@
         std::function<void(const error&)> on_disconnected;
         /// Called for the first successful call, and for the first one after each series of failures.
         std::function<void()> on_connected;
+        /// Returns how long to wait after changes before the next call, which then returns all changes made meanwhile.
+        /// Not set: no wait.
+        std::function<milliseconds()> gather_time;
     };
 
     collection_follower(iobject_collection& source, itimer_service& timers, std::string name, hooks callbacks,
--- a/src/node/engine_poller.h
+++ b/src/node/engine_poller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <vector>
@@ -18,6 +19,8 @@
 public:
     engine_poller(node_context& context, std::shared_ptr<isequence> sequence);
 
+    /// Sets the hook that returns the hosts that share the engines among themselves.
+    void set_pollers(std::function<std::vector<host_id>()> hook) { pollers_ = std::move(hook); }
     /// Called several times a second; polls when the poll period has passed. With `directory_watched`, at least one
     /// host watches the directory and polling is not needed.
     void poll_if_due(bool directory_watched);
@@ -25,11 +28,11 @@
     const std::set<upstream_id>& leaving() const { return leaving_; }
 
 private:
-    std::vector<host_id> live_hosts() const;
     void poll(const upstream_record& engine);
 
     node_context& context_;
     std::shared_ptr<isequence> sequence_;
+    std::function<std::vector<host_id>()> pollers_;
     std::set<upstream_id> leaving_;
     instant next_poll_{};
 };
--- a/src/node/fleet_reporter.h
+++ b/src/node/fleet_reporter.h
@@ -15,6 +15,11 @@
 public:
     /// `fill` adds the fields of a report that only the caller knows.
     fleet_reporter(node_context& context, std::shared_ptr<isequence> sequence, std::function<void(host_report&)> fill);
+    /// Sets the hooks of the exchange of reports, but for `fleet_work`.
+    void set_exchange_hooks(report_exchange::hooks value);
+    const report_exchange& exchange() const { return exchange_; }
+    /// Sends the next summary within a few milliseconds instead of at the end of the period.
+    void schedule_summary();
     /// Sets the handler of datagrams that are not reports; it returns false for a datagram that it does not recognise.
     void on_other_datagram(std::function<bool(const std::string&)> hook) { on_other_datagram_ = std::move(hook); }
     void start();
--- a/src/node/internal/collection_follower.cpp
+++ b/src/node/internal/collection_follower.cpp
@@ -32,12 +32,14 @@
         listing_.clear();
         listing_revision_ = 0;
     }
-    source_.list(after, read_freshness::current,
-                 [self = shared_from_this(), n = epoch_](const result<collection_page>& page) {
-                     if (n == self->epoch_) {
-                         self->on_list_page(page);
-                     }
-                 });
+    // The first listing may be some seconds old, because the watch from its revision brings the later changes. It costs
+    // the store a fraction of a current one, and hundreds of hosts may start at the same time.
+    const auto freshness = revision_ == 0 ? read_freshness::stale : read_freshness::current;
+    source_.list(after, freshness, [self = shared_from_this(), n = epoch_](const result<collection_page>& page) {
+        if (n == self->epoch_) {
+            self->on_list_page(page);
+        }
+    });
 }
 
 void collection_follower::on_list_page(const result<collection_page>& page)
@@ -89,10 +91,21 @@
     }
     on_success();
     revision_ = std::max(revision_, value.revision);
-    if (!value.items.empty()) {
-        hooks_.on_changes(value.items);
+    if (value.items.empty()) {
+        watch_changes();
+        return;
     }
-    watch_changes();
+    hooks_.on_changes(value.items);
+    const auto wait = hooks_.gather_time ? hooks_.gather_time() : milliseconds(0);
+    if (wait.count() == 0) {
+        watch_changes();
+        return;
+    }
+    timers_.after(wait, [self = shared_from_this(), n = epoch_] {
+        if (n == self->epoch_) {
+            self->watch_changes();
+        }
+    });
 }
 
 void collection_follower::on_failure(const error& reason, std::function<void()> retry)
--- a/src/node/internal/engine_poller.cpp
+++ b/src/node/internal/engine_poller.cpp
@@ -1,5 +1,7 @@
 #include "node/engine_poller.h"
 
+#include <algorithm>
+
 #include "dispatch/responsibility.h"
 #include "platform/engine_calls.h"
 
@@ -28,7 +30,10 @@
         return;
     }
     next_poll_ = now + poll_period;
-    const auto hosts = live_hosts();
+    const auto hosts = pollers_();
+    if (std::find(hosts.begin(), hosts.end(), context_.settings.host) == hosts.end()) {
+        return;
+    }
     for (const auto& [id, entry] : context_.directory.entries()) {
         const auto* service = context_.routes->service(entry.record.service);
         const bool moves = service != nullptr && service->engine && service->engine->moves;
@@ -38,15 +43,6 @@
     }
 }
 
-std::vector<host_id> engine_poller::live_hosts() const
-{
-    std::vector<host_id> out = {context_.settings.host};
-    for (const auto* it : context_.peers.live()) {
-        out.push_back(it->host);
-    }
-    return out;
-}
-
 void engine_poller::poll(const upstream_record& engine)
 {
     context_.counters.add("engine_polls_total");
--- a/src/node/internal/fleet_reporter.cpp
+++ b/src/node/internal/fleet_reporter.cpp
@@ -1,5 +1,7 @@
 #include "node/fleet_reporter.h"
 
+#include <fmt/format.h>
+
 #include "core/crypto.h"
 #include "fleet/report_codec.h"
 
@@ -11,7 +13,14 @@
 constexpr milliseconds batching_delay{2};
 // One of this many periodic reports lists the addresses of the other hosts.
 constexpr std::uint64_t reports_per_contact_list = 5;
-constexpr std::size_t incarnation_bytes = 6;
+constexpr std::size_t incarnation_bytes = 4;
+
+/// Ordered by start time; random in case two starts fall into one millisecond or the clock was adjusted.
+std::string make_incarnation(wall_time now)
+{
+    const auto started = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+    return fmt::format("{:012x}-{}", started, random_hex(incarnation_bytes));
+}
 
 } // namespace
 
@@ -19,9 +28,21 @@
                                std::function<void(host_report&)> fill)
     : context_(context), sequence_(std::move(sequence)), fill_report_(std::move(fill)),
       exchange_(context.peers, context.settings.host, context.settings.availability_zone),
-      incarnation_(random_hex(incarnation_bytes))
+      incarnation_(make_incarnation(context.timers.wall_now()))
 {}
 
+void fleet_reporter::set_exchange_hooks(report_exchange::hooks value)
+{
+    value.fleet_work = [this] { return context_.loads.totals(); };
+    exchange_.set_hooks(std::move(value));
+}
+
+void fleet_reporter::schedule_summary()
+{
+    exchange_.request_summary();
+    schedule_relay();
+}
+
 void fleet_reporter::start()
 {
     socket_ = make_udp_socket(context_.pool, context_.settings.report, sequence_,
@@ -30,7 +51,7 @@
         context_.peers.add_contact(context_.timers.now(), it);
     }
     context_.timers.every(peer_limits().period, [self = shared_from_this()] {
-        self->exchange_.look(self->context_.timers.now());
+        self->send(self->exchange_.run_period(self->context_.timers.now()));
         self->send_report(true);
     });
     send_report(true);
@@ -49,16 +70,15 @@
 
 void fleet_reporter::receive(const std::string& text)
 {
-    const auto datagram = decode_datagram(text);
-    if (!datagram && on_other_datagram_ && on_other_datagram_(text)) {
-        return;
-    }
-    if (!datagram) {
+    const auto now = context_.timers.now();
+    if (const auto datagram = decode_datagram(text)) {
+        exchange_.receive(now, *datagram);
+        schedule_relay();
+    } else if (const auto summary = decode_summary(text)) {
+        exchange_.receive_summary(now, *summary);
+    } else if (!on_other_datagram_ || !on_other_datagram_(text)) {
         context_.counters.add("reports_rejected_total");
-        return;
     }
-    send(exchange_.receive(context_.timers.now(), *datagram));
-    schedule_relay();
 }
 
 void fleet_reporter::send_report(bool periodic)
@@ -73,7 +93,8 @@
     out.leaving = context_.leaving;
     out.work = context_.loads.own();
     fill_report_(out);
-    if (periodic && periodic_reports_++ % reports_per_contact_list == 0) {
+    // In a large fleet, the relays introduce new hosts to the others.
+    if (periodic && !exchange_.uses_relays() && periodic_reports_++ % reports_per_contact_list == 0) {
         out.contacts = context_.peers.live_addresses();
     }
     send(exchange_.distribute_own_report(context_.timers.now(), std::move(out), periodic));
@@ -104,7 +125,7 @@
         return;
     }
     for (const auto& message : messages) {
-        for (const auto& datagram : encode_datagrams(message.content)) {
+        for (const auto& datagram : encode(message)) {
             for (const auto& it : message.addresses) {
                 socket_->send(it, datagram);
             }
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -24,6 +24,21 @@
 // Some callers cache an answer for up to this many times its time to live.
 constexpr int endpoint_overrun_factor = 3;
 constexpr std::size_t max_endpoints = 64;
+// Changes of the directory that a host of a large fleet fetches at once. Engines leave with notice of more than a
+// second and are announced without the directory.
+constexpr milliseconds pull_interval{250};
+// The relays of the reports, from which the others fetch.
+constexpr milliseconds relay_pull_interval{50};
+// Interval at which a host of a large fleet checks whether it should follow the platform.
+constexpr milliseconds following_check_period{250};
+// Hosts that follow the platform for a large fleet: a second one, in another zone, in case the platform rejects the
+// first or is slow for it.
+constexpr std::size_t followers_of_large_fleet = 2;
+// A host that has just started waits this long for other hosts before it follows the platform, unless they all know it
+// as a seed.
+constexpr milliseconds discovery_time{1000};
+// Time after its start in which a host has heard from all others.
+constexpr milliseconds fleet_discovery_time{3000};
 // With fewer hosts than this in its zone, a caller also gets hosts of other zones, so that it has an alternative.
 constexpr std::size_t min_zone_endpoints = 2;
 constexpr milliseconds housekeeping_period{50};
@@ -85,16 +100,36 @@
         });
     reporter_->on_other_datagram(
         [this](const std::string& datagram) { return context_.placements->receive(datagram); });
-    registration_ = std::make_shared<registration>(context_, *hosts_);
+    registration_ = std::make_shared<registration>(
+        context_, *hosts_, [this] { return !large_fleet() || reporter_->exchange().is_relay(); });
     state_puller::hooks hooks;
     hooks.known_state = [this] {
         return state_request{feed_.configuration_version(), feed_.state().upstream_revision};
     };
     hooks.on_update = [this](const state_update& value) { feed_.apply_update(value); };
     hooks.platform_connected = [this] { return feed_.connected() && feed_.configuration_connected(); };
+    hooks.pull_interval = [this] {
+        const bool relay = reporter_->exchange().is_relay();
+        return !large_fleet() ? milliseconds(0) : relay ? relay_pull_interval : pull_interval;
+    };
     puller_ = std::make_shared<state_puller>(context_, sequence_, std::move(hooks));
     poller_ = std::make_shared<engine_poller>(context_, sequence_);
+    poller_->set_pollers([this] {
+        if (large_fleet()) {
+            return reporter_->exchange().relays();
+        }
+        std::vector<host_id> out = {settings_.host};
+        for (const auto* it : context_.peers.live()) {
+            out.push_back(it->host);
+        }
+        return out;
+    });
     connect_hooks();
+    reporter_->set_exchange_hooks({{},
+                                   [this] { return context_.directory.recently_leaving(context_.timers.now()); },
+                                   [this](const fleet_summary& value) { apply_summary(value); },
+                                   [this] { context_.placements->learn(); }});
+    context_.placements->set_candidates([this] { return reporter_->exchange().relays(); });
 }
 
 node_daemon::~node_daemon() = default;
@@ -105,6 +140,7 @@
     context_.directory.set_hooks({[this](const upstream_id& id) {
                                       log(log_level::info, log_event::upstream_leaving, {{"upstream", id.str()}});
                                       callers_.on_upstream_leaving(id);
+                                      reporter_->schedule_summary();
                                   },
                                   [this](const upstream_id& id) {
                                       log(log_level::info, log_event::upstream_restarted, {{"upstream", id.str()}});
@@ -116,9 +152,11 @@
                                       {{"host", value.host.str()}, {"zone", value.availability_zone.str()}});
                               },
                               [this](const host_report& value) {
-                                  context_.loads.set_peer_work(context_.timers.now(), value.host, value.work);
-                                  puller_->pull_if_behind();
-                                  apply_leaving_marks(value);
+                                  if (!reporter_->exchange().receives_sums()) {
+                                      context_.loads.set_peer_work(context_.timers.now(), value.host, value.work);
+                                  }
+                                  puller_->on_report(value);
+                                  apply_leaving_marks(value.leaving_upstreams);
                               },
                               [this](const host_id& host) {
                                   log(log_level::warning, log_event::member_lost, {{"host", host.str()}});
@@ -128,6 +166,7 @@
 
 void node_daemon::run()
 {
+    started_ = context_.timers.now();
     start_servers();
     last_suspended_ = suspended_time();
     pool_.on_stop_signal([this] { begin_shutdown(); });
@@ -144,7 +183,7 @@
         context_.directory.expire(context_.timers.now());
         context_.loads.expire(context_.timers.now());
         puller_->pull_if_behind();
-        feed_.set_following(!feed_.has_upstreams() || should_follow_platform());
+        update_following();
         // Upstream leases can lapse while no host reaches the store, but not while the store rejects only single hosts.
         const bool watched = directory_watched();
         if (watched) {
@@ -152,7 +191,8 @@
         } else {
             context_.directory.on_platform_lost();
         }
-        poller_->poll_if_due(watched);
+        // A host that has just started does not know yet whether others watch the directory.
+        poller_->poll_if_due(watched || context_.timers.now() - started_ < fleet_discovery_time);
         report_readiness();
     });
     log(log_level::info, log_event::process_started,
@@ -198,7 +238,7 @@
         exchange.reply(http_not_found, {}, {});
         return;
     }
-    const auto addresses = endpoints_for(query->availability_zone);
+    const auto& addresses = endpoints_for(query->availability_zone);
     if (addresses.empty()) {
         exchange.reply(http_service_unavailable, {}, {});
         return;
@@ -208,8 +248,17 @@
                    platform::resolve_response_body(addresses, time_to_live));
 }
 
-std::vector<std::string> node_daemon::endpoints_for(const zone_name& zone)
+const std::vector<std::string>& node_daemon::endpoints_for(const zone_name& zone)
 {
+    const std::tuple<std::uint64_t, bool, bool> version{context_.peers.version(), ready(), context_.leaving};
+    if (std::exchange(endpoints_version_, version) != version) {
+        endpoints_.clear();
+    }
+    const auto [cached, missing] = endpoints_.try_emplace(zone);
+    auto& out = cached->second;
+    if (!missing) {
+        return out;
+    }
     auto members = context_.peers.members();
     host_report self;
     self.host = settings_.host;
@@ -225,7 +274,6 @@
     const auto in_zone = static_cast<std::size_t>(std::count_if(
         selected.begin(), selected.end(), [&zone](const endpoint& it) { return it.availability_zone == zone; }));
     const auto count = in_zone >= min_zone_endpoints ? in_zone : selected.size();
-    std::vector<std::string> out;
     for (std::size_t i = 0; i < count; ++i) {
         out.push_back(selected[i].address);
     }
@@ -280,31 +328,92 @@
 
 bool node_daemon::directory_watched() const
 {
-    const auto live = context_.peers.live();
+    const auto& live = context_.peers.live();
     return feed_.connected() ||
            std::any_of(live.begin(), live.end(), [](const host_report* it) { return it->platform_reachable; });
 }
 
-bool node_daemon::should_follow_platform() const
+bool node_daemon::large_fleet() const
+{
+    return reporter_->exchange().uses_relays();
+}
+
+void node_daemon::update_following()
 {
+    const auto now = context_.timers.now();
+    if (!feed_.has_upstreams() || !context_.routes) {
+        feed_.set_following(true);
+        return;
+    }
+    const bool is_seed =
+        std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.report) != settings_.seeds.end();
+    if (!is_seed && now - started_ < discovery_time) {
+        feed_.set_following(false);
+        return;
+    }
+    if (large_fleet() && now - following_checked_ < following_check_period) {
+        return;
+    }
+    following_checked_ = now;
+    feed_.set_following(should_follow_platform());
+}
+
+bool node_daemon::should_follow_platform()
+{
+    const bool large = large_fleet();
+    const auto& relays = reporter_->exchange().relays();
+    const auto is_eligible = [&](const host_id& it) {
+        return !large || std::find(relays.begin(), relays.end(), it) != relays.end();
+    };
+    if (puller_->failed_recently()) {
+        return true;
+    }
+    const auto now = context_.timers.now();
+    unreachable_since_ = directory_watched() ? instant{} : unreachable_since_ == instant{} ? now : unreachable_since_;
+    if (!is_eligible(settings_.host)) {
+        if (feed_.connected()) {
+            const auto& live = context_.peers.live();
+            return std::none_of(live.begin(), live.end(),
+                                [&](const host_report* it) { return it->platform_reachable && is_eligible(it->host); });
+        }
+        return unreachable_since_ != instant{} &&
+               stands_in_as_follower(settings_.host, context_.peers.live_count() + 1,
+                                     std::chrono::duration_cast<milliseconds>(now - unreachable_since_));
+    }
     std::vector<follower_candidate> candidates = {
-        {settings_.host, settings_.availability_zone, feed_.connected(), settings_.link_mbps}};
+        {settings_.host, settings_.availability_zone, feed_.connected(), settings_.link_mbps, true}};
     for (const auto* it : context_.peers.live()) {
-        candidates.push_back({it->host, it->availability_zone, it->platform_reachable, it->link_mbps});
+        candidates.push_back(
+            {it->host, it->availability_zone, it->platform_reachable, it->link_mbps, is_eligible(it->host)});
     }
-    return puller_->failed_recently() || follows_platform(candidates, settings_.host, feed_.following());
+    return follows_platform(candidates, settings_.host, feed_.following(),
+                            large ? followers_of_large_fleet : candidates.size());
 }
 
-void node_daemon::apply_leaving_marks(const host_report& report)
+void node_daemon::apply_leaving_marks(const std::vector<upstream_id>& upstreams)
 {
-    if (directory_watched()) {
+    if (upstreams.empty() || directory_watched()) {
         return;
     }
-    for (const auto& it : report.leaving_upstreams) {
+    for (const auto& it : upstreams) {
         context_.directory.mark_leaving(context_.timers.now(), it);
     }
 }
 
+void node_daemon::apply_summary(const fleet_summary& value)
+{
+    const auto now = context_.timers.now();
+    context_.loads.set_fleet_work(now, value.work);
+    // Marks that are older than the own directory may concern upstreams that have returned since.
+    const bool news = value.directory_revision > feed_.state().upstream_revision || !value.platform_reachable;
+    if (news) {
+        for (const auto& it : value.leaving_upstreams) {
+            context_.directory.mark_leaving(now, it);
+        }
+    }
+    puller_->pull_if_behind();
+}
+
 void node_daemon::reload_settings()
 {
     auto next = read_settings_();
--- a/src/node/internal/placement_service.cpp
+++ b/src/node/internal/placement_service.cpp
@@ -31,20 +31,29 @@
     scheduler_.learn(context_.timers.now());
 }
 
-std::optional<host_id> placement_service::scheduler_of(const service_name& service) const
+std::optional<host_id> placement_service::scheduler_of(const service_name& service)
 {
     // A small fleet needs no scheduler: its hosts learn each other's work within milliseconds.
-    if (context_.peers.live_count() + 1 <= relay_limits().max_direct_hosts) {
+    if (context_.peers.live_count() + 1 <= relay_limits().max_direct_hosts || !candidates_) {
         return std::nullopt;
     }
-    std::vector<task_candidate> candidates = {{context_.settings.host, context_.settings.link_mbps, context_.leaving}};
-    for (const auto* it : context_.peers.live()) {
-        if (it->ready) {
-            candidates.push_back({it->host, it->link_mbps, it->leaving});
+    if (schedulers_version_ != context_.peers.version()) {
+        schedulers_version_ = context_.peers.version();
+        schedulers_.clear();
+    }
+    auto& out = schedulers_[service];
+    if (out.empty()) {
+        std::vector<host_id> hosts;
+        for (const auto& it : candidates_()) {
+            const auto* report = context_.peers.find(it);
+            const bool leaving = report == nullptr ? context_.leaving : report->leaving;
+            if (!leaving && (report == nullptr || report->ready)) {
+                hosts.push_back(it);
+            }
         }
+        out = responsible_host(hosts, "scheduler/" + service.str());
     }
-    const auto hosts = preferred_hosts(candidates);
-    return responsible_host(hosts, "scheduler/" + service.str());
+    return out.empty() ? std::nullopt : std::optional<host_id>(out);
 }
 
 void placement_service::request_engine(placement_request question, done_hook done)
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log.h"
+#include "fleet/report_exchange.h"
 #include "platform/configuration_reader.h"
 #include "platform/upstream_reader.h"
 
@@ -13,6 +14,9 @@
 // A pending watch call reveals an outage of the store only when it times out, and engines leave within two seconds. Few
 // hosts follow the platform, so short watch calls cost little.
 constexpr milliseconds upstream_watch_timeout{700};
+// More than ten engines of a large fleet change their entries each second, and each call that returns a change costs
+// the store as much as one that returns many. Two hosts follow the directory, so a change is known sooner than this.
+constexpr milliseconds gather_time{150};
 // Removals are kept for this many revisions to pass them to other hosts; a host that is further behind reads the
 // complete directory from the platform.
 constexpr std::uint64_t removal_retention = 2000;
@@ -81,6 +85,9 @@
     collection_follower::hooks out;
     out.on_listing = [this](const std::vector<collection_item>& items) { replace_upstreams(items); };
     out.on_changes = [this](const std::vector<collection_item>& items) { update_upstreams(items); };
+    out.gather_time = [this] {
+        return context_.peers.live_count() + 1 > relay_limits().max_direct_hosts ? gather_time : milliseconds(0);
+    };
     out.on_disconnected = [](const error& reason) {
         log(log_level::warning, log_event::platform_unreachable,
             {{"collection", "upstreams"}, {"problem", reason.message}});
--- a/src/node/internal/registration.cpp
+++ b/src/node/internal/registration.cpp
@@ -6,50 +6,71 @@
 
 namespace {
 
-// The registered hosts are needed only when no seed answers; reports name the remaining hosts.
+// Time in which a host that has started hears from the seeds, and is counted by others.
+constexpr milliseconds seed_answer_time{400};
+constexpr milliseconds check_period{1000};
+// The registered hosts are needed only when no seed answers, and to find the other part of a fleet that was divided.
 constexpr milliseconds read_period{20'000};
 // Shorter read period while no other host is known.
 constexpr milliseconds isolated_read_period{2000};
+// Random share of each period, so that hosts that start at the same time do not read at the same time.
+constexpr double jitter_share = 0.5;
 constexpr milliseconds write_retry_delay{2000};
 
 } // namespace
 
 void registration::start()
 {
-    write();
-    read();
+    next_read_ = context_.timers.now() + read_period;
+    context_.timers.after(seed_answer_time, [self = shared_from_this()] { self->check(); });
+}
+
+void registration::check()
+{
+    const bool alone = isolated();
+    const bool needed = alone || is_needed_();
+    if (needed && !written_ && !writing_) {
+        write();
+    }
+    const auto now = context_.timers.now();
+    const auto read_at = alone ? next_read_ - (read_period - isolated_read_period) : next_read_;
+    if (needed && (now >= read_at || (alone && !read_once_))) {
+        const double part = jitter_share * std::uniform_real_distribution<double>(0, 1)(random_);
+        next_read_ = now + milliseconds(static_cast<std::int64_t>(read_period.count() * (1 - part)));
+        read_once_ = true;
+        read();
+    }
+    context_.timers.after(check_period, [self = shared_from_this()] { self->check(); });
 }
 
 void registration::write()
 {
+    writing_ = true;
     const nlohmann::json value = {{"report", context_.settings.report}};
     hosts_.put(context_.settings.host.str(), value, [self = shared_from_this()](const result<void>& written) {
         if (written) {
+            self->written_ = true;
+            self->writing_ = false;
             return;
         }
         log(log_level::warning, log_event::registration_failed, {{"problem", written.error().message}});
-        self->context_.timers.after(write_retry_delay, [self] { self->write(); });
+        self->context_.timers.after(write_retry_delay, [self] { self->writing_ = false; });
     });
 }
 
 void registration::read()
 {
     hosts_.list({}, read_freshness::stale, [self = shared_from_this()](const result<collection_page>& page) {
-        if (page) {
-            for (const auto& it : page.value().items) {
-                if (it.value.is_object() && it.value.contains("report") && it.value["report"].is_string()) {
-                    self->context_.peers.add_contact(self->context_.timers.now(),
-                                                     it.value["report"].get<std::string>());
-                }
+        if (!page) {
+            log(log_level::info, log_event::registration_failed, {{"problem", page.error().message}});
+            return;
+        }
+        for (const auto& it : page.value().items) {
+            if (it.value.is_object() && it.value.contains("report") && it.value["report"].is_string()) {
+                self->context_.peers.add_contact(self->context_.timers.now(), it.value["report"].get<std::string>());
             }
         }
-        self->schedule_read(self->context_.peers.live().empty() ? isolated_read_period : read_period);
     });
 }
 
-void registration::schedule_read(milliseconds delay)
-{
-    context_.timers.after(delay, [self = shared_from_this()] { self->read(); });
-}
-
 } // namespace anvillead
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include "core/bounded_json.h"
 #include "core/log.h"
+#include "fleet/report_exchange.h"
 
 namespace anvillead {
 
@@ -17,6 +18,10 @@
 constexpr milliseconds pull_timeout{500};
 // Time after a failed pull during which the host follows the platform itself.
 constexpr milliseconds failure_retention{5000};
+// In a large fleet, another host is asked first, because hundreds of hosts that follow the platform would overload it.
+constexpr int tolerated_failures_in_large_fleet = 1;
+// A host from which a pull failed is avoided for this long if another one is ahead, too.
+constexpr milliseconds failed_host_retention{1000};
 constexpr std::size_t max_state_bytes = 8 * 1024 * 1024;
 constexpr int http_ok = 200;
 constexpr const char* state_path = "/state";
@@ -94,15 +99,31 @@
     : context_(context), sequence_(std::move(sequence)), hooks_(std::move(callbacks))
 {}
 
+bool state_puller::is_newer(const host_report& report, const state_request& known) const
+{
+    return report.configuration > known.configuration_version || report.directory_revision > known.upstream_revision;
+}
+
+void state_puller::on_report(const host_report& report)
+{
+    if (is_newer(report, hooks_.known_state())) {
+        pull_if_behind();
+    }
+}
+
 const host_report* state_puller::newer_peer() const
 {
     const auto known = hooks_.known_state();
+    const bool avoids = failures_ > 0 && context_.timers.now() - failed_at_ < failed_host_retention;
     const host_report* best = nullptr;
+    const host_report* avoided = nullptr;
     bool best_in_zone = false;
     for (const auto* it : context_.peers.live()) {
-        const bool newer =
-            it->configuration > known.configuration_version || it->directory_revision > known.upstream_revision;
-        if (!newer) {
+        if (!is_newer(*it, known)) {
+            continue;
+        }
+        if (avoids && it->host == failed_host_) {
+            avoided = it;
             continue;
         }
         // Peers of the same zone are preferred: traffic within a zone is free, and the hosts of a zone share the load
@@ -114,13 +135,16 @@
             best_in_zone = in_zone;
         }
     }
-    return best;
+    return best == nullptr ? avoided : best;
 }
 
 void state_puller::pull_if_behind()
 {
-    const auto* peer = newer_peer();
     const auto now = context_.timers.now();
+    if (pulling_ || now - last_pull_ < hooks_.pull_interval()) {
+        return;
+    }
+    const auto* peer = newer_peer();
     if (peer == nullptr) {
         behind_since_ = {};
         return;
@@ -129,19 +153,22 @@
         behind_since_ = now;
     }
     const bool urgent = hooks_.known_state().configuration_version == 0 || !hooks_.platform_connected();
-    if (!pulling_ && (urgent || now - behind_since_ >= lag_tolerance)) {
+    if (urgent || now - behind_since_ >= lag_tolerance) {
         pull(*peer);
     }
 }
 
 bool state_puller::failed_recently() const
 {
-    return failed_ && context_.timers.now() - failed_at_ < failure_retention;
+    const bool large = context_.peers.live_count() + 1 > relay_limits().max_direct_hosts;
+    return failures_ > (large ? tolerated_failures_in_large_fleet : 0) &&
+           context_.timers.now() - failed_at_ < failure_retention;
 }
 
 void state_puller::pull(const host_report& peer)
 {
     pulling_ = true;
+    last_pull_ = context_.timers.now();
     http_call_request request;
     request.address = peer.addresses.control;
     request.target = state_request_target(hooks_.known_state());
@@ -156,12 +183,14 @@
             const bool good = end.end == http_call_outcome::complete && answer.status == http_ok;
             const auto update = good ? decode_update(answer.body) : std::nullopt;
             if (!update) {
-                self->failed_ = true;
+                ++self->failures_;
+                self->failed_host_ = host;
                 self->failed_at_ = self->context_.timers.now();
                 log(log_level::warning, log_event::message_rejected,
                     {{"from", host.str()}, {"problem", good ? "invalid state update" : end.detail}});
                 return;
             }
+            self->failures_ = 0;
             log(log_level::info, log_event::state_pulled,
                 {{"from", host.str()}, {"upstream_revision", std::to_string(update->upstream_revision)}});
             self->hooks_.on_update(*update);
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <map>
 #include <memory>
+#include <tuple>
 
 #include "node/caller_handler.h"
 #include "node/engine_poller.h"
@@ -32,13 +34,16 @@
     void answer_endpoint_request(const http_request& request, ihttp_exchange& exchange);
     void answer_readiness(ihttp_exchange& exchange);
     void answer_control(const http_request& request, ihttp_exchange& exchange);
-    std::vector<std::string> endpoints_for(const zone_name& zone);
+    const std::vector<std::string>& endpoints_for(const zone_name& zone);
     bool ready() const;
     void report_readiness();
     void detect_suspension();
-    bool should_follow_platform() const;
+    bool large_fleet() const;
+    bool should_follow_platform();
+    void update_following();
     bool directory_watched() const;
-    void apply_leaving_marks(const host_report& report);
+    void apply_leaving_marks(const std::vector<upstream_id>& upstreams);
+    void apply_summary(const fleet_summary& value);
     void reload_settings();
     void begin_shutdown();
     void check_shutdown();
@@ -64,6 +69,13 @@
     std::unique_ptr<ihttp_server> discovery_;
     std::unique_ptr<ihttp_server> control_;
     std::unique_ptr<ihttp_server> metrics_;
+    /// Endpoints by zone, computed once for each version of the list of hosts and state of this host.
+    std::map<zone_name, std::vector<std::string>> endpoints_;
+    std::tuple<std::uint64_t, bool, bool> endpoints_version_;
+    instant started_{};
+    instant following_checked_{};
+    /// Since when no host of a large fleet has reached the platform; unset while one does.
+    instant unreachable_since_{};
     instant leaving_since_{};
     std::chrono::nanoseconds last_suspended_{0};
     bool reported_ready_ = false;
--- a/src/node/placement_service.h
+++ b/src/node/placement_service.h
@@ -31,6 +31,8 @@
     using send_hook = std::function<void(const std::string& address, std::string datagram)>;
 
     placement_service(node_context& context, send_hook send);
+    /// Sets the hook that returns the hosts that may be schedulers, which know the work of all hosts.
+    void set_candidates(std::function<std::vector<host_id>()> hook) { candidates_ = std::move(hook); }
     /// Called after the process started or was suspended. As a scheduler it has to learn the fleet's current work
     /// before it can place requests.
     void learn();
@@ -51,7 +53,7 @@
         bool waiting = false;
     };
 
-    std::optional<host_id> scheduler_of(const service_name& service) const;
+    std::optional<host_id> scheduler_of(const service_name& service);
     void log_scheduler_change(const service_name& service, const host_id& host);
     void send_question(const pending_question& value);
     void send_answer(const host_id& asker, const placement_response& answer);
@@ -62,8 +64,12 @@
 
     node_context& context_;
     send_hook send_;
+    std::function<std::vector<host_id>()> candidates_;
     placement_scheduler scheduler_;
     std::map<std::uint64_t, pending_question> pending_;
+    /// Scheduler of each service, for this version of the list of hosts.
+    std::map<service_name, host_id> schedulers_;
+    std::uint64_t schedulers_version_ = 0;
     /// The scheduler that was asked last, by service.
     std::map<service_name, host_id> last_schedulers_;
     std::uint64_t last_number_ = 0;
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -1,27 +1,39 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <random>
 
 #include "node/node_context.h"
 #include "object_store/iobject_collection.h"
 
 namespace anvillead {
 
-/// Registers this host in the platform's store and reads the other hosts' entries from it, so that hosts find each
-/// other when all seeds are down.
+/// Registers hosts in the platform's store and reads their entries from it, so that hosts find each other when all
+/// seeds are down. In a large fleet, only the relays of the reports do so, and hosts that know no others.
 class registration : public std::enable_shared_from_this<registration>
 {
 public:
-    registration(node_context& context, iobject_collection& hosts) : context_(context), hosts_(hosts) {}
+    /// `is_needed` returns whether the fleet needs this host's entry although it knows other hosts.
+    registration(node_context& context, iobject_collection& hosts, std::function<bool()> is_needed)
+        : context_(context), hosts_(hosts), is_needed_(std::move(is_needed))
+    {}
     void start();
 
 private:
+    bool isolated() const { return context_.peers.live_count() == 0; }
+    void check();
     void write();
     void read();
-    void schedule_read(milliseconds delay);
 
     node_context& context_;
     iobject_collection& hosts_;
+    std::function<bool()> is_needed_;
+    bool written_ = false;
+    bool writing_ = false;
+    bool read_once_ = false;
+    instant next_read_{};
+    std::minstd_rand random_{std::random_device{}()};
 };
 
 } // namespace anvillead
--- a/src/node/state_exchange.h
+++ b/src/node/state_exchange.h
@@ -71,15 +71,20 @@
         /// True when this host follows the platform itself, so that it receives changes at about the same time as its
         /// peers.
         std::function<bool()> platform_connected;
+        /// Minimum interval between two pulls, so that one pull fetches several changes in a large fleet.
+        std::function<milliseconds()> pull_interval;
     };
 
     state_puller(node_context& context, std::shared_ptr<isequence> sequence, hooks callbacks);
-    /// Starts a pull when a peer is ahead. Called several times a second and for each report of another host.
+    /// Starts a pull when a peer is ahead. Called several times a second.
     void pull_if_behind();
-    /// A pull from a peer failed recently, so this host should follow the platform itself.
+    /// The same for one peer whose report has arrived.
+    void on_report(const host_report& report);
+    /// Pulls have failed recently, so this host should follow the platform itself.
     bool failed_recently() const;
 
 private:
+    bool is_newer(const host_report& report, const state_request& known) const;
     const host_report* newer_peer() const;
     void pull(const host_report& peer);
 
@@ -88,8 +93,11 @@
     hooks hooks_;
     /// Time since which a peer is ahead; unset while none is.
     instant behind_since_{};
+    instant last_pull_{};
     instant failed_at_{};
-    bool failed_ = false;
+    /// Consecutive failed pulls, and the host from which the last one failed.
+    int failures_ = 0;
+    host_id failed_host_;
     bool pulling_ = false;
 };
 
--- a/src/node/tests/collection_follower_test.cpp
+++ b/src/node/tests/collection_follower_test.cpp
@@ -50,8 +50,9 @@
 class scripted_collection : public iobject_collection
 {
 public:
-    void list(const std::string& after, read_freshness, page_callback callback) override
+    void list(const std::string& after, read_freshness freshness, page_callback callback) override
     {
+        last_freshness = freshness;
         calls.push_back("list " + after);
         pending.push_back(std::move(callback));
     }
@@ -73,6 +74,7 @@
     std::vector<std::string> calls;
     std::deque<page_callback> pending;
     std::chrono::milliseconds last_wait{0};
+    read_freshness last_freshness = read_freshness::current;
 };
 
 collection_page page(std::uint64_t revision, const std::vector<std::string>& names, const std::string& after = "")
@@ -97,6 +99,7 @@
     int changes = 0;
     int disconnects = 0;
     int connects = 0;
+    milliseconds gather_time{0};
     std::shared_ptr<collection_follower> follower;
 
     void setup() override
@@ -109,6 +112,7 @@
         hooks.on_changes = [this](const std::vector<collection_item>&) { ++changes; };
         hooks.on_disconnected = [this](const error&) { ++disconnects; };
         hooks.on_connected = [this] { ++connects; };
+        hooks.gather_time = [this] { return gather_time; };
         follower = std::make_shared<collection_follower>(source, timers, "c", std::move(hooks));
         follower->start();
     }
@@ -182,3 +186,30 @@
     source.answer(page(22, {"b"}));
     LONGS_EQUAL(1, changes);
 }
+
+// Load: more than ten changes a second in a large fleet. Guards against a call to the store for each of them.
+TEST(collection_follower_test, changes_are_gathered_before_the_next_call)
+{
+    source.answer(page(10, {"a"}));
+    gather_time = milliseconds(150);
+    source.answer(page(11, {"a"}));
+    const auto calls = source.calls.size();
+    timers.advance(milliseconds(100));
+    LONGS_EQUAL(calls, source.calls.size());
+    timers.advance(milliseconds(50));
+    STRCMP_EQUAL("changes 11", source.calls.back().c_str());
+    source.answer(page(15, {"a", "b"}));
+    LONGS_EQUAL(2, changes);
+}
+
+// Guards against hundreds of expensive listings when a fleet starts, and against a listing that misses the changes of
+// the lost history because it is old.
+TEST(collection_follower_test, only_the_first_listing_may_be_old)
+{
+    CHECK(source.last_freshness == read_freshness::stale);
+    source.answer(page(10, {"a"}));
+    collection_page gone;
+    gone.history_lost = true;
+    source.answer(gone);
+    CHECK(source.last_freshness == read_freshness::current);
+}
