--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -263,7 +263,7 @@
         return exit_ok;
     }
     if (options.command == "quarantine") {
-        const auto answer = call_quarantine(options.host, options.prompt_part);
+        const auto answer = call_quarantine(options.host, options.trait);
         if (!answer) {
             return print_error(options, answer.error());
         }
--- a/src/apps/ctl/ctl_options.cpp
+++ b/src/apps/ctl/ctl_options.cpp
@@ -13,7 +13,7 @@
 
 constexpr const char* summary =
     "Client for operators. Commands: config validate DIR | config diff DIR | config apply DIR | config status | audit "
-    "| drain host|upstream NAME --dir DIR [--remove] | quarantine list HOST | quarantine lift HOST PROMPT-PART | "
+    "| drain host|upstream NAME --dir DIR [--remove] | quarantine list HOST | quarantine lift HOST TRAIT | "
     "explain "
     "REQUEST-ID LOGFILE...";
 
@@ -53,7 +53,7 @@
                ((is(1, "list") && arguments.size() == 3) || (is(1, "lift") && arguments.size() == 4))) {
         out.command = "quarantine";
         out.host = arguments[2];
-        out.prompt_part = is(1, "lift") ? arguments[3] : std::string();
+        out.trait = is(1, "lift") ? arguments[3] : std::string();
     } else if (is(0, "explain") && arguments.size() >= 3) {
         out.command = "explain";
         out.request = arguments[1];
--- a/src/apps/ctl/ctl_options.h
+++ b/src/apps/ctl/ctl_options.h
@@ -20,9 +20,9 @@
     /// Id of the request to explain, and the log files to read.
     std::string request;
     std::vector<std::string> log_files;
-    /// Control address of a host, "address:port", and the prompt part whose quarantine is lifted; empty to list them.
+    /// Control address of a host, "address:port", and the trait whose quarantine is lifted; empty to list them.
     std::string host;
-    std::string prompt_part;
+    std::string trait;
     bool remove = false;
     bool json = false;
     int days = 7;
--- a/src/apps/ctl/quarantine_command.cpp
+++ b/src/apps/ctl/quarantine_command.cpp
@@ -16,15 +16,15 @@
 
 } // namespace
 
-result<std::string> call_quarantine(const std::string& host, const std::string& prompt_part)
+result<std::string> call_quarantine(const std::string& host, const std::string& trait)
 {
     worker_pool pool(1);
     const auto client = make_http_client(pool);
     pool.start();
     http_call_request request;
     request.address = host;
-    request.method = prompt_part.empty() ? "GET" : "DELETE";
-    request.target = prompt_part.empty() ? "/quarantine" : "/quarantine/" + prompt_part;
+    request.method = trait.empty() ? "GET" : "DELETE";
+    request.target = trait.empty() ? "/quarantine" : "/quarantine/" + trait;
     request.connect_timeout = answer_timeout;
     request.head_timeout = answer_timeout;
     request.idle_timeout = answer_timeout;
--- a/src/apps/ctl/quarantine_command.h
+++ b/src/apps/ctl/quarantine_command.h
@@ -6,8 +6,8 @@
 
 namespace anvillead {
 
-/// Asks the host with this control address for the prompts under quarantine, and lifts the quarantine of `prompt_part`
+/// Asks the host with this control address for the requests under quarantine, and lifts the quarantine of `trait`
 /// before, unless it is empty. Returns the host's answer as JSON.
-result<std::string> call_quarantine(const std::string& host, const std::string& prompt_part);
+result<std::string> call_quarantine(const std::string& host, const std::string& trait);
 
 } // namespace anvillead
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -34,7 +34,7 @@
     no_upstream,
     upstream_failed,
     generation_lost,
-    prompt_quarantined,
+    request_quarantined,
     caller_too_slow,
     run_elsewhere,
     protocol_violation,
--- a/src/core/internal/error.cpp
+++ b/src/core/internal/error.cpp
@@ -31,7 +31,7 @@
         {k::no_upstream, "no_upstream", 503, o::not_run, true},
         {k::upstream_failed, "upstream_failed", 502, o::may_have_run, false},
         {k::generation_lost, "generation_lost", 502, o::ran, false},
-        {k::prompt_quarantined, "prompt_quarantined", 503, o::not_run, false},
+        {k::request_quarantined, "request_quarantined", 503, o::not_run, false},
         {k::caller_too_slow, "caller_too_slow", 408, o::ran, false},
         {k::run_elsewhere, "run_elsewhere", 409, o::may_have_run, false},
         {k::protocol_violation, "protocol_violation", 400, o::not_run, false},
--- a/src/fleet/evidence_codec.h
+++ b/src/fleet/evidence_codec.h
@@ -23,7 +23,7 @@
 {
     host_id asker;
     std::uint64_t number = 0;
-    prompt_parts entry_parts;
+    request_traits entry_traits;
 };
 
 /// The answer to a probe request.
--- a/src/fleet/fleet_broadcast.h
+++ b/src/fleet/fleet_broadcast.h
@@ -6,7 +6,7 @@
 
 #include "dispatch/upstream_limits.h"
 #include "fleet/report_exchange.h"
-#include "quarantine/prompt_quarantine.h"
+#include "quarantine/request_quarantine.h"
 
 namespace anvillead {
 
@@ -52,7 +52,7 @@
 };
 
 /// The evidence of crashes as a shared state.
-fleet_broadcast::state evidence_state(prompt_quarantine& quarantine);
+fleet_broadcast::state evidence_state(request_quarantine& quarantine);
 /// The rates that upstreams have named as a shared state.
 fleet_broadcast::state limit_state(upstream_limits& limits);
 
--- a/src/fleet/internal/evidence_codec.cpp
+++ b/src/fleet/internal/evidence_codec.cpp
@@ -20,7 +20,7 @@
 {
     e_kind,
     e_crashes,
-    e_sound_parts,
+    e_sound_traits,
     e_entries,
     e_count
 };
@@ -28,21 +28,37 @@
 constexpr std::size_t probe_request_fields = 4;
 constexpr std::size_t probe_response_fields = 3;
 
-json encode_parts(const prompt_parts& parts)
+json encode_trait(const request_trait& value)
+{
+    if (value.kind == trait_kind::prompt_part) {
+        return value.low;
+    }
+    return {value.high, value.low};
+}
+
+/// Throws json::exception where a field has another type, as do the other decode functions.
+request_trait decode_trait(const json& in)
+{
+    if (in.is_array()) {
+        return {trait_kind::whole_request, in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>()};
+    }
+    return {trait_kind::prompt_part, 0, in.get<std::uint64_t>()};
+}
+
+json encode_traits(const request_traits& traits)
 {
     auto out = json::array();
-    for (const auto it : parts) {
-        out.push_back(static_cast<std::uint64_t>(it));
+    for (const auto& it : traits) {
+        out.push_back(encode_trait(it));
     }
     return out;
 }
 
-/// Throws json::exception where a field has another type, as do the other decode functions.
-prompt_parts decode_parts(const json& in)
+request_traits decode_traits(const json& in)
 {
-    prompt_parts out;
+    request_traits out;
     for (const auto& it : in) {
-        out.push_back(static_cast<prompt_part_id>(it.get<std::uint64_t>()));
+        out.push_back(decode_trait(it));
     }
     return out;
 }
@@ -51,31 +67,31 @@
 {
     auto suspects = json::array();
     for (const auto& it : value.suspects) {
-        suspects.push_back({it.responded, encode_parts(it.parts)});
+        suspects.push_back({it.responded, encode_traits(it.traits)});
     }
-    return {value.engine.str(), age_of(now, value.at), std::move(suspects)};
+    return {value.upstream.str(), age_of(now, value.at), std::move(suspects)};
 }
 
 crash_record decode_crash(instant now, const json& in)
 {
     crash_record out;
-    out.engine = upstream_id(in.at(0).get<std::string>());
+    out.upstream = upstream_id(in.at(0).get<std::string>());
     out.at = time_of(now, in.at(1));
     for (const auto& it : in.at(2)) {
-        out.suspects.push_back({it.at(0).get<bool>(), decode_parts(it.at(1))});
+        out.suspects.push_back({it.at(0).get<bool>(), decode_traits(it.at(1))});
     }
     return out;
 }
 
 json encode_entry(instant now, const quarantine_entry& value)
 {
-    return {encode_parts(value.parts), age_of(now, value.since), age_of(now, value.last_crash),
+    return {encode_traits(value.traits), age_of(now, value.since), age_of(now, value.last_crash),
             age_of(now, value.last_probe), value.failed_probes};
 }
 
 quarantine_entry decode_entry(instant now, const json& in)
 {
-    return {decode_parts(in.at(0)), time_of(now, in.at(1)), time_of(now, in.at(2)), time_of(now, in.at(3)),
+    return {decode_traits(in.at(0)), time_of(now, in.at(1)), time_of(now, in.at(2)), time_of(now, in.at(3)),
             in.at(4).get<int>()};
 }
 
@@ -120,9 +136,9 @@
 std::vector<std::string> encode_evidence(instant now, const crash_evidence& value)
 {
     datagram_packer packer;
-    // A receiver needs the sound parts first, so that it blames none of them for the crashes that follow.
-    for (const auto& it : value.sound_parts) {
-        packer.add(e_sound_parts, {static_cast<std::uint64_t>(it.part), age_of(now, it.began)});
+    // A receiver needs the sound traits first, so that it blames none of them for the crashes that follow.
+    for (const auto& it : value.sound_traits) {
+        packer.add(e_sound_traits, {encode_trait(it.trait), age_of(now, it.began)});
     }
     for (const auto& it : value.entries) {
         packer.add(e_entries, encode_entry(now, it));
@@ -140,9 +156,8 @@
         for (const auto& it : in[e_crashes]) {
             out.crashes.push_back(decode_crash(now, it));
         }
-        for (const auto& it : in[e_sound_parts]) {
-            out.sound_parts.push_back(
-                {static_cast<prompt_part_id>(it.at(0).get<std::uint64_t>()), time_of(now, it.at(1))});
+        for (const auto& it : in[e_sound_traits]) {
+            out.sound_traits.push_back({decode_trait(it.at(0)), time_of(now, it.at(1))});
         }
         for (const auto& it : in[e_entries]) {
             out.entries.push_back(decode_entry(now, it));
@@ -153,14 +168,14 @@
 
 std::string encode_probe_request(const probe_request& value)
 {
-    return to_cbor_text({probe_request_kind, value.asker.str(), value.number, encode_parts(value.entry_parts)});
+    return to_cbor_text({probe_request_kind, value.asker.str(), value.number, encode_traits(value.entry_traits)});
 }
 
 std::optional<probe_request> decode_probe_request(std::string_view datagram)
 {
     return decode_datagram_kind<probe_request>(datagram, probe_request_kind, probe_request_fields, [](const json& in) {
         return probe_request{host_id(in.at(1).get<std::string>()), in.at(2).get<std::uint64_t>(),
-                             decode_parts(in.at(3))};
+                             decode_traits(in.at(3))};
     });
 }
 
--- a/src/fleet/internal/fleet_broadcast.cpp
+++ b/src/fleet/internal/fleet_broadcast.cpp
@@ -41,7 +41,7 @@
     return address(now, std::move(datagrams));
 }
 
-fleet_broadcast::state evidence_state(prompt_quarantine& quarantine)
+fleet_broadcast::state evidence_state(request_quarantine& quarantine)
 {
     return {[&quarantine] { return quarantine.has_changes(); },
             [&quarantine](instant now) { return encode_evidence(now, quarantine.take_changes()); },
--- a/src/fleet/tests/fleet_broadcast_test.cpp
+++ b/src/fleet/tests/fleet_broadcast_test.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr prompt_part_id first_part{0x1};
-constexpr prompt_part_id deadly_part{0xdead};
+constexpr request_trait first_part{trait_kind::prompt_part, 0, 0x1};
+constexpr request_trait deadly_part{trait_kind::prompt_part, 0, 0xdead};
 // The shortest time after the fifth crash in which a deployment wants all hosts to know.
 constexpr milliseconds learning_time{3000};
 constexpr std::size_t max_bytes_per_second = 17'000;
@@ -29,6 +29,11 @@
     return out;
 }
 
+request_trait prompt_part(std::uint64_t id)
+{
+    return trait_of(static_cast<prompt_part_id>(id));
+}
+
 } // namespace
 
 TEST_GROUP(fleet_broadcast_test){
@@ -37,7 +42,7 @@
                                    std::size_t first_host){const auto count = fleet.hosts().size();
 for (std::size_t i = 0; i < 5; ++i) {
     fleet.crash_engine(fleet.host((first_host + i * 37) % count), upstream_id("engine-" + std::to_string(i)),
-                       {first_part, deadly_part, static_cast<prompt_part_id>(0x100000 + i)});
+                       {first_part, deadly_part, prompt_part(0x100000 + i)});
     fleet.run(milliseconds(300));
     fleet.answer(fleet.host((first_host + i * 11 + 3) % count), {first_part});
     fleet.run(milliseconds(300));
@@ -89,9 +94,9 @@
     for (int i = 0; i < load_s * 20; ++i) {
         const auto number = static_cast<std::size_t>(i);
         fleet.crash_engine(fleet.host(number * 7 % 300), upstream_id("engine-" + std::to_string(i)),
-                           {first_part, deadly_part, static_cast<prompt_part_id>(++part)});
+                           {first_part, deadly_part, prompt_part(++part)});
         for (std::size_t n = 0; n < 18; ++n) {
-            fleet.answer(fleet.host((number * 18 + n) % 300), {first_part, static_cast<prompt_part_id>(++part)});
+            fleet.answer(fleet.host((number * 18 + n) % 300), {first_part, prompt_part(++part)});
         }
         fleet.run(milliseconds(50));
     }
@@ -111,8 +116,8 @@
     for (std::uint64_t i = 0; i < 60; ++i) {
         evidence.crashes.push_back({upstream_id("engine-" + std::to_string(i)),
                                     now - milliseconds(i * 10),
-                                    {{true, {first_part, static_cast<prompt_part_id>(~i)}}, {false, {deadly_part}}}});
-        evidence.sound_parts.push_back({static_cast<prompt_part_id>(i), now - seconds(i)});
+                                    {{true, {first_part, prompt_part(~i)}}, {false, {deadly_part}}}});
+        evidence.sound_traits.push_back({prompt_part(i), now - seconds(i)});
     }
     evidence.entries.push_back({{first_part, deadly_part}, now - seconds(3), now - seconds(2), {}, 2});
     const auto datagrams = encode_evidence(now, evidence);
@@ -123,16 +128,16 @@
         const auto part = decode_evidence(now, it);
         CHECK(part.has_value());
         out.crashes.insert(out.crashes.end(), part->crashes.begin(), part->crashes.end());
-        out.sound_parts.insert(out.sound_parts.end(), part->sound_parts.begin(), part->sound_parts.end());
+        out.sound_traits.insert(out.sound_traits.end(), part->sound_traits.begin(), part->sound_traits.end());
         out.entries.insert(out.entries.end(), part->entries.begin(), part->entries.end());
     }
     LONGS_EQUAL(60, out.crashes.size());
-    LONGS_EQUAL(60, out.sound_parts.size());
+    LONGS_EQUAL(60, out.sound_traits.size());
     LONGS_EQUAL(1, out.entries.size());
     CHECK(out.crashes[7].at == evidence.crashes[7].at);
     CHECK(out.crashes[7].suspects[0].responded);
-    CHECK(out.crashes[7].suspects[0].parts == evidence.crashes[7].suspects[0].parts);
-    CHECK(out.entries[0].parts == evidence.entries[0].parts);
+    CHECK(out.crashes[7].suspects[0].traits == evidence.crashes[7].suspects[0].traits);
+    CHECK(out.entries[0].traits == evidence.entries[0].traits);
     CHECK(out.entries[0].last_probe == instant{});
     LONGS_EQUAL(2, out.entries[0].failed_probes);
 }
@@ -152,7 +157,7 @@
             auto changed = datagram;
             changed[i] = value;
             if (const auto evidence = decode_evidence(now, changed)) {
-                prompt_quarantine quarantine;
+                request_quarantine quarantine;
                 quarantine.merge(now, *evidence);
                 CHECK(quarantine.all().crashes.size() <= 1);
             }
--- a/src/fleet/tests/simulated_fleet.cpp
+++ b/src/fleet/tests/simulated_fleet.cpp
@@ -39,7 +39,7 @@
 {
     host.peers = std::make_unique<peer_table>(host.id, host.address);
     host.exchange = std::make_unique<report_exchange>(*host.peers, host.id, host.zone);
-    host.quarantine = std::make_unique<prompt_quarantine>();
+    host.quarantine = std::make_unique<request_quarantine>();
     host.evidence = std::make_unique<fleet_broadcast>(evidence_state(*host.quarantine), *host.exchange);
     host.loads = load_table();
     host.exchange->set_hooks({[&host] { return host.loads.totals(); },
@@ -211,17 +211,17 @@
     }
 }
 
-void simulated_fleet::crash_engine(simulated_host& host, const upstream_id& engine, const prompt_parts& parts)
+void simulated_fleet::crash_engine(simulated_host& host, const upstream_id& engine, const request_traits& parts)
 {
     host.quarantine->add_crash(now_, {engine, now_, {{true, parts}}});
 }
 
-void simulated_fleet::answer(simulated_host& host, const prompt_parts& parts)
+void simulated_fleet::answer(simulated_host& host, const request_traits& parts)
 {
-    host.quarantine->add_sound_parts(now_, now_, parts);
+    host.quarantine->add_sound_traits(now_, now_, parts);
 }
 
-int simulated_fleet::hosts_that_send(const prompt_parts& parts) const
+int simulated_fleet::hosts_that_send(const request_traits& parts) const
 {
     const auto running = running_hosts();
     return static_cast<int>(std::count_if(running.begin(), running.end(),
--- a/src/fleet/tests/simulated_fleet.h
+++ b/src/fleet/tests/simulated_fleet.h
@@ -50,7 +50,7 @@
     int partition = 0;
     std::unique_ptr<peer_table> peers;
     std::unique_ptr<report_exchange> exchange;
-    std::unique_ptr<prompt_quarantine> quarantine;
+    std::unique_ptr<request_quarantine> quarantine;
     std::unique_ptr<fleet_broadcast> evidence;
     load_table loads;
     std::uint64_t sequence = 0;
@@ -72,11 +72,11 @@
     /// Sets the work of a host on an engine; the host reports it immediately.
     void set_work(simulated_host& host, const upstream_id& engine, const upstream_work& work);
     /// An engine crashed and cut a generation of this host with these prompt parts before its first event.
-    void crash_engine(simulated_host& host, const upstream_id& engine, const prompt_parts& parts);
+    void crash_engine(simulated_host& host, const upstream_id& engine, const request_traits& parts);
     /// An engine began to answer a prompt of this host with these parts.
-    void answer(simulated_host& host, const prompt_parts& parts);
+    void answer(simulated_host& host, const request_traits& parts);
     /// Number of running hosts that would send a prompt with these parts.
-    int hosts_that_send(const prompt_parts& parts) const;
+    int hosts_that_send(const request_traits& parts) const;
     /// Ends the process of a host; `start` begins a new one that knows the seeds only.
     void kill(simulated_host& host);
     void start(simulated_host& host);
--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -20,7 +20,7 @@
 
     void on_upstream_leaving(const upstream_id& upstream);
     /// Called when prompts were put under quarantine.
-    void on_prompts_quarantined();
+    void on_requests_quarantined();
     void on_upstream_restarted(const upstream_id& upstream);
     /// Number of generations in progress.
     std::size_t open_generations();
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -28,7 +28,7 @@
     void on_upstream_restarted(const upstream_id& upstream);
     /// Called when prompts were put under quarantine. Ends the generation if its prompt is one of them and it has no
     /// output yet.
-    void on_prompts_quarantined();
+    void on_requests_quarantined();
     bool ended() const { return done_; }
     /// Aborts the answer at its current position, for a process that has to exit.
     void abort(const std::string& reason);
@@ -113,7 +113,7 @@
     upstream_record engine_;
     std::optional<upstream_record> target_;
     /// Parts of the prompt, sorted.
-    prompt_parts parts_;
+    request_traits traits_;
     /// Handle of the copy on `target_`; empty when there is none.
     std::string copy_handle_;
     upstream_response_head head_;
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -122,9 +122,9 @@
     for_each_generation([&upstream](generation_relay& it) { it.on_upstream_restarted(upstream); });
 }
 
-void caller_handler::on_prompts_quarantined()
+void caller_handler::on_requests_quarantined()
 {
-    for_each_generation([](generation_relay& it) { it.on_prompts_quarantined(); });
+    for_each_generation([](generation_relay& it) { it.on_requests_quarantined(); });
 }
 
 std::size_t caller_handler::open_generations()
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -24,12 +24,12 @@
 void crash_detector::check(const upstream_record& engine, const request_id& request, crash_suspect suspect)
 {
     const bool leaving = is_leaving(engine.id);
-    log(log_level::warning, log_event::generation_ended_without_output,
+    log(log_level::warning, log_event::request_lost_with_upstream,
         {{"request", request.str()},
          {"upstream", engine.id.str()},
          {"responded", suspect.responded ? "yes" : "no"},
          {"leaving", leaving ? "yes" : "no"},
-         {"prompt_parts", format_parts(suspect.parts)}});
+         {"request_traits", format_traits(suspect.traits)}});
     if (leaving) {
         return;
     }
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -37,9 +37,12 @@
     : context_(context), request_(std::move(request)), work_(context), target_work_(context),
       error_buffer_(context.answer_buffers),
       splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
-      parts_(request_.caller.prompt_parts), planned_output_(planned_output(request_.caller))
+      planned_output_(planned_output(request_.caller))
 {
-    std::sort(parts_.begin(), parts_.end());
+    for (const auto it : request_.caller.prompt_parts) {
+        traits_.push_back(trait_of(it));
+    }
+    std::sort(traits_.begin(), traits_.end());
 }
 
 void generation_relay::start()
@@ -259,7 +262,7 @@
 void generation_relay::check_for_crash(bool responded)
 {
     if (events_ == 0) {
-        context_.crashes->check(engine_, request_.caller.id, {responded, parts_});
+        context_.crashes->check(engine_, request_.caller.id, {responded, traits_});
     }
 }
 
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -19,9 +19,9 @@
 
 void generation_relay::admit()
 {
-    const bool forbidden = context_.quarantine->forbids(parts_);
+    const bool forbidden = context_.quarantine->forbids(traits_);
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
-    context_.quarantine->admit(request_.caller.id, parts_, [self = shared_from_this(), forbidden](bool admitted) {
+    context_.quarantine->admit(request_.caller.id, traits_, [self = shared_from_this(), forbidden](bool admitted) {
         if (self->done_) {
             return;
         }
@@ -36,15 +36,16 @@
 
 bool generation_relay::is_quarantined() const
 {
-    return !probe_ && context_.quarantine->forbids(parts_);
+    return !probe_ && context_.quarantine->forbids(traits_);
 }
 
 void generation_relay::refuse_quarantined()
 {
-    fail(make_error(error_kind::prompt_quarantined, "a part of the prompt has crashed several engines"));
+    fail(make_error(error_kind::request_quarantined,
+                    "the request, or a part of its prompt, has crashed several engines"));
 }
 
-void generation_relay::on_prompts_quarantined()
+void generation_relay::on_requests_quarantined()
 {
     if (done_ || events_ > 0 || !is_quarantined()) {
         return;
@@ -54,16 +55,16 @@
         return;
     }
     // The engine stops when its connection closes, usually before it would have begun to answer.
-    auto reason =
-        make_error(error_kind::upstream_failed, "cancelled: a part of the prompt has crashed several engines");
+    auto reason = make_error(error_kind::upstream_failed,
+                             "cancelled: the request, or a part of its prompt, has crashed several engines");
     reason.outcome = run_outcome::may_have_run;
     fail(reason);
 }
 
 void generation_relay::report_sound_prompt()
 {
-    if (!parts_.empty()) {
-        context_.quarantine->add_sound_parts(last_event_at_, parts_);
+    if (!traits_.empty()) {
+        context_.quarantine->add_sound_traits(last_event_at_, traits_);
     }
 }
 
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -110,7 +110,7 @@
         context_, reporter_->exchange(),
         [this](const std::string& address, std::string datagram) { reporter_->send_to(address, std::move(datagram)); });
     context_.crashes->on_crash([this](crash_record value) { context_.quarantine->add_crash(std::move(value)); });
-    context_.quarantine->on_quarantined([this] { callers_.on_prompts_quarantined(); });
+    context_.quarantine->on_quarantined([this] { callers_.on_requests_quarantined(); });
     context_.rates = std::make_shared<rate_service>(
         context_, reporter_->exchange(),
         [this](const std::string& address, std::string datagram) { reporter_->send_to(address, std::move(datagram)); });
--- a/src/node/internal/quarantine_endpoint.cpp
+++ b/src/node/internal/quarantine_endpoint.cpp
@@ -1,7 +1,5 @@
 #include "node/quarantine_endpoint.h"
 
-#include <charconv>
-
 #include <nlohmann/json.hpp>
 
 #include "core/error.h"
@@ -28,7 +26,7 @@
     auto out = json::array();
     const auto now = quarantine.now();
     for (const auto& it : quarantine.entries()) {
-        out.push_back({{"prompt_parts", format_parts(it.parts)},
+        out.push_back({{"request_traits", format_traits(it.traits)},
                        {"since_ms", age_ms(now, it.since)},
                        {"last_crash_ms", age_ms(now, it.last_crash)},
                        {"last_probe_ms", age_ms(now, it.last_probe)},
@@ -37,17 +35,6 @@
     return json({{"entries", out}}).dump();
 }
 
-std::optional<prompt_part_id> parse_part(std::string_view text)
-{
-    constexpr int hexadecimal = 16;
-    std::uint64_t out = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out, hexadecimal);
-    if (ec != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return static_cast<prompt_part_id>(out);
-}
-
 } // namespace
 
 std::optional<quarantine_answer> answer_quarantine_request(quarantine_service& quarantine, const http_request& request)
@@ -60,16 +47,16 @@
         target[path.size()] != '/') {
         return std::nullopt;
     }
-    const auto part = parse_part(target.substr(path.size() + 1));
-    if (!part) {
-        return quarantine_answer{http_bad_request, error_body(make_error(error_kind::invalid_request,
-                                                                         "expected a prompt part in hexadecimal"))};
+    request_trait trait;
+    if (!parse_trait(target.substr(path.size() + 1), trait)) {
+        return quarantine_answer{
+            http_bad_request, error_body(make_error(error_kind::invalid_request, "expected a trait in hexadecimal"))};
     }
-    if (!quarantine.clear(*part)) {
+    if (!quarantine.clear(trait)) {
         return quarantine_answer{http_not_found,
-                                 error_body(make_error(error_kind::not_found, "no entry contains this prompt part"))};
+                                 error_body(make_error(error_kind::not_found, "no entry contains this trait"))};
     }
-    log(log_level::warning, log_event::prompt_cleared, {{"prompt_parts", format_parts({*part})}});
+    log(log_level::warning, log_event::quarantine_lifted, {{"request_traits", format_traits({trait})}});
     return quarantine_answer{http_ok, list_entries(quarantine)};
 }
 
--- a/src/node/internal/quarantine_service.cpp
+++ b/src/node/internal/quarantine_service.cpp
@@ -19,17 +19,17 @@
     : context_(context), send_(std::move(send)), exchange_(evidence_state(quarantine_), reports)
 {
     quarantine_.set_hooks({[this](const quarantine_entry& it) {
-                               log_entry(log_event::prompt_quarantined, it);
+                               log_entry(log_event::request_quarantined, it);
                                newly_quarantined_ = true;
                            },
-                           [this](const quarantine_entry& it) { log_entry(log_event::prompt_released, it); }});
+                           [this](const quarantine_entry& it) { log_entry(log_event::quarantine_ended, it); }});
 }
 
 void quarantine_service::log_entry(log_event event, const quarantine_entry& value)
 {
     const auto age = context_.timers.now() - value.last_crash;
     log(log_level::warning, event,
-        {{"prompt_parts", format_parts(value.parts)},
+        {{"request_traits", format_traits(value.traits)},
          {"last_crash_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(age).count())},
          {"failed_probes", std::to_string(value.failed_probes)}});
 }
@@ -40,7 +40,7 @@
         const auto now = self->context_.timers.now();
         self->quarantine_.expire(now);
         self->send(self->exchange_.run_period(now));
-        self->context_.counters.set("quarantined_prompts", static_cast<double>(self->quarantine_.entries().size()));
+        self->context_.counters.set("quarantined_requests", static_cast<double>(self->quarantine_.entries().size()));
     });
 }
 
@@ -73,15 +73,15 @@
     schedule_changes();
 }
 
-void quarantine_service::add_sound_parts(instant began, const prompt_parts& parts)
+void quarantine_service::add_sound_traits(instant began, const request_traits& traits)
 {
-    quarantine_.add_sound_parts(context_.timers.now(), began, parts);
+    quarantine_.add_sound_traits(context_.timers.now(), began, traits);
     schedule_changes();
 }
 
-bool quarantine_service::clear(prompt_part_id part)
+bool quarantine_service::clear(const request_trait& trait)
 {
-    const bool cleared = quarantine_.clear(context_.timers.now(), part);
+    const bool cleared = quarantine_.clear(context_.timers.now(), trait);
     schedule_changes();
     return cleared;
 }
@@ -100,21 +100,21 @@
     return responsible_host(hosts, probe_key);
 }
 
-bool quarantine_service::allow_probe(const prompt_parts& entry_parts)
+bool quarantine_service::allow_probe(const request_traits& entry_traits)
 {
     const auto now = context_.timers.now();
-    const auto* entry = quarantine_.find(entry_parts);
+    const auto* entry = quarantine_.find(entry_traits);
     if (entry == nullptr || !quarantine_.probe_due(now, *entry)) {
         return false;
     }
-    quarantine_.record_probe(now, prompt_parts(entry->parts));
+    quarantine_.record_probe(now, request_traits(entry->traits));
     schedule_changes();
     return true;
 }
 
-void quarantine_service::admit(const request_id& request, const prompt_parts& parts, admit_hook done)
+void quarantine_service::admit(const request_id& request, const request_traits& traits, admit_hook done)
 {
-    const auto* entry = quarantine_.find(parts);
+    const auto* entry = quarantine_.find(traits);
     if (entry == nullptr) {
         done(true);
         return;
@@ -131,12 +131,12 @@
     value.request = request;
     value.done = std::move(done);
     if (own) {
-        finish(number, allow_probe(entry->parts));
+        finish(number, allow_probe(entry->traits));
         return;
     }
     value.timer = context_.timers.after(probe_answer_timeout,
                                         [self = shared_from_this(), number] { self->finish(number, false); });
-    send_(report->addresses.report, encode_probe_request({context_.settings.host, number, entry->parts}));
+    send_(report->addresses.report, encode_probe_request({context_.settings.host, number, entry->traits}));
 }
 
 void quarantine_service::finish(std::uint64_t number, bool allowed)
@@ -147,8 +147,8 @@
     }
     context_.timers.cancel(node.mapped().timer);
     if (allowed) {
-        log(log_level::warning, log_event::prompt_probed, {{"request", node.mapped().request.str()}});
-        context_.counters.add("prompt_probes_total");
+        log(log_level::warning, log_event::quarantine_probed, {{"request", node.mapped().request.str()}});
+        context_.counters.add("quarantine_probes_total");
     }
     node.mapped().done(allowed);
 }
@@ -157,7 +157,7 @@
 {
     const auto* report = context_.peers.find(value.asker);
     if (report != nullptr && responsible() == context_.settings.host) {
-        send_(report->addresses.report, encode_probe_response({value.number, allow_probe(value.entry_parts)}));
+        send_(report->addresses.report, encode_probe_response({value.number, allow_probe(value.entry_traits)}));
     }
 }
 
--- a/src/node/quarantine_endpoint.h
+++ b/src/node/quarantine_endpoint.h
@@ -15,8 +15,8 @@
     std::string body;
 };
 
-/// Handles the requests of operators: `GET /quarantine` lists the entries; `DELETE /quarantine/PART`, with a prompt
-/// part in hexadecimal, lifts all entries with this part on all hosts. Returns nothing for a request with another path.
+/// Handles the requests of operators: `GET /quarantine` lists the entries; `DELETE /quarantine/TRAIT`
+/// lifts all entries with this trait, in the form in which they are listed, on all hosts. Returns nothing for a request with another path.
 std::optional<quarantine_answer> answer_quarantine_request(quarantine_service& quarantine, const http_request& request);
 
 } // namespace anvillead
--- a/src/node/quarantine_service.h
+++ b/src/node/quarantine_service.h
@@ -28,19 +28,19 @@
 
     /// Calls `done` exactly once: immediately unless the prompt is a candidate for a probe, which the responsible host
     /// has to allow; then within a few tens of milliseconds.
-    void admit(const request_id& request, const prompt_parts& parts, admit_hook done);
+    void admit(const request_id& request, const request_traits& traits, admit_hook done);
     /// Whether a prompt must not be sent to an engine.
-    bool forbids(const prompt_parts& parts) const { return quarantine_.find(parts) != nullptr; }
+    bool forbids(const request_traits& traits) const { return quarantine_.find(traits) != nullptr; }
     void add_crash(crash_record value);
-    /// An engine began to answer a prompt with these parts at `began` and went on.
-    void add_sound_parts(instant began, const prompt_parts& parts);
+    /// An engine began to answer a prompt with these traits at `began` and went on.
+    void add_sound_traits(instant began, const request_traits& traits);
     /// Handles a datagram about crashes or probes; returns false for any other kind.
     bool receive(const std::string& datagram);
 
     const std::vector<quarantine_entry>& entries() const { return quarantine_.entries(); }
     instant now() const { return context_.timers.now(); }
-    /// Operator's decision to lift the quarantine of all entries with this part. Returns false if there is none.
-    bool clear(prompt_part_id part);
+    /// Operator's decision to lift the quarantine of all entries with this trait. Returns false if there is none.
+    bool clear(const request_trait& trait);
 
 private:
     struct pending_probe
@@ -52,7 +52,7 @@
 
     /// The host that allows probes, one at a time for the whole fleet.
     host_id responsible() const;
-    bool allow_probe(const prompt_parts& entry_parts);
+    bool allow_probe(const request_traits& entry_traits);
     void handle_request(const probe_request& value);
     void finish(std::uint64_t number, bool allowed);
     void schedule_changes();
@@ -62,7 +62,7 @@
     node_context& context_;
     send_hook send_;
     std::function<void()> on_quarantined_;
-    prompt_quarantine quarantine_;
+    request_quarantine quarantine_;
     fleet_broadcast exchange_;
     std::map<std::uint64_t, pending_probe> pending_;
     std::uint64_t last_number_ = 0;
--- a/src/quarantine/internal/crash_evidence.cpp
+++ b/src/quarantine/internal/crash_evidence.cpp
@@ -1,7 +1,5 @@
 #include "quarantine/types/crash_evidence.h"
 
-#include <fmt/format.h>
-
 namespace anvillead {
 
 std::vector<const crash_suspect*> likely_suspects(const crash_record& value)
@@ -17,13 +15,4 @@
     return responded.empty() ? all : responded;
 }
 
-std::string format_parts(const prompt_parts& parts)
-{
-    std::string out;
-    for (const auto it : parts) {
-        out += fmt::format("{}{:x}", out.empty() ? "" : ",", static_cast<std::uint64_t>(it));
-    }
-    return out;
-}
-
 } // namespace anvillead
--- a/src/quarantine/internal/prompt_quarantine.cpp
+++ b/src/quarantine/internal/request_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/prompt_quarantine.h"
+#include "quarantine/request_quarantine.h"
 
 #include <algorithm>
 
@@ -6,40 +6,40 @@
 
 namespace {
 
-bool contains_all(const prompt_parts& parts, const prompt_parts& subset)
+bool contains_all(const request_traits& traits, const request_traits& subset)
 {
-    return std::includes(parts.begin(), parts.end(), subset.begin(), subset.end());
+    return std::includes(traits.begin(), traits.end(), subset.begin(), subset.end());
 }
 
-bool concerns(const crash_record& crash, const prompt_parts& entry_parts)
+bool concerns(const crash_record& crash, const request_traits& entry_traits)
 {
     const auto suspects = likely_suspects(crash);
     return std::any_of(suspects.begin(), suspects.end(),
-                       [&](const crash_suspect* it) { return contains_all(it->parts, entry_parts); });
+                       [&](const crash_suspect* it) { return contains_all(it->traits, entry_traits); });
 }
 
-/// Sorts the parts and keeps the lowest ones, which are the same on each host and for each request with these parts.
-void normalize(prompt_parts& parts, std::size_t most)
+/// Sorts the traits and keeps the lowest ones, which are the same on each host and for each request with these traits.
+void normalize(request_traits& traits, std::size_t most)
 {
-    std::sort(parts.begin(), parts.end());
-    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
-    parts.resize(std::min(parts.size(), most));
+    std::sort(traits.begin(), traits.end());
+    traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
+    traits.resize(std::min(traits.size(), most));
 }
 
 } // namespace
 
-void prompt_quarantine::add_crash(instant now, crash_record value)
+void request_quarantine::add_crash(instant now, crash_record value)
 {
     crash_evidence evidence;
     evidence.crashes.push_back(std::move(value));
     merge(now, evidence);
 }
 
-void prompt_quarantine::merge(instant now, const crash_evidence& value)
+void request_quarantine::merge(instant now, const crash_evidence& value)
 {
     bool changed = false;
-    for (const auto& it : value.sound_parts) {
-        changed = merge_sound_part(it) || changed;
+    for (const auto& it : value.sound_traits) {
+        changed = merge_sound_trait(it) || changed;
     }
     for (const auto& it : value.entries) {
         changed = merge_entry(it) || changed;
@@ -52,26 +52,26 @@
     }
 }
 
-bool prompt_quarantine::merge_crash(instant now, const crash_record& value)
+bool request_quarantine::merge_crash(instant now, const crash_record& value)
 {
     if (value.suspects.empty() || now - value.at > limits_.retention || value.at > now) {
         return false;
     }
     auto found = std::find_if(crashes_.begin(), crashes_.end(), [&](const crash_record& it) {
         const auto difference = it.at > value.at ? it.at - value.at : value.at - it.at;
-        return it.engine == value.engine && difference <= limits_.same_crash;
+        return it.upstream == value.upstream && difference <= limits_.same_crash;
     });
     bool changed = false;
     if (found == crashes_.end()) {
         const auto after = std::upper_bound(crashes_.begin(), crashes_.end(), value.at,
                                             [](instant at, const crash_record& it) { return at < it.at; });
-        found = crashes_.insert(after, {value.engine, value.at, {}});
+        found = crashes_.insert(after, {value.upstream, value.at, {}});
         changed = true;
     }
     for (auto suspect : value.suspects) {
-        normalize(suspect.parts, limits_.max_parts);
+        normalize(suspect.traits, limits_.max_traits);
         const auto known = std::find_if(found->suspects.begin(), found->suspects.end(),
-                                        [&](const crash_suspect& it) { return it.parts == suspect.parts; });
+                                        [&](const crash_suspect& it) { return it.traits == suspect.traits; });
         if (known != found->suspects.end()) {
             changed = changed || (suspect.responded && !known->responded);
             known->responded = known->responded || suspect.responded;
@@ -91,8 +91,8 @@
     if (!changed) {
         return false;
     }
-    changes_.crashes.emplace(found->engine, found->at);
-    announce_sound_parts(*found);
+    changes_.crashes.emplace(found->upstream, found->at);
+    announce_sound_traits(*found);
     update_entries_from(*found);
     if (crashes_.size() > limits_.max_crashes) {
         crashes_.erase(crashes_.begin());
@@ -100,39 +100,39 @@
     return true;
 }
 
-bool prompt_quarantine::merge_sound_part(const sound_part& value)
+bool request_quarantine::merge_sound_trait(const sound_trait& value)
 {
-    const auto known = sound_parts_.find(value.part);
-    if (known != sound_parts_.end() && value.began - known->second <= limits_.time_tolerance) {
+    const auto known = sound_traits_.find(value.trait);
+    if (known != sound_traits_.end() && value.began - known->second <= limits_.time_tolerance) {
         return false;
     }
-    if (known == sound_parts_.end() && sound_parts_.size() >= limits_.max_sound_parts) {
+    if (known == sound_traits_.end() && sound_traits_.size() >= limits_.max_sound_traits) {
         return false;
     }
-    sound_parts_[value.part] = value.began;
-    changes_.sound_parts.insert(value.part);
+    sound_traits_[value.trait] = value.began;
+    changes_.sound_traits.insert(value.trait);
     return true;
 }
 
-bool prompt_quarantine::merge_entry(const quarantine_entry& value)
+bool request_quarantine::merge_entry(const quarantine_entry& value)
 {
-    auto parts = value.parts;
-    normalize(parts, limits_.max_parts);
-    parts.erase(std::remove_if(parts.begin(), parts.end(),
-                               [&](prompt_part_id it) { return sound_since(it) > value.last_crash; }),
-                parts.end());
-    if (parts.empty()) {
+    auto traits = value.traits;
+    normalize(traits, limits_.max_traits);
+    traits.erase(std::remove_if(traits.begin(), traits.end(),
+                                [&](const request_trait& it) { return sound_since(it) > value.last_crash; }),
+                 traits.end());
+    if (traits.empty()) {
         return false;
     }
     const auto known = std::find_if(entries_.begin(), entries_.end(),
-                                    [&](const quarantine_entry& it) { return contains_all(parts, it.parts); });
+                                    [&](const quarantine_entry& it) { return contains_all(traits, it.traits); });
     if (known == entries_.end()) {
         auto entry = value;
-        entry.parts = std::move(parts);
+        entry.traits = std::move(traits);
         add_entry(std::move(entry));
         return true;
     }
-    if (known->parts != parts) {
+    if (known->traits != traits) {
         return false;
     }
     const bool changed = value.failed_probes > known->failed_probes ||
@@ -142,90 +142,90 @@
         known->failed_probes = std::max(known->failed_probes, value.failed_probes);
         known->last_probe = std::max(known->last_probe, value.last_probe);
         known->last_crash = std::max(known->last_crash, value.last_crash);
-        changes_.entries.insert(parts);
+        changes_.entries.insert(traits);
     }
     return changed;
 }
 
-void prompt_quarantine::add_sound_parts(instant now, instant began, const prompt_parts& parts)
+void request_quarantine::add_sound_traits(instant now, instant began, const request_traits& traits)
 {
     bool changed = false;
-    for (const auto it : parts) {
+    for (const auto& it : traits) {
         remember(it, began);
-        changed = (is_watched(it) && merge_sound_part({it, began})) || changed;
+        changed = (is_watched(it) && merge_sound_trait({it, began})) || changed;
     }
     if (changed) {
         evaluate(now);
     }
 }
 
-void prompt_quarantine::remember(prompt_part_id part, instant began)
+void request_quarantine::remember(const request_trait& trait, instant began)
 {
-    const auto [known, added] = remembered_.try_emplace(part, began);
+    const auto [known, added] = remembered_.try_emplace(trait, began);
     if (!added) {
-        remembered_order_.erase({known->second, part});
+        remembered_order_.erase({known->second, trait});
         known->second = std::max(known->second, began);
     }
-    remembered_order_.emplace(known->second, part);
-    if (remembered_.size() > limits_.max_remembered_parts) {
+    remembered_order_.emplace(known->second, trait);
+    if (remembered_.size() > limits_.max_remembered_traits) {
         remembered_.erase(remembered_order_.begin()->second);
         remembered_order_.erase(remembered_order_.begin());
     }
 }
 
-void prompt_quarantine::announce_sound_parts(const crash_record& value)
+void request_quarantine::announce_sound_traits(const crash_record& value)
 {
     for (const auto& suspect : value.suspects) {
-        for (const auto part : suspect.parts) {
-            const auto known = remembered_.find(part);
+        for (const auto& trait : suspect.traits) {
+            const auto known = remembered_.find(trait);
             if (known != remembered_.end()) {
-                merge_sound_part({part, known->second});
+                merge_sound_trait({trait, known->second});
             }
         }
     }
 }
 
-bool prompt_quarantine::is_watched(prompt_part_id part) const
+bool request_quarantine::is_watched(const request_trait& trait) const
 {
-    const auto holds_part = [part](const prompt_parts& parts) {
-        return std::binary_search(parts.begin(), parts.end(), part);
+    const auto holds_trait = [&trait](const request_traits& traits) {
+        return std::binary_search(traits.begin(), traits.end(), trait);
     };
     return std::any_of(entries_.begin(), entries_.end(),
-                       [&](const quarantine_entry& it) { return holds_part(it.parts); }) ||
+                       [&](const quarantine_entry& it) { return holds_trait(it.traits); }) ||
            std::any_of(crashes_.begin(), crashes_.end(), [&](const crash_record& crash) {
                return std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                                  [&](const crash_suspect& it) { return holds_part(it.parts); });
+                                  [&](const crash_suspect& it) { return holds_trait(it.traits); });
            });
 }
 
-instant prompt_quarantine::sound_since(prompt_part_id part) const
+instant request_quarantine::sound_since(const request_trait& trait) const
 {
-    const auto known = sound_parts_.find(part);
-    return known == sound_parts_.end() ? instant{} : known->second;
+    const auto known = sound_traits_.find(trait);
+    return known == sound_traits_.end() ? instant{} : known->second;
 }
 
-bool prompt_quarantine::clear(instant now, prompt_part_id part)
+bool request_quarantine::clear(instant now, const request_trait& trait)
 {
-    prompt_parts cleared;
+    request_traits cleared;
     for (const auto& it : entries_) {
-        if (std::binary_search(it.parts.begin(), it.parts.end(), part)) {
-            cleared.insert(cleared.end(), it.parts.begin(), it.parts.end());
+        if (std::binary_search(it.traits.begin(), it.traits.end(), trait)) {
+            cleared.insert(cleared.end(), it.traits.begin(), it.traits.end());
         }
     }
-    for (const auto it : cleared) {
-        merge_sound_part({it, now});
+    for (const auto& it : cleared) {
+        merge_sound_trait({it, now});
     }
     evaluate(now);
     return !cleared.empty();
 }
 
-void prompt_quarantine::expire(instant now)
+void request_quarantine::expire(instant now)
 {
     crashes_.erase(std::remove_if(crashes_.begin(), crashes_.end(),
                                   [&](const crash_record& it) { return now - it.at > limits_.retention; }),
                    crashes_.end());
-    for (auto it = sound_parts_.begin(); it != sound_parts_.end();) {
-        it = now - it->second > limits_.retention ? sound_parts_.erase(it) : std::next(it);
+    for (auto it = sound_traits_.begin(); it != sound_traits_.end();) {
+        it = now - it->second > limits_.retention ? sound_traits_.erase(it) : std::next(it);
     }
     for (std::size_t i = entries_.size(); i > 0; --i) {
         const auto& it = entries_[i - 1];
@@ -235,29 +235,29 @@
     }
 }
 
-void prompt_quarantine::update_entries_from(const crash_record& value)
+void request_quarantine::update_entries_from(const crash_record& value)
 {
     for (auto& it : entries_) {
-        if (value.at <= it.last_crash || !concerns(value, it.parts)) {
+        if (value.at <= it.last_crash || !concerns(value, it.traits)) {
             continue;
         }
         const bool ends_probe = it.last_probe != instant{} && it.last_probe > it.last_crash && value.at > it.last_probe;
         it.failed_probes += ends_probe ? 1 : 0;
         it.last_crash = value.at;
-        changes_.entries.insert(it.parts);
+        changes_.entries.insert(it.traits);
     }
 }
 
-bool prompt_quarantine::release_sound_parts()
+bool request_quarantine::release_sound_traits()
 {
     bool changed = false;
     for (std::size_t i = entries_.size(); i > 0; --i) {
         auto& entry = entries_[i - 1];
-        auto remaining = entry.parts;
+        auto remaining = entry.traits;
         remaining.erase(std::remove_if(remaining.begin(), remaining.end(),
-                                       [&](prompt_part_id it) { return sound_since(it) > entry.last_crash; }),
+                                       [&](const request_trait& it) { return sound_since(it) > entry.last_crash; }),
                         remaining.end());
-        if (remaining.size() == entry.parts.size()) {
+        if (remaining.size() == entry.traits.size()) {
             continue;
         }
         changed = true;
@@ -265,31 +265,31 @@
             drop_entry(i - 1);
             continue;
         }
-        entry.parts = remaining;
+        entry.traits = remaining;
         changes_.entries.insert(remaining);
     }
     return changed;
 }
 
-std::map<prompt_part_id, prompt_quarantine::crashes_of_part> prompt_quarantine::collect_evidence() const
+std::map<request_trait, request_quarantine::crashes_of_trait> request_quarantine::collect_evidence() const
 {
-    std::map<prompt_part_id, crashes_of_part> out;
+    std::map<request_trait, crashes_of_trait> out;
     for (std::size_t i = 0; i < crashes_.size(); ++i) {
         const auto& crash = crashes_[i];
-        std::set<prompt_part_id> explanation;
+        std::set<request_trait> explanation;
         for (const auto& it : entries_) {
-            if (concerns(crash, it.parts)) {
-                explanation.insert(it.parts.begin(), it.parts.end());
+            if (concerns(crash, it.traits)) {
+                explanation.insert(it.traits.begin(), it.traits.end());
             }
         }
         for (const auto* suspect : likely_suspects(crash)) {
-            for (const auto part : suspect->parts) {
-                const auto sound_at = sound_since(part);
-                const bool explained = !explanation.empty() && explanation.count(part) == 0;
+            for (const auto& trait : suspect->traits) {
+                const auto sound_at = sound_since(trait);
+                const bool explained = !explanation.empty() && explanation.count(trait) == 0;
                 if (explained || sound_at >= crash.at) {
                     continue;
                 }
-                auto& evidence = out[part];
+                auto& evidence = out[trait];
                 evidence.crashes.insert(i);
                 evidence.sound_before =
                     evidence.sound_before || (sound_at != instant{} && crash.at - sound_at <= limits_.sound_time);
@@ -299,7 +299,7 @@
     return out;
 }
 
-std::size_t prompt_quarantine::count_moments(const std::set<std::size_t>& crashes) const
+std::size_t request_quarantine::count_moments(const std::set<std::size_t>& crashes) const
 {
     std::size_t out = 0;
     instant last{};
@@ -313,64 +313,64 @@
     return out;
 }
 
-bool prompt_quarantine::suffices(const crashes_of_part& value) const
+bool request_quarantine::suffices(const crashes_of_trait& value) const
 {
     if (!value.sound_before) {
         return count_moments(value.crashes) >= limits_.crashes;
     }
     const auto spread = crashes_[*value.crashes.rbegin()].at - crashes_[*value.crashes.begin()].at;
-    return count_moments(value.crashes) >= limits_.crashes_of_sound_part && spread >= limits_.sound_part_crash_spread;
+    return count_moments(value.crashes) >= limits_.crashes_of_sound_trait && spread >= limits_.sound_trait_crash_spread;
 }
 
-prompt_parts prompt_quarantine::strongest_parts() const
+request_traits request_quarantine::strongest_traits() const
 {
     const auto evidence = collect_evidence();
-    prompt_parts out;
-    const crashes_of_part* strongest = nullptr;
-    for (const auto& [part, value] : evidence) {
+    request_traits out;
+    const crashes_of_trait* strongest = nullptr;
+    for (const auto& [trait, value] : evidence) {
         const bool stronger =
             strongest == nullptr || strongest->sound_before > value.sound_before ||
             (strongest->sound_before == value.sound_before && strongest->crashes.size() < value.crashes.size());
         if (!stronger || !suffices(value)) {
             continue;
         }
-        prompt_parts parts;
+        request_traits traits;
         for (const auto& [other, other_value] : evidence) {
             if (other_value.crashes == value.crashes && other_value.sound_before == value.sound_before) {
-                parts.push_back(other);
+                traits.push_back(other);
             }
         }
-        if (find(parts) == nullptr) {
-            out = std::move(parts);
+        if (find(traits) == nullptr) {
+            out = std::move(traits);
             strongest = &value;
         }
     }
     return out;
 }
 
-void prompt_quarantine::evaluate(instant now)
+void request_quarantine::evaluate(instant now)
 {
-    release_sound_parts();
-    // Each entry explains crashes, which may acquit other parts, so entries are added one by one.
-    for (auto parts = strongest_parts(); !parts.empty(); parts = strongest_parts()) {
+    release_sound_traits();
+    // Each entry explains crashes, which may acquit other traits, so entries are added one by one.
+    for (auto traits = strongest_traits(); !traits.empty(); traits = strongest_traits()) {
         quarantine_entry entry;
         entry.since = now;
         for (const auto& it : crashes_) {
-            entry.last_crash = concerns(it, parts) ? it.at : entry.last_crash;
+            entry.last_crash = concerns(it, traits) ? it.at : entry.last_crash;
         }
-        entry.parts = std::move(parts);
+        entry.traits = std::move(traits);
         add_entry(std::move(entry));
     }
 }
 
-void prompt_quarantine::add_entry(quarantine_entry entry)
+void request_quarantine::add_entry(quarantine_entry entry)
 {
     for (std::size_t i = entries_.size(); i > 0; --i) {
         const auto& known = entries_[i - 1];
-        if (!contains_all(known.parts, entry.parts)) {
+        if (!contains_all(known.traits, entry.traits)) {
             continue;
         }
-        // An entry with fewer parts applies to more prompts and replaces those with further parts.
+        // An entry with fewer traits applies to more prompts and replaces those with further traits.
         entry.last_probe = std::max(entry.last_probe, known.last_probe);
         entry.failed_probes = std::max(entry.failed_probes, known.failed_probes);
         entries_.erase(entries_.begin() + static_cast<std::ptrdiff_t>(i - 1));
@@ -381,14 +381,14 @@
             [](const quarantine_entry& a, const quarantine_entry& b) { return a.last_crash < b.last_crash; });
         drop_entry(static_cast<std::size_t>(oldest - entries_.begin()));
     }
-    changes_.entries.insert(entry.parts);
+    changes_.entries.insert(entry.traits);
     entries_.push_back(entry);
     if (hooks_.on_quarantined) {
         hooks_.on_quarantined(entry);
     }
 }
 
-void prompt_quarantine::drop_entry(std::size_t index)
+void request_quarantine::drop_entry(std::size_t index)
 {
     const auto entry = entries_[index];
     entries_.erase(entries_.begin() + static_cast<std::ptrdiff_t>(index));
@@ -397,14 +397,14 @@
     }
 }
 
-const quarantine_entry* prompt_quarantine::find(const prompt_parts& parts) const
+const quarantine_entry* request_quarantine::find(const request_traits& traits) const
 {
     const auto found = std::find_if(entries_.begin(), entries_.end(),
-                                    [&](const quarantine_entry& it) { return contains_all(parts, it.parts); });
+                                    [&](const quarantine_entry& it) { return contains_all(traits, it.traits); });
     return found == entries_.end() ? nullptr : &*found;
 }
 
-bool prompt_quarantine::probe_due(instant now, const quarantine_entry& value) const
+bool request_quarantine::probe_due(instant now, const quarantine_entry& value) const
 {
     const bool probed_recently = std::any_of(entries_.begin(), entries_.end(), [&](const quarantine_entry& it) {
         return it.last_probe != instant{} && now - it.last_probe < limits_.probe_wait;
@@ -419,44 +419,44 @@
     return now - std::max({value.since, value.last_crash, value.last_probe}) >= wait;
 }
 
-void prompt_quarantine::record_probe(instant now, const prompt_parts& entry_parts)
+void request_quarantine::record_probe(instant now, const request_traits& entry_traits)
 {
     for (auto& it : entries_) {
-        if (it.parts == entry_parts) {
+        if (it.traits == entry_traits) {
             it.last_probe = now;
-            changes_.entries.insert(it.parts);
+            changes_.entries.insert(it.traits);
         }
     }
 }
 
-crash_evidence prompt_quarantine::take_changes()
+crash_evidence request_quarantine::take_changes()
 {
     crash_evidence out;
     const auto changes = std::exchange(changes_, {});
     for (const auto& it : crashes_) {
-        if (changes.crashes.count({it.engine, it.at}) != 0) {
+        if (changes.crashes.count({it.upstream, it.at}) != 0) {
             out.crashes.push_back(it);
         }
     }
-    for (const auto& [part, began] : sound_parts_) {
-        if (changes.sound_parts.count(part) != 0) {
-            out.sound_parts.push_back({part, began});
+    for (const auto& [trait, began] : sound_traits_) {
+        if (changes.sound_traits.count(trait) != 0) {
+            out.sound_traits.push_back({trait, began});
         }
     }
     for (const auto& it : entries_) {
-        if (changes.entries.count(it.parts) != 0) {
+        if (changes.entries.count(it.traits) != 0) {
             out.entries.push_back(it);
         }
     }
     return out;
 }
 
-crash_evidence prompt_quarantine::all() const
+crash_evidence request_quarantine::all() const
 {
     crash_evidence out;
     out.crashes = crashes_;
-    for (const auto& [part, began] : sound_parts_) {
-        out.sound_parts.push_back({part, began});
+    for (const auto& [trait, began] : sound_traits_) {
+        out.sound_traits.push_back({trait, began});
     }
     out.entries = entries_;
     return out;
--- a/src/quarantine/tests/prompt_quarantine_test.cpp
+++ b/src/quarantine/tests/request_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/prompt_quarantine.h"
+#include "quarantine/request_quarantine.h"
 
 #include <algorithm>
 
@@ -8,31 +8,36 @@
 
 namespace {
 
-constexpr prompt_part_id route_part{0x01};
-constexpr prompt_part_id organisation_part{0x02};
-constexpr prompt_part_id deadly_part{0xdead};
-constexpr prompt_part_id other_deadly_part{0xbad};
+constexpr request_trait route_part{trait_kind::prompt_part, 0, 0x01};
+constexpr request_trait organisation_part{trait_kind::prompt_part, 0, 0x02};
+constexpr request_trait deadly_part{trait_kind::prompt_part, 0, 0xdead};
+constexpr request_trait other_deadly_part{trait_kind::prompt_part, 0, 0xbad};
+
+request_trait prompt_part(std::uint64_t id)
+{
+    return trait_of(static_cast<prompt_part_id>(id));
+}
 
 } // namespace
 
-TEST_GROUP(prompt_quarantine_test)
+TEST_GROUP(request_quarantine_test)
 {
     instant now = instant{} + seconds(1000);
-    prompt_quarantine quarantine;
+    request_quarantine quarantine;
     int engines = 0;
     std::uint64_t last_own_part = 1000;
 
-    prompt_part_id own_part()
+    request_trait own_part()
     {
-        return static_cast<prompt_part_id>(++last_own_part);
+        return prompt_part(++last_own_part);
     }
 
     /// A prompt with these parts and one that no other prompt has.
-    prompt_parts prompt(prompt_parts parts)
+    request_traits prompt(request_traits traits)
     {
-        parts.push_back(own_part());
-        std::sort(parts.begin(), parts.end());
-        return parts;
+        traits.push_back(own_part());
+        std::sort(traits.begin(), traits.end());
+        return traits;
     }
 
     crash_record crash_of(const std::string& engine, const std::vector<crash_suspect>& suspects)
@@ -40,14 +45,14 @@
         return {upstream_id(engine), now, suspects};
     }
 
-    void crash(const prompt_parts& parts)
+    void crash(const request_traits& traits)
     {
-        quarantine.add_crash(now, crash_of("engine-" + std::to_string(++engines), {{true, prompt(parts)}}));
+        quarantine.add_crash(now, crash_of("engine-" + std::to_string(++engines), {{true, prompt(traits)}}));
     }
 
-    void answer(const prompt_parts& parts)
+    void answer(const request_traits& traits)
     {
-        quarantine.add_sound_parts(now, now, prompt(parts));
+        quarantine.add_sound_traits(now, now, prompt(traits));
     }
 
     void pass(milliseconds time)
@@ -56,14 +61,14 @@
         quarantine.expire(now);
     }
 
-    bool refused(const prompt_parts& parts)
+    bool refused(const request_traits& traits)
     {
-        return quarantine.find(prompt(parts)) != nullptr;
+        return quarantine.find(prompt(traits)) != nullptr;
     }
 };
 
 // Guards against a part that crashes engine after engine while its organisation and route are served.
-TEST(prompt_quarantine_test, part_of_three_crashes_is_refused_and_the_parts_around_it_are_not)
+TEST(request_quarantine_test, part_of_three_crashes_is_refused_and_the_parts_around_it_are_not)
 {
     for (int i = 0; i < 3; ++i) {
         CHECK(!refused({route_part, organisation_part, deadly_part}));
@@ -78,7 +83,7 @@
 }
 
 // Guards against evidence that is forgotten between crashes because such requests are rare.
-TEST(prompt_quarantine_test, crashes_far_apart_are_connected)
+TEST(request_quarantine_test, crashes_far_apart_are_connected)
 {
     for (int i = 0; i < 3; ++i) {
         crash({route_part, deadly_part});
@@ -90,7 +95,7 @@
 }
 
 // Guards against refusing the prompts of an organisation because two bad parts both came from it.
-TEST(prompt_quarantine_test, common_part_of_two_bad_ones_is_not_blamed)
+TEST(request_quarantine_test, common_part_of_two_bad_ones_is_not_blamed)
 {
     answer({route_part, organisation_part});
     for (int i = 0; i < 3; ++i) {
@@ -106,7 +111,7 @@
 }
 
 // Guards against refusing prompts because a rack of engines failed while they were waiting there.
-TEST(prompt_quarantine_test, engines_that_fail_together_put_nothing_under_quarantine)
+TEST(request_quarantine_test, engines_that_fail_together_put_nothing_under_quarantine)
 {
     for (int i = 0; i < 20; ++i) {
         crash({route_part, organisation_part});
@@ -116,7 +121,7 @@
 
 // Load: most requests of a kind have the deadly part, so that an engine crashes every 60 ms. Guards against losing most
 // engines before the part is refused.
-TEST(prompt_quarantine_test, part_is_refused_after_three_crashes_in_a_fast_series)
+TEST(request_quarantine_test, part_is_refused_after_three_crashes_in_a_fast_series)
 {
     for (int i = 0; i < 3; ++i) {
         CHECK(!refused({deadly_part}));
@@ -127,7 +132,7 @@
 }
 
 // Guards against refusing prompts because engines go down again and again for reasons of their own.
-TEST(prompt_quarantine_test, failing_engines_put_no_part_under_quarantine_that_others_answer)
+TEST(request_quarantine_test, failing_engines_put_no_part_under_quarantine_that_others_answer)
 {
     for (int i = 0; i < 30; ++i) {
         crash({route_part, organisation_part});
@@ -139,7 +144,7 @@
 }
 
 // Guards against blaming a generation that waited while another one was about to write.
-TEST(prompt_quarantine_test, generations_without_response_are_no_suspects_beside_one_with_response)
+TEST(request_quarantine_test, generations_without_response_are_no_suspects_beside_one_with_response)
 {
     for (int i = 0; i < 4; ++i) {
         quarantine.add_crash(now, crash_of("engine-" + std::to_string(i),
@@ -151,7 +156,7 @@
 }
 
 // Guards against refusing one of two parts that always came together, when it could be the other.
-TEST(prompt_quarantine_test, parts_with_the_same_crashes_are_refused_only_together)
+TEST(request_quarantine_test, parts_with_the_same_crashes_are_refused_only_together)
 {
     for (int i = 0; i < 3; ++i) {
         crash({organisation_part, deadly_part});
@@ -166,7 +171,7 @@
 }
 
 // Guards against the crash of a part that was answered until now, for example before a new release of the engines.
-TEST(prompt_quarantine_test, part_that_was_sound_before_is_refused_after_more_crashes)
+TEST(request_quarantine_test, part_that_was_sound_before_is_refused_after_more_crashes)
 {
     answer({organisation_part});
     for (int i = 0; i < 4; ++i) {
@@ -180,7 +185,7 @@
 }
 
 // Guards against a quarantine that stays although engines answer such prompts.
-TEST(prompt_quarantine_test, answer_that_begins_lifts_the_quarantine)
+TEST(request_quarantine_test, answer_that_begins_lifts_the_quarantine)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part});
@@ -193,7 +198,7 @@
 }
 
 // Guards against probes that crash engines as often as the requests did.
-TEST(prompt_quarantine_test, probes_are_single_and_their_wait_grows)
+TEST(request_quarantine_test, probes_are_single_and_their_wait_grows)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part});
@@ -204,7 +209,7 @@
         const auto* entry = quarantine.find({deadly_part});
         CHECK(entry != nullptr);
         if (quarantine.probe_due(now, *entry)) {
-            quarantine.record_probe(now, prompt_parts(entry->parts));
+            quarantine.record_probe(now, request_traits(entry->traits));
             CHECK(!quarantine.probe_due(now, *quarantine.find({deadly_part})));
             ++probes;
             pass(milliseconds(500));
@@ -217,7 +222,7 @@
 }
 
 // Guards against probes of many entries that together crash engines all the time.
-TEST(prompt_quarantine_test, probes_of_several_entries_are_spaced)
+TEST(request_quarantine_test, probes_of_several_entries_are_spaced)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part});
@@ -232,34 +237,34 @@
 }
 
 // Guards against hosts that decide differently on the same evidence, and against evidence that counts twice.
-TEST(prompt_quarantine_test, merging_is_idempotent_and_independent_of_the_order)
+TEST(request_quarantine_test, merging_is_idempotent_and_independent_of_the_order)
 {
     crash_evidence evidence;
     for (int i = 0; i < 3; ++i) {
         evidence.crashes.push_back(crash_of("engine-" + std::to_string(i), {{true, {organisation_part, deadly_part}}}));
         pass(seconds(1));
-        evidence.sound_parts.push_back({organisation_part, now});
+        evidence.sound_traits.push_back({organisation_part, now});
     }
-    prompt_quarantine forward;
-    prompt_quarantine backward;
+    request_quarantine forward;
+    request_quarantine backward;
     forward.merge(now, evidence);
     forward.take_changes();
     forward.merge(now, evidence);
     CHECK(!forward.has_changes());
     std::reverse(evidence.crashes.begin(), evidence.crashes.end());
-    std::reverse(evidence.sound_parts.begin(), evidence.sound_parts.end());
+    std::reverse(evidence.sound_traits.begin(), evidence.sound_traits.end());
     for (const auto& it : evidence.crashes) {
         backward.merge(now, {{it}, {}, {}});
     }
-    backward.merge(now, {{}, evidence.sound_parts, {}});
+    backward.merge(now, {{}, evidence.sound_traits, {}});
     for (const auto* it : {&forward, &backward}) {
         LONGS_EQUAL(1, it->entries().size());
-        CHECK(it->entries()[0].parts == prompt_parts{deadly_part});
+        CHECK(it->entries()[0].traits == request_traits{deadly_part});
     }
 }
 
 // Guards against counting one crash once for each host that saw it.
-TEST(prompt_quarantine_test, one_crash_seen_by_several_hosts_counts_once)
+TEST(request_quarantine_test, one_crash_seen_by_several_hosts_counts_once)
 {
     for (int i = 0; i < 5; ++i) {
         quarantine.add_crash(now, crash_of("engine-1", {{true, prompt({deadly_part})}}));
@@ -270,36 +275,36 @@
 }
 
 // Guards against a host that has forgotten everything in a restart.
-TEST(prompt_quarantine_test, restarted_host_learns_the_quarantine_from_another)
+TEST(request_quarantine_test, restarted_host_learns_the_quarantine_from_another)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part});
         pass(seconds(1));
     }
     pass(seconds(200));
-    prompt_quarantine restarted;
+    request_quarantine restarted;
     restarted.merge(now, quarantine.all());
     CHECK(restarted.find({deadly_part}) != nullptr);
 }
 
 // Guards against a flood of invented parts that displaces a quarantine or fills the memory.
-TEST(prompt_quarantine_test, invented_parts_fill_no_table)
+TEST(request_quarantine_test, invented_parts_fill_no_table)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part});
         pass(seconds(1));
     }
     for (int i = 0; i < 500; ++i) {
-        prompt_parts invented;
+        request_traits invented;
         for (int n = 0; n < 100; ++n) {
             invented.push_back(own_part());
         }
         std::vector<crash_suspect> suspects(50, {true, invented});
         for (auto& it : suspects) {
-            it.parts[0] = own_part();
+            it.traits[0] = own_part();
         }
         quarantine.add_crash(now, crash_of("engine-" + std::to_string(i), suspects));
-        quarantine.add_sound_parts(now, now, invented);
+        quarantine.add_sound_traits(now, now, invented);
         pass(milliseconds(100));
     }
     CHECK(refused({deadly_part}));
@@ -307,17 +312,17 @@
     const quarantine_limits limits;
     CHECK(all.crashes.size() <= limits.max_crashes);
     CHECK(all.entries.size() <= limits.max_entries);
-    CHECK(all.sound_parts.size() <= limits.max_sound_parts);
+    CHECK(all.sound_traits.size() <= limits.max_sound_traits);
     for (const auto& it : all.crashes) {
         CHECK(it.suspects.size() <= limits.max_suspects);
         for (const auto& suspect : it.suspects) {
-            CHECK(suspect.parts.size() <= limits.max_parts);
+            CHECK(suspect.traits.size() <= limits.max_traits);
         }
     }
 }
 
 // Guards against a quarantine that an operator cannot end, or that old evidence of another host restores.
-TEST(prompt_quarantine_test, operator_ends_a_quarantine)
+TEST(request_quarantine_test, operator_ends_a_quarantine)
 {
     for (int i = 0; i < 3; ++i) {
         crash({deadly_part, organisation_part});
--- a/src/quarantine/types/crash_evidence.h
+++ b/src/quarantine/types/crash_evidence.h
@@ -1,44 +1,42 @@
 #pragma once
 
-#include <string>
 #include <vector>
 
 #include "core/types/ids.h"
 #include "core/types/units.h"
+#include "quarantine/types/request_trait.h"
 
 namespace anvillead {
 
-/// Parts of one prompt, sorted, each once.
-using prompt_parts = std::vector<prompt_part_id>;
-
-/// A generation without any output at the moment in which its engine crashed.
+/// A request that was open on an upstream when it crashed; of generations, only those without any output.
 struct crash_suspect
 {
-    /// The engine had sent the head of its response, which it does right before the first output.
+    /// Of a generation: the engine had sent the head of its response, which it does right before the first output.
     bool responded = false;
-    prompt_parts parts;
+    request_traits traits;
 };
 
-/// A crash of an engine, with the generations that may have caused it.
+/// A crash of an upstream, with the requests that may have caused it.
 struct crash_record
 {
-    upstream_id engine;
+    upstream_id upstream;
     instant at{};
     std::vector<crash_suspect> suspects;
 };
 
-/// The last time at which an engine began to answer a prompt with this part and went on.
-struct sound_part
+/// The last time at which an upstream served a request with this trait: an engine began to answer a prompt and went on,
+/// or an instance answered a call.
+struct sound_trait
 {
-    prompt_part_id part{};
+    request_trait trait;
     instant began{};
 };
 
-/// A combination of prompt parts that is not sent to any engine.
+/// A combination of traits with which no request is sent to an upstream.
 struct quarantine_entry
 {
-    /// Applies to prompts that contain all of these parts. More than one while the evidence does not tell them apart.
-    prompt_parts parts;
+    /// Applies to requests that have all of these traits. More than one while the evidence does not tell them apart.
+    request_traits traits;
     instant since{};
     instant last_crash{};
     /// When a request was last let through to find out whether the quarantine is still needed; unset before the first.
@@ -47,19 +45,17 @@
     int failed_probes = 0;
 };
 
-/// What hosts tell each other about crashes of engines. Merging is idempotent and independent of the order.
+/// What hosts tell each other about crashes of upstreams. Merging is idempotent and independent of the order.
 struct crash_evidence
 {
     std::vector<crash_record> crashes;
-    std::vector<sound_part> sound_parts;
+    std::vector<sound_trait> sound_traits;
     std::vector<quarantine_entry> entries;
 
-    bool empty() const { return crashes.empty() && sound_parts.empty() && entries.empty(); }
+    bool empty() const { return crashes.empty() && sound_traits.empty() && entries.empty(); }
 };
 
-/// Generations that may have caused a crash: those whose engine had responded, or all of them if none had.
+/// Requests that may have caused a crash: those whose upstream had responded, or all of them if none had.
 std::vector<const crash_suspect*> likely_suspects(const crash_record& value);
-/// Parts as comma-separated hexadecimal ids.
-std::string format_parts(const prompt_parts& parts);
 
 } // namespace anvillead
