Log the fingerprint of calls that are lost with their upstream, and what became of it

Event 507 now covers plain calls and shows the traits, event 508 what the upstream's port says right after. The fingerprint is computed once, when the request is admitted. Nothing is decided by it yet.

--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -10,8 +10,8 @@
 
 namespace anvillead {
 
-/// Finds out why generations ended before their engine sent any output. An engine that has crashed refuses connections
-/// or has started again; one that runs on lost only the connection.
+/// Finds out why connections to upstreams were lost while requests were open. An upstream that has crashed refuses
+/// connections or has started again; one that runs on lost only the connection.
 class crash_detector : public std::enable_shared_from_this<crash_detector>
 {
 public:
@@ -19,8 +19,10 @@
 
     /// Sets the hook that is called once for each crash, within milliseconds.
     void on_crash(std::function<void(crash_record)> hook) { on_crash_ = std::move(hook); }
-    /// A generation was sent to the engine and its connection was lost before any output arrived.
-    void check(const upstream_record& engine, const request_id& request, crash_suspect suspect);
+    /// A request was sent to the upstream and its connection was lost: a plain call, or a generation without output.
+    /// `traits` are logged.
+    void check(const upstream_record& engine, const request_id& request, const request_traits& traits,
+               crash_suspect suspect);
 
 private:
     /// A check in progress; generations that end meanwhile are added to it.
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -77,6 +77,9 @@
         return reason;
     }
     out.message = std::move(message);
+    out.traits =
+        traits_of({out.message.method, out.caller.host, out.message.target, out.organisation, out.message.body},
+                  out.caller.prompt_parts);
     out.exchange = exchange;
     out.arrived = context_.timers.now();
     if (out.caller.patience) {
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -21,7 +21,8 @@
     return entry == nullptr || !entry->usable;
 }
 
-void crash_detector::check(const upstream_record& engine, const request_id& request, crash_suspect suspect)
+void crash_detector::check(const upstream_record& engine, const request_id& request, const request_traits& traits,
+                           crash_suspect suspect)
 {
     const bool leaving = is_leaving(engine.id);
     log(log_level::warning, log_event::request_lost_with_upstream,
@@ -29,7 +30,7 @@
          {"upstream", engine.id.str()},
          {"responded", suspect.responded ? "yes" : "no"},
          {"leaving", leaving ? "yes" : "no"},
-         {"request_traits", format_traits(suspect.traits)}});
+         {"request_traits", format_traits(traits)}});
     if (leaving) {
         return;
     }
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -262,7 +262,7 @@
 void generation_relay::check_for_crash(bool responded)
 {
     if (events_ == 0) {
-        context_.crashes->check(engine_, request_.caller.id, {responded, traits_});
+        context_.crashes->check(engine_, request_.caller.id, request_.traits, {responded, traits_});
     }
 }
 
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -4,6 +4,7 @@
 
 #include "core/crypto.h"
 #include "core/log.h"
+#include "node/crash_detector.h"
 #include "node/error_response.h"
 #include "node/rate_service.h"
 #include "platform/call_headers.h"
@@ -144,6 +145,9 @@
         retry_or_fail(make_error(error_kind::overloaded, "the upstream refused the request"));
         return;
     }
+    if (end.end == http_call_outcome::lost) {
+        context_.crashes->check(upstream, request_.caller.id, request_.traits, {});
+    }
     ++accepted_;
     const bool usable = end.end == http_call_outcome::complete && facts.stamped && !facts.foreign && !facts.encoded;
     const bool server_error = usable && facts.status >= http_server_error;
--- a/src/node/quarantine_endpoint.h
+++ b/src/node/quarantine_endpoint.h
@@ -16,7 +16,8 @@
 };
 
 /// Handles the requests of operators: `GET /quarantine` lists the entries; `DELETE /quarantine/TRAIT`
-/// lifts all entries with this trait, in the form in which they are listed, on all hosts. Returns nothing for a request with another path.
+/// lifts all entries with this trait, in the form in which they are listed, on all hosts. Returns nothing for a request
+/// with another path.
 std::optional<quarantine_answer> answer_quarantine_request(quarantine_service& quarantine, const http_request& request);
 
 } // namespace anvillead
--- a/src/node/types/admitted_request.h
+++ b/src/node/types/admitted_request.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/types/caller_request.h"
 #include "dispatch/types/route_table.h"
+#include "quarantine/types/request_trait.h"
 #include "transport/http_types.h"
 #include "transport/ihttp_server.h"
 
@@ -20,6 +21,8 @@
     const route* matched_route = nullptr;
     service_name service;
     organisation_id organisation;
+    /// What it may have in common with other requests.
+    request_traits traits;
     /// 0 is the most urgent.
     int priority = 0;
     instant arrived{};
