--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -1,5 +1,7 @@
 #include "standins/batch_engine/engine_server.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "core/bounded_json.h"
@@ -13,13 +15,18 @@
 
 constexpr const char* kv_copy_path = "/standin/memory";
 
+std::int64_t steady_ms()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
 json to_record(const http_request& request)
 {
-    const auto at = std::chrono::steady_clock::now().time_since_epoch();
     json out = {{"id", request.header("Request-Id")},
                 {"target", request.target},
                 {"body", request.body},
-                {"at_ms", std::chrono::duration_cast<milliseconds>(at).count()}};
+                {"at_ms", steady_ms()}};
     for (const auto* name : {"Tenant", "Authorization", "Expect-Instance", "Kv-From", "Last-Event-Id", "Deadline-Ms",
                              "Priority-Class", "Pin-Ms", "Cache-Hold", "Host"}) {
         out[name] = request.header(name);
@@ -69,7 +76,11 @@
         control(parse_bounded_json(request.body).value_or(json::object()));
         reply(exchange, 200, json::object());
     } else if (request.path() == "/ran") {
-        reply(exchange, 200, {{"ran", executed_}, {"crashes", crashes_}, {"refused", refused_}});
+        reply(exchange, 200,
+              {{"ran", executed_},
+               {"crashes", crash_times_.size()},
+               {"crash_times", crash_times_},
+               {"refused", refused_}});
     } else if (request.path() == "/report") {
         reply(exchange, 200, {{"phase", leaving_ ? "draining" : "ready"}, {"active", generations_.size()}});
     } else if (request.path() == kv_copy_path) {
@@ -122,11 +133,33 @@
 void engine_server::reply_plain(const http_request& request, const exchange_ptr& exchange)
 {
     executed_.push_back(to_record(request));
+    const bool deadly = crash_if_deadly(request);
     if (resets_ > 0) {
         --resets_;
         exchange->sequence()->post([exchange] { exchange->abort(); });
         return;
     }
+    auto value = std::make_shared<plain_run>();
+    value->exchange = exchange;
+    plain_runs_.push_back(value);
+    exchange->sequence()->post([this, exchange, value] {
+        exchange->on_closed([this, value] { sequence_->post([value] { value->stopped = true; }); });
+    });
+    if (deadly) {
+        return;
+    }
+    pool_.timers().after(call_time_, [this, request, value] {
+        sequence_->post([this, request, value] { finish_plain(request, value); });
+    });
+}
+
+void engine_server::finish_plain(const http_request& request, const std::shared_ptr<plain_run>& value)
+{
+    plain_runs_.erase(std::remove(plain_runs_.begin(), plain_runs_.end(), value), plain_runs_.end());
+    if (value->stopped) {
+        return;
+    }
+    const auto exchange = value->exchange;
     const int status = errors_ > 0 ? 500 : 200;
     errors_ -= errors_ > 0 ? 1 : 0;
     const auto headers = response_headers(request);
@@ -134,6 +167,23 @@
     exchange->sequence()->post([exchange, status, headers, body] { exchange->reply(status, headers, body); });
 }
 
+bool engine_server::crash_if_deadly(const http_request& request)
+{
+    if (std::find(deadly_targets_.begin(), deadly_targets_.end(), request.target) == deadly_targets_.end()) {
+        return false;
+    }
+    const auto crashes = crash_times_.size();
+    pool_.timers().after(crash_delay_, [this, crashes] {
+        sequence_->post([this, crashes] {
+            // A crash that came before has ended this request, too.
+            if (crash_times_.size() == crashes) {
+                crash();
+            }
+        });
+    });
+    return true;
+}
+
 void engine_server::start_generation(const http_request& request, const exchange_ptr& exchange)
 {
     const std::string id(request.header("Request-Id"));
@@ -155,6 +205,7 @@
     value->break_after = std::exchange(break_after_, 0);
     value->deadly = shares_part(request.header("Prefix-Hash"), deadly_part_);
     executed_.push_back(to_record(request));
+    crash_if_deadly(request);
     generations_[id] = value;
     auto headers = response_headers(request);
     headers.emplace_back("Content-Type", "text/event-stream; charset=utf-8");
@@ -202,7 +253,11 @@
 
 void engine_server::crash()
 {
-    ++crashes_;
+    crash_times_.push_back(steady_ms());
+    for (const auto& it : std::exchange(plain_runs_, {})) {
+        it->stopped = true;
+        it->exchange->sequence()->post([exchange = it->exchange] { exchange->abort(); });
+    }
     for (const auto& [id, value] : std::exchange(generations_, {})) {
         value->stopped = true;
         value->exchange->sequence()->post([exchange = value->exchange] { exchange->abort(); });
@@ -269,6 +324,9 @@
     event_interval_ = milliseconds(value.value("event_ms", event_interval_.count()));
     prefill_time_ = milliseconds(value.value("read_ms", prefill_time_.count()));
     copy_time_ = milliseconds(value.value("copy_ms", copy_time_.count()));
+    deadly_targets_ = value.value("deadly_targets", deadly_targets_);
+    crash_delay_ = milliseconds(value.value("crash_ms", crash_delay_.count()));
+    call_time_ = milliseconds(value.value("call_ms", call_time_.count()));
     deadly_part_ = value.value("deadly_part", deadly_part_);
     down_time_ = milliseconds(value.value("down_ms", down_time_.count()));
     early_cuts_ = value.value("early_cuts", early_cuts_);
@@ -282,6 +340,9 @@
     leaving_ = value.value("leaving", leaving_);
     omit_stamp_ = value.value("unstamped", omit_stamp_);
     wrong_request_id_ = value.value("foreign", wrong_request_id_);
+    if (value.value("crash", false)) {
+        crash();
+    }
 }
 
 } // namespace standin
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/metrics.h"
 #include "standins/common/standin_options.h"
@@ -20,8 +21,10 @@
 /// `POST /control` takes: `id`, `event_ms`, `read_ms` (time to the first event), `copy_ms`, `refuse` (answers 503
 /// without running), `leaving`, `break_after` (number of events after which the next generation's connection is
 /// aborted), `errors` and `resets` (number of plain calls that end with status 500 or a connection reset), `unstamped`
-/// (responses lack the Response-Stamp header) and `foreign` (responses carry another request's id). `GET /ran` lists
-/// the executed requests.
+/// (responses lack the Response-Stamp header) and `foreign` (responses carry another request's id), `call_ms` (time
+/// that a plain call takes), `deadly_targets` (a request to one of them crashes this program `crash_ms` after it has
+/// begun to run), `crash` (at once) and `down_ms` (time until it serves again after a crash). `GET /ran` lists the
+/// executed requests and the times of crashes.
 class engine_server
 {
 public:
@@ -46,17 +49,28 @@
         bool stopped = false;
     };
 
+    /// A plain call that is being executed.
+    struct plain_run
+    {
+        exchange_ptr exchange;
+        /// The program has crashed, or the caller has left.
+        bool stopped = false;
+    };
+
     void listen(const std::string& own_address);
     void handle(const anvillead::http_request& request, const exchange_ptr& exchange);
     void serve(const anvillead::http_request& request, const exchange_ptr& exchange);
     void start_generation(const anvillead::http_request& request, const exchange_ptr& exchange);
     void next_event(const std::shared_ptr<generation>& value);
     void reply_plain(const anvillead::http_request& request, const exchange_ptr& exchange);
+    void finish_plain(const anvillead::http_request& request, const std::shared_ptr<plain_run>& value);
+    /// Crashes this program in a moment if the request is a deadly one; returns whether it is.
+    bool crash_if_deadly(const anvillead::http_request& request);
     void copy_generation(const anvillead::http_request& request, const exchange_ptr& exchange);
     void finish_copy(const std::shared_ptr<generation>& value, const std::string& target, bool last,
                      const exchange_ptr& exchange);
     void refuse(const exchange_ptr& exchange, int status);
-    /// Cuts all generations, refuses connections for `down_time_` and then serves again.
+    /// Cuts all requests, refuses connections for `down_time_` and then serves again.
     void crash();
     void control(const nlohmann::json& value);
     anvillead::http_headers response_headers(const anvillead::http_request& request) const;
@@ -67,6 +81,7 @@
     anvillead::metrics counters_;
     std::unique_ptr<anvillead::ihttp_client> client_;
     std::map<std::string, std::shared_ptr<generation>> generations_;
+    std::vector<std::shared_ptr<plain_run>> plain_runs_;
     /// Request id by cache handle, for key-value cache copies that this engine holds or has sent.
     std::map<std::string, std::string> kv_copies_;
     nlohmann::json executed_ = nlohmann::json::array();
@@ -74,6 +89,7 @@
     anvillead::milliseconds event_interval_{20};
     anvillead::milliseconds prefill_time_{20};
     anvillead::milliseconds copy_time_{20};
+    anvillead::milliseconds call_time_{0};
     /// Each answer says that this engine leaves.
     bool says_leaving_ = false;
     /// Seconds of rest that this engine asks for with each refusal; empty for none.
@@ -82,8 +98,12 @@
     double rate_limit_ = -1;
     /// Prompt part that crashes this engine; empty for none.
     std::string deadly_part_;
+    /// Targets of the requests that crash this engine.
+    std::vector<std::string> deadly_targets_;
+    anvillead::milliseconds crash_delay_{100};
     anvillead::milliseconds down_time_{500};
-    int crashes_ = 0;
+    /// Milliseconds of the steady clock.
+    std::vector<std::int64_t> crash_times_;
     int refused_ = 0;
     /// Number of generations that are cut before their first event, while the engine runs on.
     int early_cuts_ = 0;
--- a/tests/invariants/deadly_prompt_test.cpp
+++ b/tests/invariants/deadly_prompt_test.cpp
@@ -145,7 +145,7 @@
         CHECK(late <= requests_after_learning);
     }
     LONGS_EQUAL(503, deadly.back().answer->head().status);
-    STRCMP_EQUAL("prompt_quarantined", deadly.back().answer->head().error_kind().c_str());
+    STRCMP_EQUAL("request_quarantined", deadly.back().answer->head().error_kind().c_str());
     STRCMP_EQUAL("not_run", deadly.back().answer->head().outcome().c_str());
     CHECK(anvillead::find_header(deadly.back().answer->head().headers, "Retry-After").empty());
     int late = 0;
@@ -174,7 +174,7 @@
     for (int i = 0; i < hosts; ++i) {
         const auto it = send_deadly();
         it.answer->wait_end();
-        STRCMP_EQUAL("prompt_quarantined", it.answer->head().error_kind().c_str());
+        STRCMP_EQUAL("request_quarantined", it.answer->head().error_kind().c_str());
     }
     LONGS_EQUAL(crashes, total_crashes());
 }
