Put requests that crash upstreams under quarantine as a whole

Cause: the quarantine knew parts of prompts only. A plain call that was lost with its upstream was repeated at once on the next one, and nothing connected the crashes that seven hosts saw.

Change: a whole request is a second kind of trait in the same table, exchange and bounds. Lost calls, and generations whose output began less than a second ago, are suspects; an answer anywhere clears them at once. A suspected request goes out by permission of one host for the fleet (suspect_trials): one of its kind at a time, two if it was served before, and from the second crash on each on an upstream without another suspect, so that the next crash tells them apart. It waits for the check of the port (milliseconds) before it is repeated. Three crashes put it under quarantine, two if it was alone on both upstreams, was never served, and all hosts have had time to report. A trait is no longer blamed while another one, in other requests, was in the same crashes; before, such two were joined to an entry that no request matched. A sound statement within 500 ms of the one before now counts if a crash lies between them.

--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -194,6 +194,7 @@
         row(e::quarantine_ended, "quarantine_ended"),
         row(e::quarantine_probed, "quarantine_probed"),
         row(e::quarantine_lifted, "quarantine_lifted"),
+        row(e::suspect_tried, "suspect_tried"),
         row(e::scheduler_takeover, "scheduler_takeover"),
         row(e::engine_preempted, "engine_preempted"),
         row(e::scheduler_silent, "scheduler_silent"),
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -59,6 +59,7 @@
     quarantine_ended = 510,
     quarantine_probed = 511,
     quarantine_lifted = 512,
+    suspect_tried = 513,
     scheduler_takeover = 600,
     engine_preempted = 601,
     scheduler_silent = 602,
--- a/src/fleet/internal/evidence_codec.cpp
+++ b/src/fleet/internal/evidence_codec.cpp
@@ -25,8 +25,15 @@
     e_count
 };
 
+constexpr const char* trial_request_kind = "tq1";
+constexpr const char* trial_response_kind = "ta1";
+constexpr const char* trial_end_kind = "te1";
+
 constexpr std::size_t probe_request_fields = 4;
 constexpr std::size_t probe_response_fields = 3;
+constexpr std::size_t trial_request_fields = 4;
+constexpr std::size_t trial_response_fields = 3;
+constexpr std::size_t trial_end_fields = 2;
 
 json encode_trait(const request_trait& value)
 {
@@ -85,14 +92,25 @@
 
 json encode_entry(instant now, const quarantine_entry& value)
 {
-    return {encode_traits(value.traits), age_of(now, value.since), age_of(now, value.last_crash),
-            age_of(now, value.last_probe), value.failed_probes};
+    return {encode_traits(value.traits),   age_of(now, value.since), age_of(now, value.last_crash),
+            age_of(now, value.last_probe), value.failed_probes,      value.first_probe_wait.count()};
 }
 
 quarantine_entry decode_entry(instant now, const json& in)
 {
-    return {decode_traits(in.at(0)), time_of(now, in.at(1)), time_of(now, in.at(2)), time_of(now, in.at(3)),
-            in.at(4).get<int>()};
+    return {decode_traits(in.at(0)), time_of(now, in.at(1)), time_of(now, in.at(2)),
+            time_of(now, in.at(3)),  in.at(4).get<int>(),    milliseconds(in.at(5).get<std::int64_t>())};
+}
+
+json encode_trial(const trial& value)
+{
+    return {encode_trait(value.trait), value.upstream.str(), value.crashes, value.sound_before};
+}
+
+trial decode_trial(const json& in)
+{
+    return {decode_trait(in.at(0)), upstream_id(in.at(1).get<std::string>()), in.at(2).get<std::size_t>(),
+            in.at(3).get<bool>()};
 }
 
 /// Collects items until a datagram is full.
@@ -192,4 +210,44 @@
         });
 }
 
+std::string encode_trial_request(const trial_request& value)
+{
+    return to_cbor_text({trial_request_kind, value.asker.str(), value.number, encode_trial(value.value)});
+}
+
+std::optional<trial_request> decode_trial_request(std::string_view datagram)
+{
+    return decode_datagram_kind<trial_request>(datagram, trial_request_kind, trial_request_fields, [](const json& in) {
+        return trial_request{host_id(in.at(1).get<std::string>()), in.at(2).get<std::uint64_t>(),
+                             decode_trial(in.at(3))};
+    });
+}
+
+std::string encode_trial_response(const trial_response& value)
+{
+    return to_cbor_text({trial_response_kind, value.number, static_cast<int>(value.verdict)});
+}
+
+std::optional<trial_response> decode_trial_response(std::string_view datagram)
+{
+    return decode_datagram_kind<trial_response>(
+        datagram, trial_response_kind, trial_response_fields, [](const json& in) {
+            const auto verdict = in.at(2).get<int>();
+            const bool known = verdict >= 0 && verdict <= static_cast<int>(trial_verdict::use_other_upstream);
+            return trial_response{in.at(1).get<std::uint64_t>(),
+                                  known ? static_cast<trial_verdict>(verdict) : trial_verdict::wait};
+        });
+}
+
+std::string encode_trial_end(const trial& value)
+{
+    return to_cbor_text({trial_end_kind, encode_trial(value)});
+}
+
+std::optional<trial> decode_trial_end(std::string_view datagram)
+{
+    return decode_datagram_kind<trial>(datagram, trial_end_kind, trial_end_fields,
+                                       [](const json& in) { return decode_trial(in.at(1)); });
+}
+
 } // namespace anvillead
--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -15,26 +15,28 @@
 class crash_detector : public std::enable_shared_from_this<crash_detector>
 {
 public:
+    using done_hook = std::function<void(bool crashed)>;
+
     crash_detector(node_context& context, std::shared_ptr<isequence> sequence);
 
     /// Sets the hook that is called once for each crash, within milliseconds.
     void on_crash(std::function<void(crash_record)> hook) { on_crash_ = std::move(hook); }
-    /// A request was sent to the upstream and its connection was lost: a plain call, or a generation without output.
-    /// `traits` are logged.
-    void check(const upstream_record& engine, const request_id& request, const request_traits& traits,
-               crash_suspect suspect);
+    /// A request was sent to the upstream and its connection was lost: a plain call, or a generation that had just
+    /// begun. `done` is called exactly once, usually within milliseconds, and after the hook for the crash.
+    void check(const upstream_record& upstream, const request_id& request, crash_suspect suspect, done_hook done = {});
 
 private:
-    /// A check in progress; generations that end meanwhile are added to it.
+    /// A check in progress; requests that end meanwhile are added to it.
     struct pending_check
     {
         instant at{};
         std::vector<crash_suspect> suspects;
+        std::vector<done_hook> done;
     };
 
-    void check_ended(const upstream_record& engine, const http_call_result& end, const http_response& answer);
-    /// Whether the engine is known to leave, so that its end is no crash.
-    bool is_leaving(const upstream_id& engine) const;
+    void check_ended(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
+    /// Whether the upstream is known to leave, so that its end is no crash.
+    bool is_leaving(const upstream_id& upstream) const;
 
     node_context& context_;
     std::shared_ptr<isequence> sequence_;
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -10,7 +10,7 @@
 #include "node/node_context.h"
 #include "node/scoped_work.h"
 #include "node/types/admitted_request.h"
-#include "quarantine/types/crash_evidence.h"
+#include "quarantine/suspect_trials.h"
 #include "streams/event_splitter.h"
 
 namespace anvillead {
@@ -26,8 +26,7 @@
     void on_upstream_leaving(const upstream_id& upstream);
     /// Called when an engine restarted under the same id; its generations and copies are lost.
     void on_upstream_restarted(const upstream_id& upstream);
-    /// Called when prompts were put under quarantine. Ends the generation if its prompt is one of them and it has no
-    /// output yet.
+    /// Called when requests were put under quarantine. Ends the generation if it is one of them and has no output yet.
     void on_requests_quarantined();
     bool ended() const { return done_; }
     /// Aborts the answer at its current position, for a process that has to exit.
@@ -47,11 +46,16 @@
     /// About the time after which one of the running generations ends.
     static constexpr milliseconds retry_after_no_capacity{300};
 
-    /// Places the generation unless its prompt is under quarantine.
+    /// Places the generation unless it is under quarantine.
     void admit();
     void refuse_quarantined();
     bool is_quarantined() const;
+    /// Waits while the same request is being tried elsewhere, if it is suspected of having crashed an engine.
+    void request_trial();
+    void end_trial();
     void report_sound_prompt();
+    /// The engine has survived this request as a whole.
+    void report_sound_request();
     void place();
     /// Chooses an engine on this host when no scheduler answered.
     void place_locally();
@@ -68,7 +72,7 @@
     void on_event(std::string_view bytes, std::optional<sequence_number> number);
     void on_end(const http_call_result& end);
     void stream_ended(const http_call_result& end);
-    /// The connection was lost before any output: the engine may have crashed because of this request.
+    /// The connection was lost before any output or soon after it: the engine may have crashed because of this request.
     void check_for_crash(bool responded);
     void retry_or_fail(const error& reason, bool reached_engine);
     void resume_refused();
@@ -112,8 +116,8 @@
     std::vector<upstream_id> excluded_;
     upstream_record engine_;
     std::optional<upstream_record> target_;
-    /// Parts of the prompt, sorted.
-    request_traits traits_;
+    /// This request as one that is suspected of having crashed an engine, while it is being tried.
+    std::optional<trial> trial_;
     /// Handle of the copy on `target_`; empty when there is none.
     std::string copy_handle_;
     upstream_response_head head_;
@@ -125,6 +129,7 @@
     instant capacity_deadline_{};
     /// Measured from the arrival of the request.
     double first_event_ms_ = 0;
+    instant first_event_at_{};
     instant last_event_at_{};
     /// Longest time between two events; `longest_pause_after_` is the event before it.
     std::chrono::steady_clock::duration longest_pause_{};
@@ -145,6 +150,7 @@
     bool source_closed_ = false;
     bool source_complete_ = false;
     bool final_copy_done_ = false;
+    bool reported_sound_ = false;
     bool done_ = false;
 };
 
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -26,6 +26,8 @@
 constexpr int max_offers = 4;
 // Bytes buffered for a slow caller before reading from the engine is paused.
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
+// An engine that a request crashes ends within this time after it has begun to run the request.
+constexpr milliseconds crash_delay_of_request{1000};
 constexpr std::size_t max_error_body_bytes = 1024 * 1024;
 
 constexpr int http_ok = 200;
@@ -38,12 +40,7 @@
       error_buffer_(context.answer_buffers),
       splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
       planned_output_(planned_output(request_.caller))
-{
-    for (const auto it : request_.caller.prompt_parts) {
-        traits_.push_back(trait_of(it));
-    }
-    std::sort(traits_.begin(), traits_.end());
-}
+{}
 
 void generation_relay::start()
 {
@@ -222,10 +219,14 @@
         longest_pause_ = now - last_event_at_;
         longest_pause_after_ = last_event_;
     }
+    if (events_ > 0 && now - first_event_at_ >= crash_delay_of_request) {
+        report_sound_request();
+    }
     last_event_at_ = now;
     last_event_ = number.value_or(last_event_);
     if (++events_ == 1) {
         work_.mark_prompt_read();
+        first_event_at_ = now;
         first_event_ms_ = std::chrono::duration<double, std::milli>(now - request_.arrived).count();
         context_.counters.observe_ms("first_event", first_event_ms_);
     }
@@ -261,9 +262,20 @@
 
 void generation_relay::check_for_crash(bool responded)
 {
-    if (events_ == 0) {
-        context_.crashes->check(engine_, request_.caller.id, request_.traits, {responded, traits_});
-    }
+    crash_suspect suspect{responded, request_.traits};
+    if (events_ > 0) {
+        if (context_.timers.now() - first_event_at_ >= crash_delay_of_request) {
+            return;
+        }
+        // Its prompt has been read, so no part of that is suspected.
+        suspect.traits = {request_.traits.front()};
+    }
+    context_.crashes->check(engine_, request_.caller.id, std::move(suspect),
+                            [self = shared_from_this(), started = std::exchange(trial_, std::nullopt)](bool crashed) {
+                                if (started && !crashed) {
+                                    self->context_.quarantine->end_trial(*started);
+                                }
+                            });
 }
 
 void generation_relay::forward_error_response()
@@ -352,6 +364,7 @@
     if (events_ == 1) {
         report_sound_prompt();
     }
+    report_sound_request();
     context_.loads.record_outcome(context_.timers.now(), engine_.id, false);
     context_.retry_budget_for(request_.service).refill();
     auto fields = log_context();
@@ -404,6 +417,7 @@
     }
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(step_timer_);
+    end_trial();
     if (call_) {
         call_->cancel();
     }
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr milliseconds capacity_check_period{25};
+constexpr milliseconds trial_retry_period{25};
 // Reclaimed engines are replaced within seconds.
 constexpr milliseconds retry_after_no_engine{1000};
 
@@ -19,24 +20,62 @@
 
 void generation_relay::admit()
 {
-    const bool forbidden = context_.quarantine->forbids(traits_);
+    const bool forbidden = context_.quarantine->forbids(request_.traits);
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
-    context_.quarantine->admit(request_.caller.id, traits_, [self = shared_from_this(), forbidden](bool admitted) {
-        if (self->done_) {
-            return;
-        }
-        if (!admitted) {
-            self->refuse_quarantined();
-            return;
-        }
-        self->probe_ = forbidden;
-        self->place();
-    });
+    context_.quarantine->admit(request_.caller.id, request_.traits,
+                               [self = shared_from_this(), forbidden](bool admitted) {
+                                   if (self->done_) {
+                                       return;
+                                   }
+                                   if (!admitted) {
+                                       self->refuse_quarantined();
+                                       return;
+                                   }
+                                   self->probe_ = forbidden;
+                                   self->request_trial();
+                               });
+}
+
+void generation_relay::request_trial()
+{
+    context_.quarantine->begin_trial(
+        request_.caller.id, request_.traits, {}, true,
+        [self = shared_from_this()](trial_verdict verdict, const std::optional<trial>& started) {
+            if (self->done_) {
+                if (started) {
+                    self->context_.quarantine->end_trial(*started);
+                }
+                return;
+            }
+            if (verdict == trial_verdict::granted) {
+                self->trial_ = started;
+                self->place();
+            } else if (self->is_quarantined()) {
+                self->refuse_quarantined();
+            } else if (self->context_.timers.now() >= self->capacity_deadline_) {
+                self->refuse_for_capacity();
+            } else {
+                // The callback owns the request while it waits, because no call is in progress that would keep it
+                // alive.
+                self->step_timer_ = self->context_.timers.after(trial_retry_period, [self] {
+                    if (!self->done_) {
+                        self->request_trial();
+                    }
+                });
+            }
+        });
+}
+
+void generation_relay::end_trial()
+{
+    if (const auto ended = std::exchange(trial_, std::nullopt)) {
+        context_.quarantine->end_trial(*ended);
+    }
 }
 
 bool generation_relay::is_quarantined() const
 {
-    return !probe_ && context_.quarantine->forbids(traits_);
+    return !probe_ && context_.quarantine->forbids(request_.traits);
 }
 
 void generation_relay::refuse_quarantined()
@@ -63,8 +102,16 @@
 
 void generation_relay::report_sound_prompt()
 {
-    if (!traits_.empty()) {
-        context_.quarantine->add_sound_traits(last_event_at_, traits_);
+    if (request_.traits.size() > 1) {
+        context_.quarantine->add_sound_traits(last_event_at_, {request_.traits.begin() + 1, request_.traits.end()});
+    }
+}
+
+void generation_relay::report_sound_request()
+{
+    if (!std::exchange(reported_sound_, true)) {
+        context_.quarantine->add_sound_traits(context_.timers.now(), {request_.traits.front()});
+        end_trial();
     }
 }
 
--- a/src/node/internal/node_context.cpp
+++ b/src/node/internal/node_context.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "dispatch/responsibility.h"
 #include "node/rate_service.h"
 
 namespace anvillead {
@@ -25,6 +26,29 @@
     return all_closed ? rates->limits().next_opening(now) : milliseconds(0);
 }
 
+host_id node_context::responsible_for(const std::string& key)
+{
+    const std::pair<std::uint64_t, bool> version(peers.version(), leaving);
+    if (std::exchange(responsible_hosts_version, version) != version) {
+        responsible_hosts.clear();
+    }
+    const auto [cached, missing] = responsible_hosts.try_emplace(key);
+    if (!missing) {
+        return cached->second;
+    }
+    std::vector<host_id> hosts;
+    if (!leaving) {
+        hosts.push_back(settings.host);
+    }
+    for (const auto* it : peers.live()) {
+        if (it->ready && !it->leaving) {
+            hosts.push_back(it->host);
+        }
+    }
+    cached->second = responsible_host(hosts, key);
+    return cached->second;
+}
+
 retry_budget& node_context::retry_budget_for(const service_name& service)
 {
     auto& out = retry_budgets[service];
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "node/crash_detector.h"
 #include "node/error_response.h"
+#include "node/quarantine_service.h"
 #include "node/rate_service.h"
 #include "platform/call_headers.h"
 
@@ -26,6 +27,12 @@
 // With less time remaining, an upstream could not answer.
 constexpr milliseconds min_attempt_time{5};
 
+// A request waits at most this long for the end of the same request elsewhere, which takes about as long as a call.
+constexpr milliseconds max_trial_wait{300};
+constexpr milliseconds trial_retry_period{20};
+// A closed port answers within a round trip. A longer check tells nothing, so the request goes on without its result.
+constexpr milliseconds crash_check_timeout{60};
+
 constexpr int http_server_error = 500;
 
 } // namespace
@@ -51,7 +58,29 @@
                 self->reply_error(reason);
             });
     }
-    attempt();
+    const bool forbidden = context_.quarantine->forbids(request_.traits);
+    // The callback owns the request while it waits, because no call is in progress that would keep it alive.
+    context_.quarantine->admit(request_.caller.id, request_.traits,
+                               [self = shared_from_this(), forbidden](bool admitted) {
+                                   if (self->done_) {
+                                       return;
+                                   }
+                                   if (!admitted) {
+                                       self->refuse_quarantined();
+                                       return;
+                                   }
+                                   self->probe_ = forbidden;
+                                   self->attempt();
+                               });
+}
+
+void plain_call::refuse_quarantined()
+{
+    auto reason = make_error(error_kind::request_quarantined, "the request has crashed several upstreams");
+    if (accepted_ > 0) {
+        reason = make_error(error_kind::upstream_failed, "not repeated: the request has crashed several upstreams");
+    }
+    reply_error(reason);
 }
 
 milliseconds plain_call::remaining_time() const
@@ -61,8 +90,18 @@
 
 void plain_call::attempt()
 {
-    const auto chosen =
-        select_instance(context_.selection(excluded_), request_.service, placement_hash(request_.caller.id.str()));
+    if (!probe_ && context_.quarantine->forbids(request_.traits)) {
+        refuse_quarantined();
+        return;
+    }
+    auto excluded = excluded_;
+    excluded.insert(excluded.end(), occupied_.begin(), occupied_.end());
+    const auto chosen = select_instance(context_.selection(std::move(excluded)), request_.service,
+                                        placement_hash(request_.caller.id.str()));
+    if (!chosen && !occupied_.empty()) {
+        wait_for_trial();
+        return;
+    }
     if (!chosen) {
         auto reason = make_error(error_kind::no_upstream, "no upstream of the service accepts the request");
         reason.retry_after = std::max(retry_after, context_.time_until_open(request_.service));
@@ -72,13 +111,77 @@
         reply_error(reason);
         return;
     }
-    context_.rates->request(chosen->id, [self = shared_from_this(), chosen = *chosen](bool granted) {
+    request_trial(*chosen);
+}
+
+void plain_call::request_trial(const upstream_record& chosen)
+{
+    context_.quarantine->begin_trial(
+        request_.caller.id, request_.traits, chosen.id, false,
+        [self = shared_from_this(), chosen](trial_verdict verdict, const std::optional<trial>& started) {
+            if (self->done_) {
+                if (started) {
+                    self->context_.quarantine->end_trial(*started);
+                }
+                return;
+            }
+            switch (verdict) {
+            case trial_verdict::granted:
+                self->trial_ = started;
+                self->request_rate(chosen);
+                return;
+            case trial_verdict::wait:
+                self->wait_for_trial();
+                return;
+            case trial_verdict::use_other_upstream:
+                self->occupied_.push_back(chosen.id);
+                self->attempt();
+                return;
+            }
+        });
+}
+
+void plain_call::wait_for_trial()
+{
+    const auto now = context_.timers.now();
+    if (trial_deadline_ == instant{}) {
+        trial_deadline_ = now + max_trial_wait;
+    }
+    if (now >= trial_deadline_) {
+        auto reason = make_error(error_kind::no_upstream, "the same request may have crashed an upstream");
+        reason.retry_after = retry_after;
+        if (accepted_ > 0) {
+            reason = make_error(error_kind::upstream_failed, "not repeated: the request may have crashed an upstream");
+        }
+        reply_error(reason);
+        return;
+    }
+    occupied_.clear();
+    // The callback owns the request while it waits, because no call is in progress that would keep it alive.
+    step_timer_ = context_.timers.after(trial_retry_period, [self = shared_from_this()] {
+        if (!self->done_) {
+            self->attempt();
+        }
+    });
+}
+
+void plain_call::end_trial()
+{
+    if (const auto ended = std::exchange(trial_, std::nullopt)) {
+        context_.quarantine->end_trial(*ended);
+    }
+}
+
+void plain_call::request_rate(const upstream_record& chosen)
+{
+    context_.rates->request(chosen.id, [self = shared_from_this(), chosen](bool granted) {
         if (self->done_) {
             return;
         }
         if (granted) {
             self->send(chosen);
         } else {
+            self->end_trial();
             self->attempt();
         }
     });
@@ -126,6 +229,7 @@
     work_.release();
     const auto now = context_.timers.now();
     if (end.end == http_call_outcome::connect_failed) {
+        end_trial();
         context_.loads.record_outcome(now, upstream.id, true);
         excluded_.push_back(upstream.id);
         // Nothing was sent, so this does not count as an attempt.
@@ -139,26 +243,55 @@
         context_.loads.on_report(now, upstream.id, *facts.load);
     }
     if (end.end == http_call_outcome::complete && facts.refused) {
+        end_trial();
         // After a rest that it has asked for, the upstream is used again at once.
         context_.loads.record_outcome(now, upstream.id, !facts.rest);
         excluded_.push_back(upstream.id);
         retry_or_fail(make_error(error_kind::overloaded, "the upstream refused the request"));
         return;
     }
-    if (end.end == http_call_outcome::lost) {
-        context_.crashes->check(upstream, request_.caller.id, request_.traits, {});
-    }
     ++accepted_;
     const bool usable = end.end == http_call_outcome::complete && facts.stamped && !facts.foreign && !facts.encoded;
     const bool server_error = usable && facts.status >= http_server_error;
     context_.loads.record_outcome(now, upstream.id, !usable || server_error);
+    if (usable) {
+        context_.quarantine->add_sound_traits(now, {request_.traits.front()});
+    }
+    if (end.end != http_call_outcome::lost) {
+        end_trial();
+    }
     if (usable && !(server_error && may_retry())) {
         forward(upstream, answer);
         return;
     }
     excluded_.push_back(upstream.id);
     const auto detail = end.end == http_call_outcome::complete ? std::string("the answer cannot be used") : end.detail;
-    retry_or_fail(make_error(error_kind::upstream_failed, "the upstream failed: " + detail));
+    const auto reason = make_error(error_kind::upstream_failed, "the upstream failed: " + detail);
+    if (end.end == http_call_outcome::lost) {
+        check_for_crash(upstream, reason);
+    } else {
+        retry_or_fail(reason);
+    }
+}
+
+void plain_call::check_for_crash(const upstream_record& upstream, const error& reason)
+{
+    auto waiting = std::make_shared<bool>(true);
+    const auto go_on = [self = shared_from_this(), waiting, reason] {
+        if (std::exchange(*waiting, false) && !self->done_) {
+            self->context_.timers.cancel(self->step_timer_);
+            self->retry_or_fail(reason);
+        }
+    };
+    step_timer_ = context_.timers.after(crash_check_timeout, go_on);
+    context_.crashes->check(
+        upstream, request_.caller.id, {false, {request_.traits.front()}},
+        [self = shared_from_this(), go_on, started = std::exchange(trial_, std::nullopt)](bool crashed) {
+            if (started && !crashed) {
+                self->context_.quarantine->end_trial(*started);
+            }
+            go_on();
+        });
 }
 
 bool plain_call::may_retry() const
@@ -220,6 +353,8 @@
         return;
     }
     context_.timers.cancel(deadline_timer_);
+    context_.timers.cancel(step_timer_);
+    end_trial();
     work_.release();
     if (call_) {
         call_->cancel();
--- a/src/node/internal/quarantine_service.cpp
+++ b/src/node/internal/quarantine_service.cpp
@@ -1,7 +1,5 @@
 #include "node/quarantine_service.h"
 
-#include "dispatch/responsibility.h"
-
 namespace anvillead {
 
 namespace {
@@ -16,13 +14,15 @@
 } // namespace
 
 quarantine_service::quarantine_service(node_context& context, const report_exchange& reports, send_hook send)
-    : context_(context), send_(std::move(send)), exchange_(evidence_state(quarantine_), reports)
+    : context_(context), send_(send), exchange_(evidence_state(quarantine_), reports),
+      trials_(std::make_shared<trial_service>(context, std::move(send)))
 {
     quarantine_.set_hooks({[this](const quarantine_entry& it) {
                                log_entry(log_event::request_quarantined, it);
                                newly_quarantined_ = true;
                            },
-                           [this](const quarantine_entry& it) { log_entry(log_event::quarantine_ended, it); }});
+                           [this](const quarantine_entry& it) { log_entry(log_event::quarantine_ended, it); },
+                           [this](const crash_record& it) { trials_->on_crash(it.upstream); }});
 }
 
 void quarantine_service::log_entry(log_event event, const quarantine_entry& value)
@@ -73,9 +73,9 @@
     schedule_changes();
 }
 
-void quarantine_service::add_sound_traits(instant began, const request_traits& traits)
+void quarantine_service::add_sound_traits(instant served, const request_traits& traits)
 {
-    quarantine_.add_sound_traits(context_.timers.now(), began, traits);
+    quarantine_.add_sound_traits(context_.timers.now(), served, traits);
     schedule_changes();
 }
 
@@ -86,20 +86,6 @@
     return cleared;
 }
 
-host_id quarantine_service::responsible() const
-{
-    std::vector<host_id> hosts;
-    if (!context_.leaving) {
-        hosts.push_back(context_.settings.host);
-    }
-    for (const auto* it : context_.peers.live()) {
-        if (it->ready && !it->leaving) {
-            hosts.push_back(it->host);
-        }
-    }
-    return responsible_host(hosts, probe_key);
-}
-
 bool quarantine_service::allow_probe(const request_traits& entry_traits)
 {
     const auto now = context_.timers.now();
@@ -119,7 +105,7 @@
         done(true);
         return;
     }
-    const auto owner = responsible();
+    const auto owner = context_.responsible_for(probe_key);
     const auto* report = context_.peers.find(owner);
     const bool own = owner == context_.settings.host;
     if (!quarantine_.probe_due(context_.timers.now(), *entry) || (!own && report == nullptr)) {
@@ -139,6 +125,26 @@
     send_(report->addresses.report, encode_probe_request({context_.settings.host, number, entry->traits}));
 }
 
+void quarantine_service::begin_trial(const request_id& request, const request_traits& traits,
+                                     const upstream_id& upstream, bool is_generation, trial_hook done)
+{
+    const auto suspicion = quarantine_.suspicion(traits);
+    // Generations of an organisation may be alike as whole requests, and take long.
+    const bool cleared_by_others = is_generation && suspicion.sound_before && suspicion.crashes == 1;
+    if (suspicion.crashes == 0 || cleared_by_others) {
+        done(trial_verdict::granted, std::nullopt);
+        return;
+    }
+    if (suspicion.crashes > 1 && context_.timers.now() - suspicion.last_crash < quarantine_limits().settling_time) {
+        done(trial_verdict::wait, std::nullopt);
+        return;
+    }
+    const trial value{traits.front(), upstream, suspicion.crashes, suspicion.sound_before};
+    trials_->begin(request, value, [value, done = std::move(done)](trial_verdict verdict) {
+        done(verdict, verdict == trial_verdict::granted ? std::optional<trial>(value) : std::nullopt);
+    });
+}
+
 void quarantine_service::finish(std::uint64_t number, bool allowed)
 {
     auto node = pending_.extract(number);
@@ -156,7 +162,7 @@
 void quarantine_service::handle_request(const probe_request& value)
 {
     const auto* report = context_.peers.find(value.asker);
-    if (report != nullptr && responsible() == context_.settings.host) {
+    if (report != nullptr && context_.responsible_for(probe_key) == context_.settings.host) {
         send_(report->addresses.report, encode_probe_response({value.number, allow_probe(value.entry_traits)}));
     }
 }
@@ -167,6 +173,9 @@
         schedule_changes();
         return true;
     }
+    if (trials_->receive(datagram)) {
+        return true;
+    }
     if (const auto request = decode_probe_request(datagram)) {
         handle_request(*request);
         return true;
--- a/src/node/internal/rate_service.cpp
+++ b/src/node/internal/rate_service.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include "core/log.h"
-#include "dispatch/responsibility.h"
 #include "node/placement_service.h"
 
 namespace anvillead {
@@ -94,16 +93,7 @@
             return *scheduler;
         }
     }
-    std::vector<host_id> hosts;
-    if (!context_.leaving) {
-        hosts.push_back(context_.settings.host);
-    }
-    for (const auto* it : context_.peers.live()) {
-        if (it->ready && !it->leaving) {
-            hosts.push_back(it->host);
-        }
-    }
-    return responsible_host(hosts, "rate/" + upstream.str());
+    return context_.responsible_for("rate/" + upstream.str());
 }
 
 bool rate_service::take(const upstream_id& upstream)
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -59,6 +59,9 @@
     std::shared_ptr<quarantine_service> quarantine;
     /// Grants requests to upstreams that have named a rate; set before the first request.
     std::shared_ptr<rate_service> rates;
+    /// Hosts by duty, for one version of the list of hosts and one state of this host.
+    std::map<std::string, host_id> responsible_hosts;
+    std::pair<std::uint64_t, bool> responsible_hosts_version;
     /// Called when the work of this host changed; schedules a report to the other hosts.
     std::function<void()> on_work_changed;
 
@@ -67,6 +70,8 @@
     /// Time until an upstream of the service accepts requests again, if all rest or have used up their request rates;
     /// otherwise zero.
     milliseconds time_until_open(const service_name& service) const;
+    /// The ready host that performs a duty for the fleet, by rendezvous of the duty's key; empty if there is none.
+    host_id responsible_for(const std::string& key);
     /// Returns the retry budget of a service; created at first use.
     retry_budget& retry_budget_for(const service_name& service);
 };
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "node/node_context.h"
 #include "node/scoped_work.h"
 #include "node/types/admitted_request.h"
+#include "quarantine/suspect_trials.h"
 
 namespace anvillead {
 
@@ -17,9 +19,18 @@
     void start();
 
 private:
+    /// Sends the request to an upstream, unless it is under quarantine.
     void attempt();
+    void request_trial(const upstream_record& chosen);
+    void request_rate(const upstream_record& chosen);
+    /// Tries again a moment later, since the same request is being tried elsewhere.
+    void wait_for_trial();
+    void end_trial();
+    void refuse_quarantined();
     void send(const upstream_record& upstream);
     void on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
+    /// The connection was lost; retries or fails when it is known whether the upstream has crashed.
+    void check_for_crash(const upstream_record& upstream, const error& reason);
     /// Retries on another upstream, or replies with `reason` when no retry is allowed.
     void retry_or_fail(error reason);
     void forward(const upstream_record& upstream, const http_response& answer);
@@ -33,11 +44,20 @@
     scoped_work work_;
     std::shared_ptr<ihttp_call> call_;
     timer_id deadline_timer_ = 0;
+    timer_id step_timer_ = 0;
     std::vector<upstream_id> excluded_;
+    /// Upstreams on which another suspected request is being tried.
+    std::vector<upstream_id> occupied_;
+    /// This request as one that is suspected of having crashed an upstream, while it is being tried.
+    std::optional<trial> trial_;
+    /// When this request has waited long enough for the end of a trial; unset before the first wait.
+    instant trial_deadline_{};
     /// Number of upstreams that may have executed the request.
     int accepted_ = 0;
     /// Number of upstreams to which the request was sent, including those that refused it.
     int sent_ = 0;
+    /// Sent although it is under quarantine, to find out whether that is still needed.
+    bool probe_ = false;
     bool done_ = false;
 };
 
--- a/src/quarantine/internal/request_quarantine.cpp
+++ b/src/quarantine/internal/request_quarantine.cpp
@@ -6,18 +6,6 @@
 
 namespace {
 
-bool contains_all(const request_traits& traits, const request_traits& subset)
-{
-    return std::includes(traits.begin(), traits.end(), subset.begin(), subset.end());
-}
-
-bool concerns(const crash_record& crash, const request_traits& entry_traits)
-{
-    const auto suspects = likely_suspects(crash);
-    return std::any_of(suspects.begin(), suspects.end(),
-                       [&](const crash_suspect* it) { return contains_all(it->traits, entry_traits); });
-}
-
 /// Sorts the traits and keeps the lowest ones, which are the same on each host and for each request with these traits.
 void normalize(request_traits& traits, std::size_t most)
 {
@@ -67,6 +55,9 @@
                                             [](instant at, const crash_record& it) { return at < it.at; });
         found = crashes_.insert(after, {value.upstream, value.at, {}});
         changed = true;
+        if (hooks_.on_crash) {
+            hooks_.on_crash(value);
+        }
     }
     for (auto suspect : value.suspects) {
         normalize(suspect.traits, limits_.max_traits);
@@ -103,7 +94,8 @@
 bool request_quarantine::merge_sound_trait(const sound_trait& value)
 {
     const auto known = sound_traits_.find(value.trait);
-    if (known != sound_traits_.end() && value.began - known->second <= limits_.time_tolerance) {
+    if (known != sound_traits_.end() && value.began - known->second <= limits_.time_tolerance &&
+        !crashed_between(value.trait, known->second, value.began)) {
         return false;
     }
     if (known == sound_traits_.end() && sound_traits_.size() >= limits_.max_sound_traits) {
@@ -147,12 +139,12 @@
     return changed;
 }
 
-void request_quarantine::add_sound_traits(instant now, instant began, const request_traits& traits)
+void request_quarantine::add_sound_traits(instant now, instant served, const request_traits& traits)
 {
     bool changed = false;
     for (const auto& it : traits) {
-        remember(it, began);
-        changed = (is_watched(it) && merge_sound_trait({it, began})) || changed;
+        remember(it, served);
+        changed = (watched_.count(it) != 0 && merge_sound_trait({it, served})) || changed;
     }
     if (changed) {
         evaluate(now);
@@ -185,17 +177,24 @@
     }
 }
 
-bool request_quarantine::is_watched(const request_trait& trait) const
+bool request_quarantine::crashed_between(const request_trait& trait, instant after, instant until) const
 {
-    const auto holds_trait = [&trait](const request_traits& traits) {
-        return std::binary_search(traits.begin(), traits.end(), trait);
-    };
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [&](const quarantine_entry& it) { return holds_trait(it.traits); }) ||
-           std::any_of(crashes_.begin(), crashes_.end(), [&](const crash_record& crash) {
-               return std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                                  [&](const crash_suspect& it) { return holds_trait(it.traits); });
-           });
+    return std::any_of(crashes_.begin(), crashes_.end(), [&](const crash_record& it) {
+        return it.at > after && it.at <= until && concerns(it, {trait});
+    });
+}
+
+void request_quarantine::update_watched()
+{
+    watched_.clear();
+    for (const auto& it : entries_) {
+        watched_.insert(it.traits.begin(), it.traits.end());
+    }
+    for (const auto& crash : crashes_) {
+        for (const auto& it : crash.suspects) {
+            watched_.insert(it.traits.begin(), it.traits.end());
+        }
+    }
 }
 
 instant request_quarantine::sound_since(const request_trait& trait) const
@@ -221,6 +220,7 @@
 
 void request_quarantine::expire(instant now)
 {
+    const auto known = crashes_.size();
     crashes_.erase(std::remove_if(crashes_.begin(), crashes_.end(),
                                   [&](const crash_record& it) { return now - it.at > limits_.retention; }),
                    crashes_.end());
@@ -233,6 +233,10 @@
             drop_entry(i - 1);
         }
     }
+    const bool recent = !crashes_.empty() && now - crashes_.back().at <= limits_.evaluation_time;
+    if (recent || crashes_.size() != known) {
+        evaluate(now);
+    }
 }
 
 void request_quarantine::update_entries_from(const crash_record& value)
@@ -271,93 +275,24 @@
     return changed;
 }
 
-std::map<request_trait, request_quarantine::crashes_of_trait> request_quarantine::collect_evidence() const
-{
-    std::map<request_trait, crashes_of_trait> out;
-    for (std::size_t i = 0; i < crashes_.size(); ++i) {
-        const auto& crash = crashes_[i];
-        std::set<request_trait> explanation;
-        for (const auto& it : entries_) {
-            if (concerns(crash, it.traits)) {
-                explanation.insert(it.traits.begin(), it.traits.end());
-            }
-        }
-        for (const auto* suspect : likely_suspects(crash)) {
-            for (const auto& trait : suspect->traits) {
-                const auto sound_at = sound_since(trait);
-                const bool explained = !explanation.empty() && explanation.count(trait) == 0;
-                if (explained || sound_at >= crash.at) {
-                    continue;
-                }
-                auto& evidence = out[trait];
-                evidence.crashes.insert(i);
-                evidence.sound_before =
-                    evidence.sound_before || (sound_at != instant{} && crash.at - sound_at <= limits_.sound_time);
-            }
-        }
-    }
-    return out;
-}
-
-std::size_t request_quarantine::count_moments(const std::set<std::size_t>& crashes) const
-{
-    std::size_t out = 0;
-    instant last{};
-    for (const auto it : crashes) {
-        const auto at = crashes_[it].at;
-        if (out == 0 || at - last > limits_.same_moment) {
-            ++out;
-            last = at;
-        }
-    }
-    return out;
-}
-
-bool request_quarantine::suffices(const crashes_of_trait& value) const
-{
-    if (!value.sound_before) {
-        return count_moments(value.crashes) >= limits_.crashes;
-    }
-    const auto spread = crashes_[*value.crashes.rbegin()].at - crashes_[*value.crashes.begin()].at;
-    return count_moments(value.crashes) >= limits_.crashes_of_sound_trait && spread >= limits_.sound_trait_crash_spread;
-}
-
-request_traits request_quarantine::strongest_traits() const
-{
-    const auto evidence = collect_evidence();
-    request_traits out;
-    const crashes_of_trait* strongest = nullptr;
-    for (const auto& [trait, value] : evidence) {
-        const bool stronger =
-            strongest == nullptr || strongest->sound_before > value.sound_before ||
-            (strongest->sound_before == value.sound_before && strongest->crashes.size() < value.crashes.size());
-        if (!stronger || !suffices(value)) {
-            continue;
-        }
-        request_traits traits;
-        for (const auto& [other, other_value] : evidence) {
-            if (other_value.crashes == value.crashes && other_value.sound_before == value.sound_before) {
-                traits.push_back(other);
-            }
-        }
-        if (find(traits) == nullptr) {
-            out = std::move(traits);
-            strongest = &value;
-        }
-    }
-    return out;
-}
-
 void request_quarantine::evaluate(instant now)
 {
     release_sound_traits();
+    update_watched();
     // Each entry explains crashes, which may acquit other traits, so entries are added one by one.
-    for (auto traits = strongest_traits(); !traits.empty(); traits = strongest_traits()) {
+    for (;;) {
+        const auto analysis = analyse();
+        auto traits = analysis.strongest_traits(now);
+        if (traits.empty()) {
+            suspicions_ = analysis.suspicions();
+            return;
+        }
         quarantine_entry entry;
         entry.since = now;
         for (const auto& it : crashes_) {
             entry.last_crash = concerns(it, traits) ? it.at : entry.last_crash;
         }
+        entry.first_probe_wait = analysis.probe_wait(traits);
         entry.traits = std::move(traits);
         add_entry(std::move(entry));
     }
@@ -397,6 +332,13 @@
     }
 }
 
+trait_suspicion request_quarantine::suspicion(const request_traits& traits) const
+{
+    // Traits are sorted by kind, so the whole request comes first.
+    const auto found = traits.empty() ? suspicions_.end() : suspicions_.find(traits.front());
+    return found == suspicions_.end() ? trait_suspicion() : found->second;
+}
+
 const quarantine_entry* request_quarantine::find(const request_traits& traits) const
 {
     const auto found = std::find_if(entries_.begin(), entries_.end(),
@@ -412,7 +354,7 @@
     if (probed_recently) {
         return false;
     }
-    auto wait = limits_.probe_wait;
+    auto wait = value.first_probe_wait;
     for (int i = 0; i < value.failed_probes && wait < limits_.max_probe_wait; ++i) {
         wait = std::min(wait * 2, limits_.max_probe_wait);
     }
--- a/src/quarantine/tests/request_quarantine_test.cpp
+++ b/src/quarantine/tests/request_quarantine_test.cpp
@@ -335,3 +335,169 @@
     quarantine.merge(now, before);
     CHECK(!refused({deadly_part, organisation_part}));
 }
+
+// Plain calls, which have no trait but that of the whole request.
+TEST_GROUP(whole_request_test)
+{
+    instant now = instant{} + seconds(1000);
+    request_quarantine quarantine;
+    int instances = 0;
+    const request_trait deadly = call("/deadly");
+    const request_trait neighbour = call("/common");
+
+    static request_trait call(std::string_view target)
+    {
+        return trait_of(request_identity{"GET", "host", target, organisation_id("org"), ""});
+    }
+
+    void crash(const std::vector<request_trait>& open)
+    {
+        std::vector<crash_suspect> suspects;
+        for (const auto& it : open) {
+            suspects.push_back({false, {it}});
+        }
+        quarantine.add_crash(now, {upstream_id("instance-" + std::to_string(++instances)), now, suspects});
+    }
+
+    void pass(milliseconds time)
+    {
+        now += time;
+        quarantine.expire(now);
+    }
+
+    bool refused(const request_trait& value)
+    {
+        return quarantine.find({value}) != nullptr;
+    }
+};
+
+// Guards against losing the third and last instance of a service to a request that was alone on the first two.
+TEST(whole_request_test, lone_call_is_refused_after_two_crashes_when_all_hosts_have_reported)
+{
+    crash({deadly});
+    pass(milliseconds(150));
+    CHECK(!refused(deadly));
+    crash({deadly});
+    CHECK(!refused(deadly));
+    pass(milliseconds(150));
+    CHECK(refused(deadly));
+}
+
+// Guards against refusing a sound call that another host had open on the same instances.
+TEST(whole_request_test, call_that_another_host_reports_beside_it_is_no_lone_one)
+{
+    crash({deadly});
+    pass(milliseconds(150));
+    crash({deadly});
+    --instances;
+    pass(milliseconds(20));
+    crash({neighbour});
+    pass(milliseconds(150));
+    CHECK(!refused(deadly));
+    CHECK(!refused(neighbour));
+}
+
+// Guards against refusing a sound call because it was beside a deadly one each time.
+TEST(whole_request_test, calls_that_were_always_together_are_refused_only_when_told_apart)
+{
+    for (int i = 0; i < 4; ++i) {
+        crash({deadly, neighbour});
+        pass(milliseconds(200));
+        CHECK(!refused(neighbour));
+    }
+    crash({deadly});
+    pass(milliseconds(200));
+    CHECK(refused(deadly));
+    CHECK(!refused(neighbour));
+}
+
+// Guards against a popular call that stays suspected, because its next answer came soon after the one before the crash.
+TEST(whole_request_test, next_answer_clears_a_call_at_once)
+{
+    quarantine.add_sound_traits(now, now, {neighbour});
+    pass(milliseconds(50));
+    crash({deadly, neighbour});
+    LONGS_EQUAL(1, quarantine.suspicion({neighbour}).crashes);
+    CHECK(quarantine.suspicion({neighbour}).sound_before);
+    pass(milliseconds(50));
+    quarantine.add_sound_traits(now, now, {neighbour});
+    LONGS_EQUAL(0, quarantine.suspicion({neighbour}).crashes);
+    LONGS_EQUAL(1, quarantine.suspicion({deadly}).crashes);
+}
+
+// Guards against refusing a popular call when instances fail by themselves while it runs there.
+TEST(whole_request_test, instances_that_fail_put_no_call_under_quarantine_that_others_answer)
+{
+    for (int i = 0; i < 40; ++i) {
+        crash({neighbour});
+        pass(milliseconds(100));
+        quarantine.add_sound_traits(now, now, {neighbour});
+        pass(milliseconds(100));
+    }
+    LONGS_EQUAL(0, quarantine.entries().size());
+}
+
+// Guards against suspicions that are kept for good, and against a table of them without a bound.
+TEST(whole_request_test, suspicions_end_and_are_bounded)
+{
+    for (int i = 0; i < 500; ++i) {
+        std::vector<request_trait> open;
+        for (int n = 0; n < 60; ++n) {
+            open.push_back(call("/" + std::to_string(i) + "/" + std::to_string(n)));
+        }
+        crash(open);
+        pass(milliseconds(60));
+    }
+    const quarantine_limits limits;
+    const auto all = quarantine.all();
+    CHECK(all.crashes.size() <= limits.max_crashes);
+    for (const auto& it : all.crashes) {
+        CHECK(it.suspects.size() <= limits.max_suspects);
+    }
+    pass(limits.retention + milliseconds(1));
+    LONGS_EQUAL(0, quarantine.suspicion({call("/499/1")}).crashes);
+}
+
+// Guards against a probe that costs an instance soon after a call that nobody was ever served.
+TEST(whole_request_test, call_that_was_never_served_is_probed_late)
+{
+    for (int i = 0; i < 3; ++i) {
+        crash({deadly});
+        pass(milliseconds(200));
+    }
+    CHECK(refused(deadly));
+    pass(seconds(120));
+    CHECK(!quarantine.probe_due(now, *quarantine.find({deadly})));
+    pass(quarantine_limits().max_probe_wait);
+    CHECK(quarantine.probe_due(now, *quarantine.find({deadly})));
+}
+
+// Guards against a caller whose request is taken for that of another one.
+TEST(whole_request_test, fingerprint_covers_all_that_identifies_a_request)
+{
+    const request_identity base{"GET", "host", "/a", organisation_id("org"), "body"};
+    auto method = base;
+    method.method = "POST";
+    auto host = base;
+    host.host = "other";
+    auto target = base;
+    target.target = "/a?b";
+    auto organisation = base;
+    organisation.organisation = organisation_id("other");
+    auto body = base;
+    body.body = "bod";
+    for (const auto& it : {method, host, target, organisation, body}) {
+        CHECK(trait_of(it) != trait_of(base));
+    }
+    // The border between two fields counts.
+    CHECK(trait_of(request_identity{"GET", "hos", "t/a", base.organisation, base.body}) != trait_of(base));
+    CHECK(trait_of(base) == trait_of(request_identity(base)));
+    request_trait parsed;
+    CHECK(parse_trait(format_traits({trait_of(base)}), parsed));
+    CHECK(parsed == trait_of(base));
+    CHECK(parse_trait("dead01", parsed));
+    CHECK(parsed == prompt_part(0xdead01));
+    for (const auto* it : {"", "request:", "request:12", "xyz", "request:zz"}) {
+        CHECK(!parse_trait(it, parsed));
+    }
+}
--- a/src/quarantine/types/crash_evidence.h
+++ b/src/quarantine/types/crash_evidence.h
@@ -8,7 +8,8 @@
 
 namespace anvillead {
 
-/// A request that was open on an upstream when it crashed; of generations, only those without any output.
+/// A request that was open on an upstream when it crashed. Of generations, those without output have all their traits;
+/// those with their first output shortly before have only that of the whole request, since their prompt was read.
 struct crash_suspect
 {
     /// Of a generation: the engine had sent the head of its response, which it does right before the first output.
@@ -43,6 +44,8 @@
     instant last_probe{};
     /// Probes that ended with a crash.
     int failed_probes = 0;
+    /// Time after the last crash before the first probe.
+    milliseconds first_probe_wait{30'000};
 };
 
 /// What hosts tell each other about crashes of upstreams. Merging is idempotent and independent of the order.
