Let a host choose the local address of its connections to upstreams

Setting upstream-source-address (an IP address, checked), taken over with SIGHUP: hosts with a network of their own for upstreams. Calls of other hosts have a client of their own. Tests tell hosts apart by it at the upstreams, and take a host's path to all of them away with an address that the machine does not have. Nothing changes without the setting.

Run: platform_adapter_test, transport_test.

--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -77,26 +77,28 @@
 node_daemon::node_daemon(worker_pool& pool, node_settings settings,
                          std::function<result<node_settings>()> read_settings)
     : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
-      sequence_(pool.make_sequence()),
-      client_(make_http_client(pool)), context_{settings_,
-                                                pool,
-                                                pool.timers(),
-                                                counters_,
-                                                *client_,
-                                                upstream_directory(),
-                                                load_table(),
-                                                peer_table(settings_.host, settings_.report),
-                                                nullptr,
-                                                {},
-                                                false,
-                                                std::make_shared<byte_budget>(max_answer_buffer_bytes),
-                                                nullptr,
-                                                nullptr,
-                                                nullptr,
-                                                nullptr,
-                                                {},
-                                                {},
-                                                [] {}},
+      sequence_(pool.make_sequence()), client_(make_http_client(pool)),
+      upstream_client_(make_http_client(pool, [this] { return settings_.upstream_source; })),
+      context_{settings_,
+               pool,
+               pool.timers(),
+               counters_,
+               *upstream_client_,
+               *client_,
+               upstream_directory(),
+               load_table(),
+               peer_table(settings_.host, settings_.report),
+               nullptr,
+               {},
+               false,
+               std::make_shared<byte_budget>(max_answer_buffer_bytes),
+               nullptr,
+               nullptr,
+               nullptr,
+               nullptr,
+               {},
+               {},
+               [] {}},
       callers_(context_), configuration_(platform::make_object_collection(
                               *client_, settings_.store, platform::configuration_collection, sequence_)),
       upstreams_(platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
@@ -465,6 +467,7 @@
     }
     // Changes of addresses take effect only at the next start of the process.
     settings_.seeds = next.value().seeds;
+    settings_.upstream_source = next.value().upstream_source;
     settings_.shutdown_grace = next.value().shutdown_grace;
     settings_.retry_share = next.value().retry_share;
     settings_.retry_slack = next.value().retry_slack;
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -178,7 +178,7 @@
     request.head_timeout = pull_timeout;
     request.idle_timeout = pull_timeout;
     request.reuse_connection = true;
-    context_.client.fetch(
+    context_.host_client.fetch(
         std::move(request), max_state_bytes, sequence_,
         [self = shared_from_this(), host = peer.host](const http_call_result& end, const http_response& answer) {
             self->pulling_ = false;
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -39,7 +39,10 @@
     worker_pool& pool;
     itimer_service& timers;
     metrics& counters;
+    /// Calls upstreams.
     ihttp_client& client;
+    /// Calls other hosts.
+    ihttp_client& host_client;
     upstream_directory directory;
     load_table loads;
     peer_table peers;
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -54,6 +54,7 @@
     metrics counters_;
     std::shared_ptr<isequence> sequence_;
     std::unique_ptr<ihttp_client> client_;
+    std::unique_ptr<ihttp_client> upstream_client_;
     node_context context_;
     caller_handler callers_;
     std::unique_ptr<iobject_collection> configuration_;
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -15,6 +15,9 @@
     zone_name availability_zone;
     /// IP address without a port.
     std::string ip;
+    /// Local IP address of connections to upstreams, for hosts with a network of their own for these; empty to let the
+    /// system choose.
+    std::string upstream_source;
     /// "address:port" on which callers' requests are accepted.
     std::string frontend;
     /// "address:port" of the readiness endpoint.
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <boost/beast/core.hpp>
@@ -79,10 +80,11 @@
 class http_call : public ihttp_call, public std::enable_shared_from_this<http_call>
 {
 public:
-    http_call(net::io_context& context, std::shared_ptr<idle_connection_pool> pool, std::shared_ptr<isequence> sequence,
-              http_call_request request, http_call_handlers handlers)
-        : context_(context), pool_(std::move(pool)), sequence_(std::static_pointer_cast<asio_sequence>(sequence)),
-          request_(std::move(request)), handlers_(std::move(handlers)), timer_(context)
+    http_call(net::io_context& context, std::shared_ptr<idle_connection_pool> pool, std::string source_address,
+              std::shared_ptr<isequence> sequence, http_call_request request, http_call_handlers handlers)
+        : context_(context), pool_(std::move(pool)), source_address_(std::move(source_address)),
+          sequence_(std::static_pointer_cast<asio_sequence>(sequence)), request_(std::move(request)),
+          handlers_(std::move(handlers)), timer_(context)
     {}
 
     void start_call()
@@ -145,6 +147,10 @@
         reused_ = false;
         ++connection_number_;
         socket_ = std::make_unique<net::ip::tcp::socket>(context_);
+        if (const auto ec = bind_source_address()) {
+            finish(http_call_outcome::connect_failed, ec.message());
+            return;
+        }
         start_timer(request_.connect_timeout);
         socket_->async_connect(
             parse_endpoint(request_.address),
@@ -161,6 +167,26 @@
             }));
     }
 
+    boost::system::error_code bind_source_address()
+    {
+        boost::system::error_code ec;
+        if (source_address_.empty()) {
+            return ec;
+        }
+        const auto address = net::ip::make_address(source_address_, ec);
+        if (!ec) {
+            socket_->open(address.is_v4() ? net::ip::tcp::v4() : net::ip::tcp::v6(), ec);
+        }
+        if (!ec) {
+            // The port is chosen at the connect, so that connections to different peers may share one.
+            using bind_without_port = net::detail::socket_option::integer<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+            boost::system::error_code unsupported;
+            socket_->set_option(bind_without_port(1), unsupported);
+            socket_->bind({address, 0}, ec);
+        }
+        return ec;
+    }
+
     void send()
     {
         boost::system::error_code ec;
@@ -339,6 +365,7 @@
 
     net::io_context& context_;
     std::shared_ptr<idle_connection_pool> pool_;
+    std::string source_address_;
     std::shared_ptr<asio_sequence> sequence_;
     http_call_request request_;
     http_call_handlers handlers_;
@@ -366,18 +393,22 @@
 class http_client : public ihttp_client
 {
 public:
-    explicit http_client(worker_pool& pool) : context_(pool.internals().context) {}
+    http_client(worker_pool& pool, std::function<std::string()> source_address)
+        : context_(pool.internals().context), source_address_(std::move(source_address))
+    {}
 
     std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
                                       std::shared_ptr<isequence> sequence) override
     {
-        auto call = std::make_shared<http_call>(context_, pool_, sequence, std::move(request), std::move(handlers));
+        auto call = std::make_shared<http_call>(context_, pool_, source_address_ ? source_address_() : std::string(),
+                                                sequence, std::move(request), std::move(handlers));
         sequence->post([call] { call->start_call(); });
         return call;
     }
 
 private:
     net::io_context& context_;
+    std::function<std::string()> source_address_;
     std::shared_ptr<idle_connection_pool> pool_ = std::make_shared<idle_connection_pool>();
 };
 
@@ -425,9 +456,9 @@
     return call;
 }
 
-std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool)
+std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, std::function<std::string()> source_address)
 {
-    return std::make_unique<http_client>(pool);
+    return std::make_unique<http_client>(pool, std::move(source_address));
 }
 
 } // namespace anvillead
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/node_fleet.h"
 
+#include <csignal>
+
 #include <fmt/format.h>
 
 namespace testing {
@@ -68,6 +70,18 @@
         std::vector<std::string>{program("anvillead-node"), "--settings", write_settings(number)});
 }
 
+std::string node_fleet::upstream_source(int number)
+{
+    return fmt::format("127.0.0.{}", number);
+}
+
+void node_fleet::set_upstream_source(int number, const std::string& ip)
+{
+    upstream_sources_[number] = ip;
+    write_settings(number);
+    process_of(fmt::format("node-{}", number)).send_signal(SIGHUP);
+}
+
 std::string node_fleet::write_settings(int number) const
 {
     const auto name = fmt::format("node-{}", number);
@@ -82,6 +96,8 @@
         {"node-name", name},
         {"zone", number % 2 == 1 ? "colombo-a" : "colombo-b"},
         {"ip", fmt::format("127.0.0.{}", number)},
+        {"upstream-source-address",
+         upstream_sources_.count(number) != 0 ? upstream_sources_.at(number) : upstream_source(number)},
         {"limits", {{"bandwidth-mbps", number == options_.fast ? 200 : 10}}},
         {"internal-ports", {port_of(name + "/report"), port_of(name + "/report")}},
         {"seed-nodes", json::array({addresses_.at("node-1/control")})},
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -37,6 +37,11 @@
     caller& client() { return caller_; }
 
     void start_node(int number);
+    /// Sets the local address of a host's connections to upstreams. With an address that the machine does not have, the
+    /// host reaches none. Takes effect at once in a running host.
+    void set_upstream_source(int number, const std::string& ip);
+    /// The address that `start_node` sets, by which upstreams tell hosts apart.
+    static std::string upstream_source(int number);
     void kill(const std::string& name);
     bool wait_ready(int number, milliseconds bound = default_bound);
     bool wait_version(int number, int version, milliseconds bound = default_bound);
@@ -73,6 +78,7 @@
     caller caller_;
     std::vector<std::unique_ptr<port_reservation>> ports_;
     std::map<std::string, std::string> addresses_;
+    std::map<int, std::string> upstream_sources_;
     std::map<std::string, std::unique_ptr<process>> processes_;
 };
 
