--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -81,6 +81,8 @@
                {"crashes", crash_times_.size()},
                {"crash_times", crash_times_},
                {"refused", refused_}});
+    } else if (cut_off(request, exchange)) {
+        return;
     } else if (request.path() == "/report") {
         reply(exchange, 200, {{"phase", leaving_ ? "draining" : "ready"}, {"active", generations_.size()}});
     } else if (request.path() == kv_copy_path) {
@@ -97,6 +99,19 @@
     }
 }
 
+bool engine_server::cut_off(const http_request& request, const exchange_ptr& exchange)
+{
+    if (std::find(cut_from_.begin(), cut_from_.end(), request.peer_address) == cut_from_.end()) {
+        return false;
+    }
+    if (resets_cut_) {
+        exchange->sequence()->post([exchange] { exchange->abort(); });
+    } else {
+        hanging_.push_back(exchange);
+    }
+    return true;
+}
+
 void engine_server::serve(const http_request& request, const exchange_ptr& exchange)
 {
     const auto expected = request.header("Expect-Instance");
@@ -340,6 +355,13 @@
     leaving_ = value.value("leaving", leaving_);
     omit_stamp_ = value.value("unstamped", omit_stamp_);
     wrong_request_id_ = value.value("foreign", wrong_request_id_);
+    cut_from_ = value.value("cut_from", cut_from_);
+    resets_cut_ = value.value("cut_how", resets_cut_ ? "reset" : "hang") == std::string("reset");
+    if (cut_from_.empty()) {
+        for (const auto& it : std::exchange(hanging_, {})) {
+            it->sequence()->post([it] { it->abort(); });
+        }
+    }
     if (value.value("crash", false)) {
         crash();
     }
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -23,8 +23,9 @@
 /// aborted), `errors` and `resets` (number of plain calls that end with status 500 or a connection reset), `unstamped`
 /// (responses lack the Response-Stamp header) and `foreign` (responses carry another request's id), `call_ms` (time
 /// that a plain call takes), `deadly_targets` (a request to one of them crashes this program `crash_ms` after it has
-/// begun to run), `crash` (at once) and `down_ms` (time until it serves again after a crash). `GET /ran` lists the
-/// executed requests and the times of crashes.
+/// begun to run), `crash` (at once),
+/// `cut_from` (addresses of hosts whose requests do not reach it), `cut_how` (`hang`: no answer; `reset`) and `down_ms`
+/// (time until it serves again after a crash). `GET /ran` lists the executed requests and the times of crashes.
 class engine_server
 {
 public:
@@ -60,6 +61,8 @@
     void listen(const std::string& own_address);
     void handle(const anvillead::http_request& request, const exchange_ptr& exchange);
     void serve(const anvillead::http_request& request, const exchange_ptr& exchange);
+    /// Lets a request from a host without a path hang or resets it; returns false for one that has a path.
+    bool cut_off(const anvillead::http_request& request, const exchange_ptr& exchange);
     void start_generation(const anvillead::http_request& request, const exchange_ptr& exchange);
     void next_event(const std::shared_ptr<generation>& value);
     void reply_plain(const anvillead::http_request& request, const exchange_ptr& exchange);
@@ -98,6 +101,11 @@
     double rate_limit_ = -1;
     /// Prompt part that crashes this engine; empty for none.
     std::string deadly_part_;
+    /// Hosts whose requests do not reach this engine, and whether their connections are reset or hang.
+    std::vector<std::string> cut_from_;
+    bool resets_cut_ = false;
+    /// Kept open until the path is back.
+    std::vector<exchange_ptr> hanging_;
     /// Targets of the requests that crash this engine.
     std::vector<std::string> deadly_targets_;
     anvillead::milliseconds crash_delay_{100};
