Serve callers of a host without a path to upstreams through other hosts

Cause: a host served callers over its own connections only, tried upstream after upstream for 250 to 300 ms each, and told nobody that it reached none, so discovery went on to name it.

Change: a host finds from its own connections that it has no path to a service (upstream_paths: three upstreams in a row, or all; probes meanwhile, so that no caller's request finds out whether the path is back) and says so in its reports. Its requests go on, as the caller sent them, to a host that reaches upstreams, its own zone first (request_forwarder): with the time that is left, the version of the configuration in force, and a mark by which nobody passes them on again. The other host counts them as its own for rates, retries, fairness and quarantine, and serves at most 128 at a time. A request that cannot have run may go to two hosts; a refusal of the other host is passed on or kept as true; if the other host is lost meanwhile, a request that may not be repeated ends with 502 or a broken stream. Discovery names hosts without a path only if there are no others. In an outage of all upstreams every host says so, and requests are passed to nobody.

helping_hosts_may_be_lost expected one of six long generations to survive the loss of two of three hosts; with the own zone first all six were at the one host of its zone. Now it checks that six sent after the loss are whole.

--- a/src/core/error.h
+++ b/src/core/error.h
@@ -82,5 +82,7 @@
 error make_error(error_kind kind, std::string message);
 /// The JSON body of an error answer: {"error":{"kind","message","outcome"}}.
 std::string error_body(const error& value);
+/// Reads what `error_body` has written; nothing for another text.
+std::optional<error> parse_error_body(std::string_view text);
 
 } // namespace anvillead
--- a/src/core/internal/error.cpp
+++ b/src/core/internal/error.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/bounded_json.h"
+
 namespace anvillead {
 
 const std::vector<error_properties>& error_table()
@@ -95,4 +97,23 @@
     return nlohmann::json({{"error", inner}}).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::optional<error> parse_error_body(std::string_view text)
+{
+    const auto body = parse_bounded_json(text);
+    try {
+        const auto inner = body ? body->at("error") : nlohmann::json();
+        const auto kind = parse_error_kind(inner.at("kind").get<std::string>());
+        if (!kind) {
+            return std::nullopt;
+        }
+        auto out = make_error(*kind, inner.value("message", ""));
+        if (inner.contains("retry_after_ms")) {
+            out.retry_after = milliseconds(inner.at("retry_after_ms").get<std::int64_t>());
+        }
+        return out;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace anvillead
--- a/src/fleet/internal/peer_table.cpp
+++ b/src/fleet/internal/peer_table.cpp
@@ -12,9 +12,10 @@
 bool same_membership(const host_report& a, const host_report& b)
 {
     return a.incarnation == b.incarnation && a.ready == b.ready && a.leaving == b.leaving &&
-           a.platform_reachable == b.platform_reachable && a.availability_zone == b.availability_zone &&
-           a.link_mbps == b.link_mbps && a.addresses.frontend == b.addresses.frontend &&
-           a.addresses.control == b.addresses.control && a.addresses.report == b.addresses.report;
+           a.without_path == b.without_path && a.platform_reachable == b.platform_reachable &&
+           a.availability_zone == b.availability_zone && a.link_mbps == b.link_mbps &&
+           a.addresses.frontend == b.addresses.frontend && a.addresses.control == b.addresses.control &&
+           a.addresses.report == b.addresses.report;
 }
 
 /// Applies an incremental entry to the last full report.
@@ -23,6 +24,7 @@
     known.sequence = update.sequence;
     known.ready = update.ready;
     known.leaving = update.leaving;
+    known.without_path = update.without_path;
     known.platform_reachable = update.platform_reachable;
     known.configuration = update.configuration;
     known.directory_revision = update.directory_revision;
@@ -330,7 +332,7 @@
 
 std::uint64_t member_hash(const host_report& value)
 {
-    const char state[] = {value.ready ? 'r' : '-', value.leaving ? 'l' : '-', '\0'};
+    const char state[] = {value.ready ? 'r' : '-', value.leaving ? 'l' : '-', value.without_path ? 'w' : '-', '\0'};
     return placement_hash(value.host.str() + '\n' + value.incarnation + '\n' + state);
 }
 
--- a/src/fleet/internal/report_codec.cpp
+++ b/src/fleet/internal/report_codec.cpp
@@ -70,6 +70,7 @@
 constexpr unsigned flag_without_work = 32;
 constexpr unsigned flag_requests_member_list = 64;
 constexpr unsigned flag_uses_relay = 128;
+constexpr unsigned flag_without_path = 256;
 constexpr std::size_t work_field_count = 5;
 
 unsigned flags_of(const report_entry& value)
@@ -78,7 +79,8 @@
     return (report.ready ? flag_ready : 0) | (report.leaving ? flag_leaving : 0) |
            (report.platform_reachable ? flag_platform_reachable : 0) | (value.incremental ? flag_incremental : 0) |
            (value.lost ? flag_lost : 0) | (value.without_work ? flag_without_work : 0) |
-           (report.requests_member_list ? flag_requests_member_list : 0) | (report.uses_relay ? flag_uses_relay : 0);
+           (report.requests_member_list ? flag_requests_member_list : 0) | (report.uses_relay ? flag_uses_relay : 0) |
+           (report.without_path ? flag_without_path : 0);
 }
 
 json encode_amounts(const upstream_id& id, const upstream_work& work)
@@ -162,6 +164,7 @@
     report.leaving = (flags & flag_leaving) != 0;
     report.platform_reachable = (flags & flag_platform_reachable) != 0;
     report.uses_relay = (flags & flag_uses_relay) != 0;
+    report.without_path = (flags & flag_without_path) != 0;
     report.requests_member_list = (flags & flag_requests_member_list) != 0;
     report.host = host_id(in.at(f_host).get<std::string>());
     report.incarnation = in.at(f_incarnation).get<std::string>();
--- a/src/fleet/internal/report_exchange.cpp
+++ b/src/fleet/internal/report_exchange.cpp
@@ -309,6 +309,7 @@
     // report contains it.
     return report.configuration > zone_configuration_ || report.directory_revision > zone_directory_revision_ ||
            report.ready != last.report.ready || report.leaving != last.report.leaving ||
+           report.without_path != last.report.without_path ||
            report.platform_reachable != last.report.platform_reachable ||
            report.leaving_upstreams != last.report.leaving_upstreams || !changed_work(last.report, report).empty();
 }
--- a/src/fleet/types/host_report.h
+++ b/src/fleet/types/host_report.h
@@ -39,6 +39,8 @@
     bool ready = false;
     /// The host is shutting down; callers should use other hosts.
     bool leaving = false;
+    /// The host reaches no upstream of some service, so it cannot serve all callers by itself.
+    bool without_path = false;
     /// Version of the active configuration; 0 if there is none.
     config_generation configuration = 0;
     /// Platform revision up to which its upstream directory is current.
--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -27,6 +27,8 @@
     void abort_all(const std::string& reason);
 
 private:
+    /// Takes out of a request that another host has passed on what that host has added; returns why it is not served.
+    std::optional<error> admit_forwarded(http_request& message, admitted_request& out) const;
     result<admitted_request> admit(http_request message, const std::shared_ptr<ihttp_exchange>& exchange) const;
     void start_generation(admitted_request request);
     void for_each_generation(const std::function<void(generation_relay&)>& action);
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -8,6 +8,7 @@
 #include "dispatch/types/placement.h"
 #include "dispatch/types/upstream_call.h"
 #include "node/node_context.h"
+#include "node/request_forwarder.h"
 #include "node/scoped_work.h"
 #include "node/types/admitted_request.h"
 #include "quarantine/suspect_trials.h"
@@ -46,6 +47,9 @@
     /// About the time after which one of the running generations ends.
     static constexpr milliseconds retry_after_no_capacity{300};
 
+    /// Passes the generation on to another host.
+    void forward(const error& reason);
+    bool can_forward() const;
     /// Places the generation unless it is under quarantine.
     void admit();
     void refuse_quarantined();
@@ -111,6 +115,7 @@
     budgeted_buffer error_buffer_;
     event_splitter splitter_;
     std::shared_ptr<ihttp_call> call_;
+    std::shared_ptr<request_forwarder> forwarder_;
     timer_id deadline_timer_ = 0;
     timer_id step_timer_ = 0;
     std::vector<upstream_id> excluded_;
@@ -130,6 +135,9 @@
     /// Measured from the arrival of the request.
     double first_event_ms_ = 0;
     instant first_event_at_{};
+    instant sent_at_{};
+    /// Number of engines that could not be reached.
+    int unreachable_ = 0;
     instant last_event_at_{};
     /// Longest time between two events; `longest_pause_after_` is the event before it.
     std::chrono::steady_clock::duration longest_pause_{};
@@ -151,6 +159,7 @@
     bool source_complete_ = false;
     bool final_copy_done_ = false;
     bool reported_sound_ = false;
+    bool forwarded_ = false;
     bool done_ = false;
 };
 
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "node/error_response.h"
 #include "node/plain_call.h"
+#include "node/types/forwarding.h"
 #include "platform/call_headers.h"
 
 namespace anvillead {
@@ -15,6 +16,9 @@
 constexpr milliseconds retry_after_start{300};
 // Retry-After during shutdown; callers choose another host with their next connection.
 constexpr milliseconds retry_after_leaving{10};
+// Requests of other hosts' callers that this host serves at the same time; each holds two connections and their
+// buffers.
+constexpr std::size_t max_forwarded_requests = 128;
 
 } // namespace
 
@@ -45,6 +49,9 @@
         reason.retry_after = retry_after_start;
         return reason;
     }
+    if (auto refusal = admit_forwarded(message, out)) {
+        return *refusal;
+    }
     auto caller = platform::read_caller_request(message);
     if (!caller) {
         return caller.error();
@@ -91,6 +98,35 @@
     return out;
 }
 
+std::optional<error> caller_handler::admit_forwarded(http_request& message, admitted_request& out) const
+{
+    if (message.header(forwarded_by_header).empty()) {
+        return std::nullopt;
+    }
+    const auto required =
+        std::strtoull(std::string(message.header(forwarded_configuration_header)).c_str(), nullptr, 10);
+    message.headers.erase(std::remove_if(message.headers.begin(), message.headers.end(),
+                                         [](const auto& it) {
+                                             return it.first == forwarded_by_header ||
+                                                    it.first == forwarded_configuration_header;
+                                         }),
+                          message.headers.end());
+    if (out.table->version < required) {
+        auto reason = make_error(error_kind::not_ready, "this host has an older configuration than the forwarding one");
+        reason.retry_after = retry_after_start;
+        return reason;
+    }
+    if (context_.forwarded_requests >= max_forwarded_requests) {
+        auto reason = make_error(error_kind::too_many_connections, "this host serves enough callers of other hosts");
+        reason.retry_after = retry_after_start;
+        return reason;
+    }
+    out.forwarded = true;
+    ++context_.forwarded_requests;
+    out.forwarded_slot = std::shared_ptr<void>(nullptr, [&context = context_](void*) { --context.forwarded_requests; });
+    return std::nullopt;
+}
+
 void caller_handler::start_generation(admitted_request request)
 {
     auto relay = std::make_shared<generation_relay>(context_, std::move(request));
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -62,13 +62,19 @@
             if (const auto self = weak.lock(); self && !self->done_) {
                 auto reason =
                     make_error(error_kind::deadline_exceeded, "the answer was not complete before the deadline");
-                reason.outcome = self->phase_ == phase::placing ? run_outcome::not_run : run_outcome::may_have_run;
+                const bool forwarded = self->forwarder_ && self->forwarder_->may_have_run();
+                reason.outcome =
+                    self->phase_ == phase::placing && !forwarded ? run_outcome::not_run : run_outcome::may_have_run;
                 self->fail(reason);
             }
         });
     }
     capacity_deadline_ = request_.arrived + request_.matched_route->latency_target / capacity_wait_divisor;
-    admit();
+    if (context_.paths.lost(request_.service) && can_forward()) {
+        forward(make_error(error_kind::no_upstream, "this host reaches no engine"));
+    } else {
+        admit();
+    }
 }
 
 milliseconds generation_relay::remaining_time() const
@@ -123,6 +129,7 @@
     phase_ = phase::sent;
     ++offers_;
 
+    sent_at_ = context_.timers.now();
     ++call_epoch_;
     http_call_handlers handlers;
     const auto guarded = [this](auto action) {
@@ -148,6 +155,7 @@
 {
     head_ = platform::read_upstream_response_head(status, headers, request_.caller.id);
     response_headers_ = headers;
+    context_.record_path(sent_at_, engine_, true);
     context_.rates->on_answer(engine_.id, head_);
     if (head_.load) {
         context_.loads.on_report(context_.timers.now(), engine_.id, *head_.load);
@@ -241,6 +249,8 @@
         return;
     }
     if (end.end == http_call_outcome::connect_failed) {
+        ++unreachable_;
+        context_.record_path(sent_at_, engine_, false);
         context_.loads.record_outcome(now, engine_.id, true);
         retry_or_fail(make_error(error_kind::no_upstream, "the engine cannot be reached: " + end.detail), false);
         return;
@@ -251,6 +261,7 @@
     }
     context_.loads.record_outcome(now, engine_.id, true);
     if (end.end == http_call_outcome::lost) {
+        context_.record_path(sent_at_, engine_, false);
         check_for_crash(false);
     }
     if (resumed_) {
@@ -347,7 +358,13 @@
         // several engines that are gone.
         --offers_;
     }
-    if (offers_ < max_offers && (!reached_engine || context_.retry_budget_for(request_.service).take())) {
+    if (!reached_engine && context_.paths.lost(request_.service) && can_forward()) {
+        forward(reason);
+        return;
+    }
+    // Without any path and without help, a further engine would only cost the caller another time-out.
+    const bool hopeless = !reached_engine && context_.paths.lost(request_.service);
+    if (offers_ < max_offers && !hopeless && (!reached_engine || context_.retry_budget_for(request_.service).take())) {
         auto fields = log_context();
         fields.emplace_back("reason", reason.message);
         log(log_level::info, log_event::request_retried, fields);
@@ -421,6 +438,9 @@
     if (call_) {
         call_->cancel();
     }
+    if (const auto forwarder = std::exchange(forwarder_, nullptr)) {
+        forwarder->cancel();
+    }
     if (!copy_handle_.empty()) {
         release_copy();
     }
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -18,6 +18,47 @@
 
 } // namespace
 
+bool generation_relay::can_forward() const
+{
+    return !request_.forwarded && !forwarded_ && (unreachable_ > 0 || context_.paths.lost(request_.service)) &&
+           request_forwarder::possible(context_);
+}
+
+void generation_relay::forward(const error& reason)
+{
+    forwarded_ = true;
+    phase_ = phase::placing;
+    // The request has not been tried here if no engine is known to be unreachable.
+    const bool tried = unreachable_ > 0;
+    request_forwarder::hooks hooks;
+    const auto self = shared_from_this();
+    hooks.on_begun = [self] { self->response_started_ = true; };
+    hooks.on_done = [self] {
+        auto fields = self->log_context();
+        fields.emplace_back("outcome", "forwarded");
+        log(log_level::info, log_event::request_ended, fields);
+        self->context_.counters.add("requests_total{kind=\"generation\",outcome=\"forwarded\"}");
+        self->finish();
+    };
+    hooks.on_unserved = [self, tried, reason](const std::optional<error>& refusal) {
+        self->forwarder_.reset();
+        if (!tried) {
+            self->admit();
+            return;
+        }
+        auto answer = reason;
+        answer.retry_after = refusal ? refusal->retry_after.value_or(retry_after_no_engine) : retry_after_no_engine;
+        self->fail(answer);
+    };
+    hooks.on_failed = [self](const error& failure) {
+        self->forwarder_.reset();
+        self->fail(failure);
+    };
+    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, std::move(hooks));
+    forwarder_ = forwarder;
+    forwarder->start();
+}
+
 void generation_relay::admit()
 {
     const bool forbidden = context_.quarantine->forbids(request_.traits);
@@ -86,7 +127,7 @@
 
 void generation_relay::on_requests_quarantined()
 {
-    if (done_ || events_ > 0 || !is_quarantined()) {
+    if (done_ || events_ > 0 || forwarder_ || !is_quarantined()) {
         return;
     }
     if (phase_ == phase::placing) {
@@ -233,6 +274,10 @@
 void generation_relay::refuse_for_capacity()
 {
     const bool none = context_.directory.usable(request_.service).empty();
+    if (unreachable_ > 0 && can_forward()) {
+        forward(make_error(error_kind::no_upstream, "the engines cannot be reached"));
+        return;
+    }
     auto reason = none ? make_error(error_kind::no_upstream, "the service has no engine that accepts requests")
                        : make_error(error_kind::overloaded, "no engine has free capacity for the request");
     reason.retry_after =
--- a/src/node/internal/node_context.cpp
+++ b/src/node/internal/node_context.cpp
@@ -49,6 +49,16 @@
     return cached->second;
 }
 
+void node_context::record_path(instant started, const upstream_record& upstream, bool answered)
+{
+    const auto usable = directory.usable(upstream.service).size();
+    if (answered) {
+        paths.record_reached(started, upstream.service, upstream.id, usable);
+        return;
+    }
+    paths.record_unreachable(timers.now(), upstream.service, upstream.id, usable);
+}
+
 retry_budget& node_context::retry_budget_for(const service_name& service)
 {
     auto& out = retry_budgets[service];
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "dispatch/responsibility.h"
 #include "node/crash_detector.h"
+#include "node/path_prober.h"
 #include "node/placement_service.h"
 #include "node/quarantine_endpoint.h"
 #include "node/quarantine_service.h"
@@ -87,10 +88,12 @@
                *client_,
                upstream_directory(),
                load_table(),
+               upstream_paths(),
                peer_table(settings_.host, settings_.report),
                nullptr,
                {},
                false,
+               0,
                std::make_shared<byte_budget>(max_answer_buffer_bytes),
                nullptr,
                nullptr,
@@ -107,6 +110,7 @@
 {
     reporter_ = std::make_shared<fleet_reporter>(context_, sequence_, [this](host_report& report) {
         report.ready = ready();
+        report.without_path = context_.paths.any_lost();
         report.configuration = feed_.configuration_version();
         report.directory_revision = feed_.state().upstream_revision;
         report.platform_reachable = feed_.connected();
@@ -146,6 +150,7 @@
     };
     puller_ = std::make_shared<state_puller>(context_, sequence_, std::move(hooks));
     poller_ = std::make_shared<engine_poller>(context_, sequence_);
+    prober_ = std::make_shared<path_prober>(context_, sequence_);
     poller_->set_pollers([this] {
         if (large_fleet()) {
             return reporter_->exchange().relays();
@@ -169,6 +174,16 @@
 void node_daemon::connect_hooks()
 {
     context_.on_work_changed = [this] { reporter_->schedule_report(); };
+    const auto on_path_changed = [this](log_level level, log_event event, const service_name& service) {
+        log(level, event, {{"service", service.str()}});
+        context_.counters.set("path_lost", context_.paths.any_lost() ? 1 : 0);
+        reporter_->schedule_report();
+    };
+    context_.paths.set_hooks(
+        {[on_path_changed](const service_name& it) { on_path_changed(log_level::warning, log_event::path_lost, it); },
+         [on_path_changed](const service_name& it) {
+             on_path_changed(log_level::info, log_event::path_restored, it);
+         }});
     context_.directory.set_hooks({[this](const upstream_id& id) {
                                       log(log_level::info, log_event::upstream_leaving, {{"upstream", id.str()}});
                                       callers_.on_upstream_leaving(id);
@@ -216,6 +231,7 @@
         detect_suspension();
         context_.directory.expire(context_.timers.now());
         context_.loads.expire(context_.timers.now());
+        prober_->probe_if_due();
         puller_->pull_if_behind();
         update_following();
         // Upstream leases can lapse while no host reaches the store, but not while the store rejects only single hosts.
@@ -282,9 +298,27 @@
                    platform::resolve_response_body(addresses, time_to_live));
 }
 
+std::vector<member> node_daemon::hosts_for_callers(const host_report& self) const
+{
+    auto hosts = context_.peers.live();
+    hosts.push_back(&self);
+    const auto serves = [](const host_report* it) { return it->ready && !it->leaving && !it->without_path; };
+    // If no host reaches the upstreams, all are named: callers get a refusal rather than no address.
+    const bool any_serves = std::any_of(hosts.begin(), hosts.end(), serves);
+    std::vector<member> out;
+    for (const auto* it : hosts) {
+        if (!any_serves || serves(it)) {
+            out.push_back(to_member(*it));
+        }
+    }
+    return out;
+}
+
 const std::vector<std::string>& node_daemon::endpoints_for(const zone_name& zone)
 {
-    const std::tuple<std::uint64_t, bool, bool> version{context_.peers.version(), ready(), context_.leaving};
+    const bool without_path = context_.paths.any_lost();
+    const std::tuple<std::uint64_t, bool, bool, bool> version{context_.peers.version(), ready(), context_.leaving,
+                                                              without_path};
     if (std::exchange(endpoints_version_, version) != version) {
         endpoints_.clear();
     }
@@ -293,14 +327,14 @@
     if (!missing) {
         return out;
     }
-    auto members = context_.peers.members();
     host_report self;
     self.host = settings_.host;
     self.availability_zone = settings_.availability_zone;
     self.addresses.frontend = settings_.frontend;
     self.ready = ready();
     self.leaving = context_.leaving;
-    members.push_back(to_member(self));
+    self.without_path = without_path;
+    const auto members = hosts_for_callers(self);
     endpoint_query query;
     query.availability_zone = zone;
     query.most = max_endpoints;
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -54,10 +54,65 @@
         deadline_timer_ =
             context_.timers.after(std::max(remaining_time(), milliseconds(0)), [self = shared_from_this()] {
                 auto reason = make_error(error_kind::deadline_exceeded, "no answer before the deadline");
-                reason.outcome = self->accepted_ > 0 ? run_outcome::may_have_run : run_outcome::not_run;
+                const bool may_have_run = self->accepted_ > 0 || (self->forwarder_ && self->forwarder_->may_have_run());
+                reason.outcome = may_have_run ? run_outcome::may_have_run : run_outcome::not_run;
                 self->reply_error(reason);
             });
     }
+    if (context_.paths.lost(request_.service) && can_forward()) {
+        forward();
+    } else {
+        serve();
+    }
+}
+
+bool plain_call::can_forward() const
+{
+    return !request_.forwarded && !forwarded_ && (unreachable_ > 0 || context_.paths.lost(request_.service)) &&
+           remaining_time() > min_attempt_time && request_forwarder::possible(context_);
+}
+
+void plain_call::forward()
+{
+    forwarded_ = true;
+    request_forwarder::hooks hooks;
+    const auto self = shared_from_this();
+    hooks.on_begun = [] {};
+    hooks.on_done = [self] {
+        log(log_level::info, log_event::request_ended,
+            {{"request", self->request_.caller.id.str()}, {"outcome", "forwarded"}});
+        self->context_.counters.add("requests_total{kind=\"plain\",outcome=\"forwarded\"}");
+        self->finish();
+    };
+    hooks.on_unserved = [self](const std::optional<error>& refusal) { self->on_unserved(refusal); };
+    hooks.on_failed = [self](const error& reason) {
+        self->forwarder_.reset();
+        ++self->accepted_;
+        self->retry_or_fail(reason);
+    };
+    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, std::move(hooks));
+    forwarder_ = forwarder;
+    forwarder->start();
+}
+
+void plain_call::on_unserved(const std::optional<error>& refusal)
+{
+    forwarder_.reset();
+    if (!forwarding_reason_) {
+        serve();
+        return;
+    }
+    auto reason = *forwarding_reason_;
+    if (accepted_ > 0) {
+        reason = make_error(error_kind::upstream_failed, "no other host reaches an upstream");
+    } else if (!reason.retry_after) {
+        reason.retry_after = refusal ? refusal->retry_after.value_or(retry_after) : retry_after;
+    }
+    reply_error(reason);
+}
+
+void plain_call::serve()
+{
     const bool forbidden = context_.quarantine->forbids(request_.traits);
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
     context_.quarantine->admit(request_.caller.id, request_.traits,
@@ -105,6 +160,11 @@
     if (!chosen) {
         auto reason = make_error(error_kind::no_upstream, "no upstream of the service accepts the request");
         reason.retry_after = std::max(retry_after, context_.time_until_open(request_.service));
+        if (accepted_ == 0 && unreachable_ > 0 && can_forward()) {
+            forwarding_reason_ = reason;
+            forward();
+            return;
+        }
         if (accepted_ > 0) {
             reason = make_error(error_kind::upstream_failed, "no other upstream accepts the request");
         }
@@ -214,6 +274,7 @@
     }
     out.headers = platform::upstream_headers(request_.message.headers, call);
     ++sent_;
+    sent_at_ = context_.timers.now();
     work_.assign(upstream.id, {1, 0, 0, 0});
     call_ = context_.client.fetch(
         std::move(out), max_answer_bytes, request_.exchange->sequence(),
@@ -230,6 +291,8 @@
     const auto now = context_.timers.now();
     if (end.end == http_call_outcome::connect_failed) {
         end_trial();
+        ++unreachable_;
+        context_.record_path(sent_at_, upstream, false);
         context_.loads.record_outcome(now, upstream.id, true);
         excluded_.push_back(upstream.id);
         // Nothing was sent, so this does not count as an attempt.
@@ -237,6 +300,12 @@
         retry_or_fail(make_error(error_kind::no_upstream, "the upstream cannot be reached: " + end.detail));
         return;
     }
+    if (answer.status != 0 || end.end == http_call_outcome::lost) {
+        context_.record_path(sent_at_, upstream, answer.status != 0);
+    }
+    if (answer.status == 0 && end.end == http_call_outcome::timeout) {
+        context_.paths.record_doubt(now, request_.service);
+    }
     const auto facts = platform::read_upstream_response_head(answer.status, answer.headers, request_.caller.id);
     context_.rates->on_answer(upstream.id, facts);
     if (facts.load) {
@@ -306,11 +375,24 @@
     const bool allowed = may_have_run ? may_retry() : sent_ < max_offers && remaining_time() > min_attempt_time;
     // A request that did not reach an upstream puts no load on it, so the next attempt does not use the retry budget.
     const bool reached_upstream = reason.kind != error_kind::no_upstream;
-    if (allowed && (!reached_upstream || context_.retry_budget_for(request_.service).take())) {
+    const bool may_forward = context_.paths.lost(request_.service) ? can_forward() : !allowed && can_forward();
+    if (!may_have_run && !reached_upstream && may_forward) {
+        forwarding_reason_ = reason;
+        forward();
+        return;
+    }
+    // Without any path and without help, a further upstream would only cost the caller another time-out.
+    const bool hopeless = !reached_upstream && context_.paths.lost(request_.service);
+    if (allowed && !hopeless && (!reached_upstream || context_.retry_budget_for(request_.service).take())) {
         log(log_level::info, log_event::request_retried,
             {{"request", request_.caller.id.str()},
              {"upstream", excluded_.empty() ? std::string() : excluded_.back().str()},
              {"reason", reason.message}});
+        if (may_forward) {
+            forwarding_reason_ = reason;
+            forward();
+            return;
+        }
         attempt();
         return;
     }
@@ -359,6 +441,9 @@
     if (call_) {
         call_->cancel();
     }
+    if (const auto forwarder = std::exchange(forwarder_, nullptr)) {
+        forwarder->cancel();
+    }
 }
 
 } // namespace anvillead
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -10,6 +10,7 @@
 #include "dispatch/selection.h"
 #include "dispatch/types/route_table.h"
 #include "dispatch/upstream_directory.h"
+#include "dispatch/upstream_paths.h"
 #include "fleet/peer_table.h"
 #include "node/types/node_settings.h"
 #include "routing/retry_budget.h"
@@ -45,6 +46,8 @@
     ihttp_client& host_client;
     upstream_directory directory;
     load_table loads;
+    /// Whether this host reaches the upstreams.
+    upstream_paths paths;
     peer_table peers;
     /// The active configuration; null before the first one was applied.
     std::shared_ptr<const route_table> routes;
@@ -52,6 +55,8 @@
     std::map<service_name, host_retry_budget> retry_budgets;
     /// The process is shutting down.
     bool leaving = false;
+    /// Requests of other hosts' callers that this host serves at present.
+    std::size_t forwarded_requests = 0;
     /// Bytes of upstreams' answers that are held in memory at the same time, beside the first ones of each.
     std::shared_ptr<byte_budget> answer_buffers;
     /// Requests engines for generations; set before the first request.
@@ -75,6 +80,8 @@
     milliseconds time_until_open(const service_name& service) const;
     /// The ready host that performs a duty for the fleet, by rendezvous of the duty's key; empty if there is none.
     host_id responsible_for(const std::string& key);
+    /// Takes note of whether an upstream answered on a connection that was started at `started`.
+    void record_path(instant started, const upstream_record& upstream, bool answered);
     /// Returns the retry budget of a service; created at first use.
     retry_budget& retry_budget_for(const service_name& service);
 };
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -8,6 +8,7 @@
 #include "node/engine_poller.h"
 #include "node/fleet_reporter.h"
 #include "node/node_context.h"
+#include "node/path_prober.h"
 #include "node/platform_feed.h"
 #include "node/registration.h"
 #include "transport/ihttp_server.h"
@@ -34,6 +35,8 @@
     void answer_endpoint_request(const http_request& request, ihttp_exchange& exchange);
     void answer_readiness(ihttp_exchange& exchange);
     void answer_control(const http_request& request, ihttp_exchange& exchange);
+    /// The hosts that callers may be sent to; those without a path to upstreams only if there are no others.
+    std::vector<member> hosts_for_callers(const host_report& self) const;
     const std::vector<std::string>& endpoints_for(const zone_name& zone);
     bool ready() const;
     void report_readiness();
@@ -65,6 +68,7 @@
     std::shared_ptr<registration> registration_;
     std::shared_ptr<state_puller> puller_;
     std::shared_ptr<engine_poller> poller_;
+    std::shared_ptr<path_prober> prober_;
     std::unique_ptr<ihttp_server> frontend_;
     std::unique_ptr<ihttp_server> readiness_;
     std::unique_ptr<ihttp_server> discovery_;
@@ -72,7 +76,7 @@
     std::unique_ptr<ihttp_server> metrics_;
     /// Endpoints by zone, computed once for each version of the list of hosts and state of this host.
     std::map<zone_name, std::vector<std::string>> endpoints_;
-    std::tuple<std::uint64_t, bool, bool> endpoints_version_;
+    std::tuple<std::uint64_t, bool, bool, bool> endpoints_version_;
     instant started_{};
     instant following_checked_{};
     /// Since when no host of a large fleet has reached the platform; unset while one does.
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "node/node_context.h"
+#include "node/request_forwarder.h"
 #include "node/scoped_work.h"
 #include "node/types/admitted_request.h"
 #include "quarantine/suspect_trials.h"
@@ -19,6 +20,12 @@
     void start();
 
 private:
+    /// Passes the request on to another host.
+    void forward();
+    bool can_forward() const;
+    void on_unserved(const std::optional<error>& refusal);
+    /// Serves the request over this host's own connections.
+    void serve();
     /// Sends the request to an upstream, unless it is under quarantine.
     void attempt();
     void request_trial(const upstream_record& chosen);
@@ -43,6 +50,7 @@
     admitted_request request_;
     scoped_work work_;
     std::shared_ptr<ihttp_call> call_;
+    std::shared_ptr<request_forwarder> forwarder_;
     timer_id deadline_timer_ = 0;
     timer_id step_timer_ = 0;
     std::vector<upstream_id> excluded_;
@@ -56,6 +64,12 @@
     int accepted_ = 0;
     /// Number of upstreams to which the request was sent, including those that refused it.
     int sent_ = 0;
+    /// Number of upstreams that could not be reached.
+    int unreachable_ = 0;
+    instant sent_at_{};
+    /// Why the request was passed on, for the caller if no other host takes it.
+    std::optional<error> forwarding_reason_;
+    bool forwarded_ = false;
     /// Sent although it is under quarantine, to find out whether that is still needed.
     bool probe_ = false;
     bool done_ = false;
--- a/src/node/types/admitted_request.h
+++ b/src/node/types/admitted_request.h
@@ -25,6 +25,10 @@
     request_traits traits;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Another host has passed the request on, because it has no path to upstreams.
+    bool forwarded = false;
+    /// Counts the request among those of other hosts for as long as it lives.
+    std::shared_ptr<void> forwarded_slot;
     instant arrived{};
     /// When the complete answer is due; `instant::max()` when neither the caller nor the route sets a time limit.
     instant deadline = instant::max();
--- a/tests/invariants/host_without_path_test.cpp
+++ b/tests/invariants/host_without_path_test.cpp
@@ -283,32 +283,38 @@
     check_runs();
 }
 
-// Guards against an answer that looks complete, or a request that runs twice, when the helping host is lost meanwhile.
+// Guards against an answer that looks complete, or a request that runs twice, when the helping host is lost meanwhile,
+// and against depending on that host.
 TEST(host_without_path, helping_hosts_may_be_lost)
 {
     cut({2}, cut_kind::refused);
     std::this_thread::sleep_for(noticing_time);
-    std::vector<request> long_generations;
     send_requests(milliseconds(1500));
-    for (int i = 0; i < 6; ++i) {
-        request it;
-        it.id = fmt::format("r-{}", ++last_request);
-        it.host = 2;
-        it.answer = fleet->open_generation(2, it.id, 60);
-        long_generations.push_back(it);
-    }
+    std::vector<request> long_generations;
+    const auto open_generations = [&] {
+        for (int i = 0; i < 6; ++i) {
+            request it;
+            it.id = fmt::format("r-{}", ++last_request);
+            it.host = 2;
+            it.answer = fleet->open_generation(2, it.id, 60);
+            long_generations.push_back(it);
+        }
+    };
+    open_generations();
     std::this_thread::sleep_for(milliseconds(400));
-    fleet->kill("node-1");
+    // The only other host of its zone, and one of the other zone.
     fleet->kill("node-4");
+    fleet->kill("node-1");
     send_requests(milliseconds(600));
-    int complete = 0;
+    open_generations();
+    std::size_t whole_generations = 0;
     for (const auto& it : long_generations) {
         it.answer->wait_end();
         const bool whole = it.answer->head().body == expected_events(it.id, 60);
-        complete += whole ? 1 : 0;
+        whole_generations += whole ? 1 : 0;
         CHECK(whole || it.answer->head().status != 200 || !it.answer->head().complete());
     }
-    CHECK(complete >= 1);
+    CHECK(whole_generations >= 6);
     check_runs();
     const auto later = clock::now();
     for (int i = 0; i < 10; ++i) {
