--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -67,6 +67,9 @@
     if (!rest_.empty()) {
         headers.emplace_back("Retry-After", rest_);
     }
+    if (brittle_ >= 0) {
+        headers.emplace_back("Server-Brittle", std::to_string(brittle_));
+    }
     exchange->sequence()->post([exchange, status, headers] { exchange->reply(status, headers, {}); });
 }
 
@@ -139,14 +142,37 @@
     if (rate_limit_ >= 0) {
         out.emplace_back("Server-Limit", fmt::format("{}", rate_limit_));
     }
+    if (brittle_ >= 0) {
+        out.emplace_back("Server-Brittle", std::to_string(brittle_));
+    }
     if (!omit_stamp_) {
         out.emplace_back("Response-Stamp", "stamp-of-" + id_);
     }
     return out;
 }
 
+void engine_server::refuse_for_room(const exchange_ptr& exchange)
+{
+    constexpr std::int64_t ms_per_s = 1000;
+    ++refused_;
+    refuse(exchange, 503);
+    const auto now = steady_ms();
+    auto& times = recent_refusals_;
+    times.push_back(now);
+    times.erase(std::remove_if(times.begin(), times.end(), [now](std::int64_t it) { return it <= now - ms_per_s; }),
+                times.end());
+    if (brittle_ >= 0 && times.size() > static_cast<std::size_t>(brittle_)) {
+        times.clear();
+        crash();
+    }
+}
+
 void engine_server::reply_plain(const http_request& request, const exchange_ptr& exchange)
 {
+    if (slots_ > 0 && plain_runs_.size() >= slots_) {
+        refuse_for_room(exchange);
+        return;
+    }
     executed_.push_back(to_record(request));
     const bool deadly = crash_if_deadly(request);
     if (resets_ > 0) {
@@ -355,6 +381,8 @@
     leaving_ = value.value("leaving", leaving_);
     omit_stamp_ = value.value("unstamped", omit_stamp_);
     wrong_request_id_ = value.value("foreign", wrong_request_id_);
+    slots_ = value.value("slots", slots_);
+    brittle_ = value.value("brittle", brittle_);
     cut_from_ = value.value("cut_from", cut_from_);
     resets_cut_ = value.value("cut_how", resets_cut_ ? "reset" : "hang") == std::string("reset");
     if (cut_from_.empty()) {
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -24,8 +24,11 @@
 /// (responses lack the Response-Stamp header) and `foreign` (responses carry another request's id), `call_ms` (time
 /// that a plain call takes), `deadly_targets` (a request to one of them crashes this program `crash_ms` after it has
 /// begun to run), `crash` (at once),
-/// `cut_from` (addresses of hosts whose requests do not reach it), `cut_how` (`hang`: no answer; `reset`) and `down_ms`
-/// (time until it serves again after a crash). `GET /ran` lists the executed requests and the times of crashes.
+/// `slots`
+/// (plain calls that run at the same time; further ones are refused; 0 for no limit), `brittle` (refusals within a
+/// second beyond which this program crashes, named in each answer; negative for none), `cut_from` (addresses of hosts
+/// whose requests do not reach it), `cut_how` (`hang`: no answer; `reset`) and `down_ms` (time until it serves again
+/// after a crash). `GET /ran` lists the executed requests and the times of crashes.
 class engine_server
 {
 public:
@@ -73,6 +76,8 @@
     void finish_copy(const std::shared_ptr<generation>& value, const std::string& target, bool last,
                      const exchange_ptr& exchange);
     void refuse(const exchange_ptr& exchange, int status);
+    /// Refuses a request for want of a slot; too many of these crash a brittle engine.
+    void refuse_for_room(const exchange_ptr& exchange);
     /// Cuts all requests, refuses connections for `down_time_` and then serves again.
     void crash();
     void control(const nlohmann::json& value);
@@ -101,6 +106,10 @@
     double rate_limit_ = -1;
     /// Prompt part that crashes this engine; empty for none.
     std::string deadly_part_;
+    std::size_t slots_ = 0;
+    int brittle_ = -1;
+    /// Times of the refusals for want of a slot within the last second, in milliseconds of the steady clock.
+    std::vector<std::int64_t> recent_refusals_;
     /// Hosts whose requests do not reach this engine, and whether their connections are reset or hang.
     std::vector<std::string> cut_from_;
     bool resets_cut_ = false;
