--- a/src/fleet/tests/fleet_broadcast_test.cpp
+++ b/src/fleet/tests/fleet_broadcast_test.cpp
@@ -164,3 +164,39 @@
         }
     }
 }
+
+TEST_GROUP(paths_in_reports_test){};
+
+// Guards against hosts that go on sending callers, or passing requests on, to hosts without a path to upstreams, in
+// small and large fleets; half of the fleet is cut, a second cut begins before the first ends.
+TEST(paths_in_reports_test, all_hosts_know_within_a_second_who_has_no_path)
+{
+    constexpr milliseconds notice_time{1000};
+    for (const int hosts : {7, 91, 295}) {
+        simulated_fleet fleet(fleet_of(hosts, 8));
+        fleet.run(milliseconds(5000));
+        fleet.reset_counters();
+        const auto count = static_cast<std::size_t>(hosts);
+        for (std::size_t i = 0; i < count; i += 2) {
+            fleet.set_without_path(fleet.host(i), true);
+        }
+        fleet.run(notice_time);
+        LONGS_EQUAL(0, fleet.hosts_wrong_about_paths());
+        for (std::size_t i = 1; i < count; i += 4) {
+            fleet.set_without_path(fleet.host(i), true);
+        }
+        fleet.run(notice_time);
+        LONGS_EQUAL(0, fleet.hosts_wrong_about_paths());
+        for (std::size_t i = 0; i < count; i += 2) {
+            fleet.set_without_path(fleet.host(i), false);
+        }
+        fleet.run(notice_time);
+        LONGS_EQUAL(0, fleet.hosts_wrong_about_paths());
+        const auto relays = fleet.relays();
+        for (const auto* it : fleet.running_hosts()) {
+            if (hosts > 16 && std::find(relays.begin(), relays.end(), it) == relays.end()) {
+                CHECK(it->bytes_sent + it->bytes_received <= 3 * max_bytes_per_second);
+            }
+        }
+    }
+}
--- a/src/fleet/tests/simulated_fleet.cpp
+++ b/src/fleet/tests/simulated_fleet.cpp
@@ -119,6 +119,7 @@
     out.link_mbps = host.link_mbps;
     out.ready = host.ready;
     out.leaving = host.leaving;
+    out.without_path = host.without_path;
     out.work = host.loads.own();
     if (periodic && !host.exchange->uses_relays() && host.sequence % reports_per_contact_list == 1) {
         out.contacts = host.peers->live_addresses();
@@ -228,6 +229,25 @@
                                           [&](const auto* it) { return it->quarantine->find(parts) == nullptr; }));
 }
 
+void simulated_fleet::set_without_path(simulated_host& host, bool value)
+{
+    host.without_path = value;
+    if (host.running) {
+        report(host, false);
+    }
+}
+
+int simulated_fleet::hosts_wrong_about_paths() const
+{
+    const auto running = running_hosts();
+    return static_cast<int>(std::count_if(running.begin(), running.end(), [&](const simulated_host* host) {
+        return std::any_of(running.begin(), running.end(), [&](const simulated_host* other) {
+            const auto* known = host->peers->find(other->id);
+            return host != other && (known == nullptr || known->without_path != other->without_path);
+        });
+    }));
+}
+
 simulated_host& simulated_fleet::find(const host_id& id)
 {
     return **std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& it) { return it->id == id; });
--- a/src/fleet/tests/simulated_fleet.h
+++ b/src/fleet/tests/simulated_fleet.h
@@ -44,6 +44,7 @@
     int link_mbps = 10;
     bool ready = true;
     bool leaving = false;
+    bool without_path = false;
     /// False for a process that was killed or is paused.
     bool running = false;
     /// Hosts of different partitions do not reach each other.
@@ -77,6 +78,10 @@
     void answer(simulated_host& host, const request_traits& parts);
     /// Number of running hosts that would send a prompt with these parts.
     int hosts_that_send(const request_traits& parts) const;
+    /// A host loses its path to upstreams, or has it again; it reports that immediately.
+    void set_without_path(simulated_host& host, bool value);
+    /// Number of running hosts that are wrong about whether another one has a path.
+    int hosts_wrong_about_paths() const;
     /// Ends the process of a host; `start` begins a new one that knows the seeds only.
     void kill(simulated_host& host);
     void start(simulated_host& host);
