Count the requests to brittle upstreams in one place for the fleet

An upstream that says Server-Brittle falls over when it has to turn away more requests in a second than it names. Hosts sent by their own view, and the reports show plain calls only every 150 ms, so each free slot was used by several of them.

Change: the statement travels as the named rates do, and the owner of the upstream's rate gives its slots away one by one: the host asks before it sends and says when the call has ended. A refusal all the same closes the upstream for all hosts for one and a half times the time in which it tolerates one. Generations are counted from the reports, which show each at once.

--- a/src/dispatch/internal/upstream_limits.cpp
+++ b/src/dispatch/internal/upstream_limits.cpp
@@ -19,7 +19,7 @@
     }
     auto& known = found->second;
     refill(now, known);
-    const bool changed = known.limit.rate != value.rate;
+    const bool changed = known.limit.rate != value.rate || known.limit.tolerated_refusals != value.tolerated_refusals;
     known.limit = value;
     known.available = std::min(known.available, capacity(known));
     if (changed || value.at - known.announced >= settings_.time_tolerance) {
@@ -29,6 +29,10 @@
     if (value.ended()) {
         known.closed_until = {};
     }
+    if (!value.brittle()) {
+        known.slots_taken.clear();
+        known.no_slots_until = {};
+    }
     if (changed && on_change_) {
         on_change_(value);
     }
@@ -65,7 +69,7 @@
 milliseconds upstream_limits::take(instant now, const upstream_id& id)
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.limit.ended()) {
+    if (found == entries_.end() || found->second.limit.rate < 0) {
         return milliseconds(0);
     }
     auto& value = found->second;
@@ -79,6 +83,42 @@
     return std::max(settings_.shortest_wait, milliseconds(static_cast<std::int64_t>(wait)));
 }
 
+milliseconds upstream_limits::take_slot(instant now, const upstream_id& id, std::size_t slots)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || !found->second.limit.brittle()) {
+        return milliseconds(0);
+    }
+    auto& value = found->second;
+    if (now < value.no_slots_until) {
+        return std::chrono::ceil<milliseconds>(value.no_slots_until - now);
+    }
+    auto& taken = value.slots_taken;
+    taken.erase(std::remove_if(taken.begin(), taken.end(), [now](instant it) { return it <= now; }), taken.end());
+    if (taken.size() >= std::max<std::size_t>(1, slots)) {
+        return settings_.slot_wait;
+    }
+    taken.push_back(now + settings_.slot_lifetime);
+    return milliseconds(0);
+}
+
+void upstream_limits::release_slot(instant now, const upstream_id& id, bool refused)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    auto& value = found->second;
+    if (!value.slots_taken.empty()) {
+        value.slots_taken.erase(value.slots_taken.begin());
+    }
+    if (refused && value.limit.brittle()) {
+        const double per_s = std::max(settings_.lowest_refusals, value.limit.tolerated_refusals);
+        const std::chrono::duration<double> pause(settings_.refusal_pause_factor / per_s);
+        value.no_slots_until = now + std::chrono::duration_cast<milliseconds>(pause);
+    }
+}
+
 void upstream_limits::close(instant now, const upstream_id& id, milliseconds wait)
 {
     const auto found = entries_.find(id);
--- a/src/dispatch/tests/upstream_limits_test.cpp
+++ b/src/dispatch/tests/upstream_limits_test.cpp
@@ -138,3 +138,52 @@
     }
     CHECK(limits.closed(now).size() <= upstream_limit_settings().max_upstreams);
 }
+
+// Guards against a brittle upstream that gets more requests at a time than it has slots, from all hosts together.
+TEST(upstream_limits_test, brittle_upstream_gets_no_more_than_its_slots)
+{
+    limits.update(now, {engine, -1, now, 2});
+    CHECK(limits.limited(engine));
+    for (int i = 0; i < 3; ++i) {
+        LONGS_EQUAL(0, limits.take_slot(now, engine, 3).count());
+    }
+    CHECK(limits.take_slot(now, engine, 3).count() > 0);
+    limits.release_slot(now, engine, false);
+    LONGS_EQUAL(0, limits.take_slot(now, engine, 3).count());
+    // It has named no rate.
+    LONGS_EQUAL(0, limits.take(now, engine).count());
+}
+
+// Guards against more refusals at a brittle upstream than it bears, whatever has filled its slots.
+TEST(upstream_limits_test, refusals_of_a_brittle_upstream_keep_their_distance)
+{
+    limits.update(now, {engine, -1, now, 2});
+    int refusals = 0;
+    for (int passed = 0; passed < 10'000; passed += 10) {
+        if (limits.take_slot(now, engine, 3).count() == 0) {
+            limits.release_slot(now, engine, true);
+            ++refusals;
+        }
+        now += milliseconds(10);
+    }
+    CHECK(refusals <= 2 * 10);
+    CHECK(refusals >= 10);
+}
+
+// Guards against slots that are lost with the hosts that had them, and against limits that outlive the brittleness.
+TEST(upstream_limits_test, slots_come_back_and_the_end_of_brittleness_opens_the_upstream)
+{
+    limits.update(now, {engine, -1, now, 0});
+    LONGS_EQUAL(0, limits.take_slot(now, engine, 1).count());
+    CHECK(limits.take_slot(now, engine, 1).count() > 0);
+    now += upstream_limit_settings().slot_lifetime;
+    LONGS_EQUAL(0, limits.take_slot(now, engine, 1).count());
+    limits.release_slot(now, engine, true);
+    CHECK(limits.take_slot(now, engine, 1).count() > 0);
+    now += milliseconds(1);
+    limits.update(now, {engine, -1, now, -1});
+    CHECK(!limits.limited(engine));
+    for (int i = 0; i < 100; ++i) {
+        LONGS_EQUAL(0, limits.take_slot(now, engine, 1).count());
+    }
+}
--- a/src/dispatch/types/upstream_call.h
+++ b/src/dispatch/types/upstream_call.h
@@ -47,11 +47,13 @@
     std::optional<int> load;
     /// Requests per second that the upstream accepts from all hosts together, as long as it says so.
     std::optional<double> rate_limit;
+    /// Refusals within a second beyond which the upstream falls over, as long as it says so.
+    std::optional<double> tolerated_refusals;
     /// The upstream says that it leaves.
     bool leaving = false;
     /// How long the upstream wants no request from this host; set only in a refusal.
     std::optional<milliseconds> rest;
-    /// The upstream named a rate that is not a number in the expected range.
+    /// The upstream named a rate, or a number of refusals, that is not a number in the expected range.
     bool rate_limit_invalid = false;
 };
 
--- a/src/dispatch/upstream_limits.h
+++ b/src/dispatch/upstream_limits.h
@@ -10,16 +10,19 @@
 
 namespace anvillead {
 
-/// A rate that an upstream accepts from all hosts together.
+/// What an upstream in need accepts from all hosts together.
 struct upstream_limit
 {
     upstream_id upstream;
-    /// Requests per second; negative if the upstream names no limit any more.
+    /// Requests per second; negative if the upstream names no rate.
     double rate = -1;
     /// When the upstream said so.
     instant at{};
+    /// Refusals within a second beyond which the upstream falls over; negative if it does not say so.
+    double tolerated_refusals = -1;
 
-    bool ended() const { return rate < 0; }
+    bool brittle() const { return tolerated_refusals >= 0; }
+    bool ended() const { return rate < 0 && !brittle(); }
 };
 
 /// Parameters of the shared rates.
@@ -39,10 +42,18 @@
     milliseconds lifetime{60'000};
     /// Statements about the same upstream within this time are not told to the other hosts again.
     milliseconds time_tolerance{1000};
+    /// Wait for a slot of a brittle upstream; about the time of a call.
+    milliseconds slot_wait{40};
+    /// A slot counts as taken for at most this long.
+    milliseconds slot_lifetime{2000};
+    /// After a refusal, a brittle upstream gets nothing for this part of the time in which it tolerates one.
+    double refusal_pause_factor = 1.5;
+    /// The lowest number of refusals a second that the pause is worked out from.
+    double lowest_refusals = 0.5;
     std::size_t max_upstreams = 512;
 };
 
-/// Rates that upstreams name, and how many requests remain of them.
+/// Rates that upstreams name, and how many requests remain of them; and which upstreams are brittle.
 ///
 /// A rate is one number for all hosts and may be lower than one request per host and second, so it is not divided: one
 /// host, the owner, grants each request from a token bucket, and the others ask it. Every host knows which upstreams
@@ -63,8 +74,14 @@
     /// The known limit; null if there is none.
     const upstream_limit* find(const upstream_id& id) const;
 
-    /// As the owner, takes one request. Returns zero if it may be sent, otherwise the time until the next one may be.
+    /// As the owner, takes one request from the rate. Returns zero if it may be sent, otherwise the time until the next
+    /// one may be.
     milliseconds take(instant now, const upstream_id& id);
+    /// As the owner, takes one of the slots of a brittle upstream. Returns zero if the request may be sent, otherwise
+    /// the time until it may be asked for again.
+    milliseconds take_slot(instant now, const upstream_id& id, std::size_t slots);
+    /// As the owner, records that a request has ended, or that the upstream has refused it.
+    void release_slot(instant now, const upstream_id& id, bool refused);
     /// This host does not use the upstream until `now + wait`.
     void close(instant now, const upstream_id& id, milliseconds wait);
     /// The upstream has asked this host to send nothing for this long.
@@ -90,6 +107,10 @@
         double available = 1;
         instant refilled{};
         instant closed_until{};
+        /// When each slot that the owner has given away counts as free, if its end is not reported before.
+        std::vector<instant> slots_taken;
+        /// The owner gives no slot away until then, after a refusal.
+        instant no_slots_until{};
     };
 
     double used_rate(const entry& value) const;
--- a/src/fleet/internal/limit_codec.cpp
+++ b/src/fleet/internal/limit_codec.cpp
@@ -16,6 +16,8 @@
 constexpr const char* limits_kind = "l1";
 constexpr const char* rate_request_kind = "rq1";
 constexpr const char* rate_response_kind = "ra1";
+constexpr const char* slot_release_kind = "rs1";
+constexpr std::size_t slot_release_fields = 3;
 constexpr std::size_t limits_fields = 2;
 constexpr std::size_t rate_request_fields = 4;
 constexpr std::size_t rate_response_fields = 3;
@@ -23,7 +25,7 @@
 
 json encode_limit(instant now, const upstream_limit& value)
 {
-    return {value.upstream.str(), value.rate, age_of(now, value.at)};
+    return {value.upstream.str(), value.rate, age_of(now, value.at), value.tolerated_refusals};
 }
 
 /// Throws json::exception where a field has another type.
@@ -33,9 +35,13 @@
     out.upstream = upstream_id(in.at(0).get<std::string>());
     out.rate = in.at(1).get<double>();
     out.at = time_of(now, in.at(2));
+    out.tolerated_refusals = in.at(3).get<double>();
     if (!std::isfinite(out.rate)) {
         out.rate = -1;
     }
+    if (!std::isfinite(out.tolerated_refusals)) {
+        out.tolerated_refusals = -1;
+    }
     return out;
 }
 
@@ -75,6 +81,18 @@
                                                              });
 }
 
+std::string encode_slot_release(const slot_release& value)
+{
+    return to_cbor_text({slot_release_kind, value.upstream.str(), value.refused});
+}
+
+std::optional<slot_release> decode_slot_release(std::string_view datagram)
+{
+    return decode_datagram_kind<slot_release>(datagram, slot_release_kind, slot_release_fields, [](const json& in) {
+        return slot_release{upstream_id(in.at(1).get<std::string>()), in.at(2).get<bool>()};
+    });
+}
+
 std::string encode_rate_request(instant now, const rate_request& value)
 {
     return to_cbor_text({rate_request_kind, value.asker.str(), value.number, encode_limit(now, value.limit)});
--- a/src/fleet/limit_codec.h
+++ b/src/fleet/limit_codec.h
@@ -33,6 +33,17 @@
     milliseconds wait{0};
 };
 
+/// Tells the owner of a brittle upstream that a request there has ended.
+struct slot_release
+{
+    upstream_id upstream;
+    /// The upstream has turned it away.
+    bool refused = false;
+};
+
+std::string encode_slot_release(const slot_release& value);
+std::optional<slot_release> decode_slot_release(std::string_view datagram);
+
 std::string encode_rate_request(instant now, const rate_request& value);
 std::optional<rate_request> decode_rate_request(instant now, std::string_view datagram);
 std::string encode_rate_response(const rate_response& value);
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -232,10 +232,21 @@
     }
 }
 
+void plain_call::release_slot(bool refused)
+{
+    if (const auto upstream = std::exchange(slot_, std::nullopt)) {
+        context_.rates->release(*upstream, refused);
+    }
+}
+
 void plain_call::request_rate(const upstream_record& chosen)
 {
     context_.rates->request(chosen.id, [self = shared_from_this(), chosen](bool granted) {
+        if (granted && self->context_.rates->counts_requests(chosen.id)) {
+            self->slot_ = chosen.id;
+        }
         if (self->done_) {
+            self->release_slot(false);
             return;
         }
         if (granted) {
@@ -291,6 +302,7 @@
     const auto now = context_.timers.now();
     if (end.end == http_call_outcome::connect_failed) {
         end_trial();
+        release_slot(false);
         ++unreachable_;
         context_.record_path(sent_at_, upstream, false);
         context_.loads.record_outcome(now, upstream.id, true);
@@ -311,6 +323,7 @@
     if (facts.load) {
         context_.loads.on_report(now, upstream.id, *facts.load);
     }
+    release_slot(end.end == http_call_outcome::complete && facts.refused);
     if (end.end == http_call_outcome::complete && facts.refused) {
         end_trial();
         // After a rest that it has asked for, the upstream is used again at once.
@@ -437,6 +450,7 @@
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(step_timer_);
     end_trial();
+    release_slot(false);
     work_.release();
     if (call_) {
         call_->cancel();
--- a/src/node/internal/rate_service.cpp
+++ b/src/node/internal/rate_service.cpp
@@ -1,5 +1,7 @@
 #include "node/rate_service.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "core/log.h"
@@ -14,6 +16,8 @@
 // Covers a round trip between zones and the scheduling delays of two hosts, but no resending of a lost datagram.
 constexpr milliseconds answer_timeout{40};
 constexpr milliseconds period{150};
+// Covers the way of the grant, the way of the request and the report of the host that has sent it.
+constexpr milliseconds report_delay{40};
 
 } // namespace
 
@@ -24,7 +28,9 @@
         const auto age = std::chrono::duration_cast<milliseconds>(context_.timers.now() - value.at);
         log(log_level::warning, log_event::upstream_limit_changed,
             {{"upstream", value.upstream.str()},
-             {"per_second", value.ended() ? std::string("unlimited") : fmt::format("{:.3f}", value.rate)},
+             {"per_second", value.rate < 0 ? std::string("unlimited") : fmt::format("{:.3f}", value.rate)},
+             {"tolerated_refusals",
+              value.brittle() ? fmt::format("{:.3f}", value.tolerated_refusals) : std::string("unlimited")},
              {"owner", owner(value.upstream).str()},
              {"age_ms", std::to_string(age.count())}});
     });
@@ -77,10 +83,11 @@
     }
     // Another program that has taken over the address cannot end the limit.
     const bool own_answer = head.stamped && !head.foreign;
-    if (!head.rate_limit && !own_answer) {
+    if (!head.rate_limit && !head.tolerated_refusals && !own_answer) {
         return;
     }
-    limits_.update(context_.timers.now(), {upstream, head.rate_limit.value_or(-1), context_.timers.now()});
+    limits_.update(context_.timers.now(), {upstream, head.rate_limit.value_or(-1), context_.timers.now(),
+                                           head.tolerated_refusals.value_or(-1)});
     schedule_changes();
 }
 
@@ -99,13 +106,67 @@
 bool rate_service::take(const upstream_id& upstream)
 {
     const auto now = context_.timers.now();
-    const auto wait = limits_.take(now, upstream);
+    const auto wait = grant(upstream, context_.settings.host);
     if (wait.count() > 0) {
         limits_.close(now, upstream, wait);
     }
     return wait.count() == 0;
 }
 
+bool rate_service::counts_requests(const upstream_id& upstream) const
+{
+    const auto* limit = limits_.find(upstream);
+    return limit != nullptr && limit->brittle();
+}
+
+void rate_service::release(const upstream_id& upstream, bool refused)
+{
+    const auto granting = owner(upstream);
+    const auto* report = context_.peers.find(granting);
+    if (granting == context_.settings.host || report == nullptr) {
+        limits_.release_slot(context_.timers.now(), upstream, refused);
+        return;
+    }
+    send_(report->addresses.report, encode_slot_release({upstream, refused}));
+}
+
+milliseconds rate_service::grant_slot(const upstream_id& upstream, const host_id& asker)
+{
+    const auto now = context_.timers.now();
+    const auto* entry = context_.directory.find(upstream);
+    if (entry == nullptr || !counts_requests(upstream)) {
+        return milliseconds(0);
+    }
+    const auto slots = static_cast<std::size_t>(std::max(1, entry->record.slots));
+    const auto* profile = context_.routes ? context_.routes->service(entry->record.service) : nullptr;
+    if (profile == nullptr || !profile->engine) {
+        return limits_.take_slot(now, upstream, slots);
+    }
+    // Hosts report each generation at once, and it takes long.
+    context_.loads.expire(now);
+    if (context_.loads.total(upstream).active >= static_cast<int>(slots)) {
+        return upstream_limit_settings().slot_wait;
+    }
+    if (asker != context_.settings.host) {
+        context_.loads.reserve(now + report_delay, upstream, {1, 0, 0, 0});
+    }
+    return milliseconds(0);
+}
+
+milliseconds rate_service::grant(const upstream_id& upstream, const host_id& asker)
+{
+    const auto slot = grant_slot(upstream, asker);
+    if (slot.count() > 0) {
+        context_.counters.add("slot_refusals_total");
+        return slot;
+    }
+    const auto wait = limits_.take(context_.timers.now(), upstream);
+    if (wait.count() > 0) {
+        limits_.release_slot(context_.timers.now(), upstream, false);
+    }
+    return wait;
+}
+
 void rate_service::request(const upstream_id& upstream, done_hook done)
 {
     const auto* limit = limits_.find(upstream);
@@ -158,7 +219,7 @@
         return;
     }
     const bool own = owner(value.limit.upstream) == context_.settings.host;
-    const auto wait = own ? limits_.take(now, value.limit.upstream) : upstream_limit_settings().silence_wait;
+    const auto wait = own ? grant(value.limit.upstream, value.asker) : upstream_limit_settings().silence_wait;
     send_(report->addresses.report, encode_rate_response({value.number, wait}));
 }
 
@@ -173,6 +234,10 @@
         handle_request(*request);
         return true;
     }
+    if (const auto ended = decode_slot_release(datagram)) {
+        limits_.release_slot(now, ended->upstream, ended->refused);
+        return true;
+    }
     if (const auto response = decode_rate_response(datagram)) {
         finish(response->number, response->wait);
         return true;
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -33,6 +33,7 @@
     /// Tries again a moment later, since the same request is being tried elsewhere.
     void wait_for_trial();
     void end_trial();
+    void release_slot(bool refused);
     void refuse_quarantined();
     void send(const upstream_record& upstream);
     void on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
@@ -60,6 +61,8 @@
     std::optional<trial> trial_;
     /// When this request has waited long enough for the end of a trial; unset before the first wait.
     instant trial_deadline_{};
+    /// A brittle upstream whose slot this request has.
+    std::optional<upstream_id> slot_;
     /// Number of upstreams that may have executed the request.
     int accepted_ = 0;
     /// Number of upstreams to which the request was sent, including those that refused it.
--- a/src/node/rate_service.h
+++ b/src/node/rate_service.h
@@ -29,6 +29,10 @@
     /// asked, otherwise within a few tens of milliseconds. After a refusal, the upstream is closed for this host for a
     /// while.
     void request(const upstream_id& upstream, done_hook done);
+    /// Whether the owner counts the requests to the upstream, so that their ends have to be reported.
+    bool counts_requests(const upstream_id& upstream) const;
+    /// A request to such an upstream has ended, or was refused there.
+    void release(const upstream_id& upstream, bool refused);
     /// As the owner, takes one request; closes the upstream for this host and returns false if none remains.
     bool take(const upstream_id& upstream);
     /// The host that grants requests to the upstream; empty if there is none.
@@ -46,6 +50,11 @@
     };
 
     void handle_request(const rate_request& value);
+    /// As the owner, decides about a request of `asker`. Returns zero if it may be sent, otherwise the time until it
+    /// may be asked for again.
+    milliseconds grant(const upstream_id& upstream, const host_id& asker);
+    /// The same for a free slot of a brittle upstream.
+    milliseconds grant_slot(const upstream_id& upstream, const host_id& asker);
     void finish(std::uint64_t number, milliseconds wait);
     void schedule_changes();
     void send(const fleet_broadcast::outgoing& value);
--- a/tests/invariants/brittle_upstream_test.cpp
+++ b/tests/invariants/brittle_upstream_test.cpp
@@ -36,6 +36,7 @@
         options.hosts = hosts;
         options.engines = 0;
         options.instances = instances;
+        options.instance_slots = slots;
         fleet = std::make_unique<node_fleet>(options);
         fleet->configure(3);
         for (int i = 1; i <= hosts; ++i) {
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -173,10 +173,14 @@
 
 json node_fleet::server_entry(const std::string& upstream, const std::string& service, const std::string& phase) const
 {
-    return {{"service", service},       {"address", address(upstream)},
-            {"zone", "colombo-a"},      {"version", "v1"},
-            {"capacity", engine_slots}, {"phase", phase},
-            {"warmup-left-ms", 0},      {"born", 1'000'000}};
+    return {{"service", service},
+            {"address", address(upstream)},
+            {"zone", "colombo-a"},
+            {"version", "v1"},
+            {"capacity", service == "registry" ? options_.instance_slots : engine_slots},
+            {"phase", phase},
+            {"warmup-left-ms", 0},
+            {"born", 1'000'000}};
 }
 
 void node_fleet::set_phase(const std::string& engine, const std::string& phase)
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -22,6 +22,8 @@
         int engines = 2;
         int instances = 2;
         int grace_seconds = 8;
+        /// Slots with which the instances are registered.
+        int instance_slots = 24;
         /// Number of a host whose store address is unreachable; 0 for none.
         int host_without_store = 0;
         /// Number of the host with the highest bandwidth; 0 for none.
