--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -25,7 +25,9 @@
 
 constexpr unsigned http_ok = 200;
 
-/// Enables TCP keep-alive probes once per second, so that a connection to a dead peer fails after `timeout`.
+/// Lets a connection to a dead peer fail after `timeout`, whether data is in flight or the connection is idle.
+/// TCP_USER_TIMEOUT decides in both cases, whatever the number of keep-alive probes; the number matches it for systems
+/// without that option.
 void enable_dead_peer_detection(net::ip::tcp::socket& socket, milliseconds timeout)
 {
     if (timeout.count() == 0) {
--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -83,6 +83,7 @@
               {{"ran", executed_},
                {"crashes", crash_times_.size()},
                {"crash_times", crash_times_},
+               {"deadly_crashes", deadly_crashes_},
                {"refused", refused_}});
     } else if (cut_off(request, exchange)) {
         return;
@@ -214,11 +215,12 @@
         return false;
     }
     const auto crashes = crash_times_.size();
-    pool_.timers().after(crash_delay_, [this, crashes] {
-        sequence_->post([this, crashes] {
+    pool_.timers().after(crash_delay_, [this, crashes, target = request.target] {
+        sequence_->post([this, crashes, target] {
             // A crash that came before has ended this request, too.
             if (crash_times_.size() == crashes) {
                 crash();
+                deadly_crashes_.push_back({{"target", target}, {"at_ms", crash_times_.back()}});
             }
         });
     });
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -121,6 +121,8 @@
     anvillead::milliseconds down_time_{500};
     /// Milliseconds of the steady clock.
     std::vector<std::int64_t> crash_times_;
+    /// Targets of the requests that caused a crash, with its time.
+    nlohmann::json deadly_crashes_ = nlohmann::json::array();
     int refused_ = 0;
     /// Number of generations that are cut before their first event, while the engine runs on.
     int early_cuts_ = 0;
--- a/tests/invariants/host_without_path_test.cpp
+++ b/tests/invariants/host_without_path_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <csignal>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -344,3 +345,36 @@
         return names_host();
     }));
 }
+
+// Guards against taking a sound engine that falls silent for a second for a crash or a cut: its generations go on
+// there, and the others get no storm of repeats.
+TEST(host_without_path, upstream_that_is_silent_for_a_second_goes_on)
+{
+    std::vector<request> long_generations;
+    for (int i = 0; i < 2 * hosts; ++i) {
+        request it;
+        it.id = fmt::format("r-{}", ++last_request);
+        it.host = 1 + i % hosts;
+        it.answer = fleet->open_generation(it.host, it.id, 100);
+        long_generations.push_back(it);
+    }
+    send_requests(milliseconds(500));
+    for (const auto* it : {"engine-1", "instance-1"}) {
+        fleet->process_of(it).send_signal(SIGSTOP);
+    }
+    send_requests(milliseconds(1200));
+    for (const auto* it : {"engine-1", "instance-1"}) {
+        fleet->process_of(it).send_signal(SIGCONT);
+    }
+    for (const auto& it : long_generations) {
+        it.answer->wait_end();
+        STRCMP_EQUAL(expected_events(it.id, 100).c_str(), it.answer->head().body.c_str());
+    }
+    LONGS_EQUAL(0, count_in_logs("\"request_quarantined\""));
+    LONGS_EQUAL(0, count_in_logs("\"path_lost\""));
+    LONGS_EQUAL(0, count_in_logs("\"refuses connections\""));
+    const auto begin = clock::now();
+    send_requests(milliseconds(800));
+    DOUBLES_EQUAL(1.0, served_share({1, 2, 3, 4}, begin), 0.01);
+    check_runs();
+}
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -75,11 +75,13 @@
     return fmt::format("127.0.0.{}", number);
 }
 
-void node_fleet::set_upstream_source(int number, const std::string& ip)
+void node_fleet::set_upstream_source(int number, const std::string& ip, bool running)
 {
     upstream_sources_[number] = ip;
     write_settings(number);
-    process_of(fmt::format("node-{}", number)).send_signal(SIGHUP);
+    if (running) {
+        process_of(fmt::format("node-{}", number)).send_signal(SIGHUP);
+    }
 }
 
 std::string node_fleet::write_settings(int number) const
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -40,8 +40,8 @@
 
     void start_node(int number);
     /// Sets the local address of a host's connections to upstreams. With an address that the machine does not have, the
-    /// host reaches none. Takes effect at once in a running host.
-    void set_upstream_source(int number, const std::string& ip);
+    /// host reaches none. Takes effect at once in a running host, otherwise at its next start.
+    void set_upstream_source(int number, const std::string& ip, bool running = true);
     /// The address that `start_node` sets, by which upstreams tell hosts apart.
     static std::string upstream_source(int number);
     void kill(const std::string& name);
