Do not say that a call has not run while an upstream has it

What callers saw: a call whose deadline passed while an upstream had it was answered 504 with outcome not_run; found by the test of a silent upstream. Cause: only ended attempts counted as having reached an upstream. Now the one in flight counts, too.

Failed before: host_without_path_test.call_that_an_upstream_may_still_run_is_not_said_to_have_not_run (was not_run).

--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -54,7 +54,8 @@
         deadline_timer_ =
             context_.timers.after(std::max(remaining_time(), milliseconds(0)), [self = shared_from_this()] {
                 auto reason = make_error(error_kind::deadline_exceeded, "no answer before the deadline");
-                const bool may_have_run = self->accepted_ > 0 || (self->forwarder_ && self->forwarder_->may_have_run());
+                const bool may_have_run =
+                    self->accepted_ > 0 || self->in_flight_ || (self->forwarder_ && self->forwarder_->may_have_run());
                 reason.outcome = may_have_run ? run_outcome::may_have_run : run_outcome::not_run;
                 self->reply_error(reason);
             });
@@ -285,6 +286,7 @@
     }
     out.headers = platform::upstream_headers(request_.message.headers, call);
     ++sent_;
+    in_flight_ = true;
     sent_at_ = context_.timers.now();
     work_.assign(upstream.id, {1, 0, 0, 0});
     call_ = context_.client.fetch(
@@ -299,6 +301,7 @@
 void plain_call::on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer)
 {
     work_.release();
+    in_flight_ = false;
     const auto now = context_.timers.now();
     if (end.end == http_call_outcome::connect_failed) {
         end_trial();
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -73,6 +73,8 @@
     /// Why the request was passed on, for the caller if no other host takes it.
     std::optional<error> forwarding_reason_;
     bool forwarded_ = false;
+    /// An upstream has the request and has not answered yet.
+    bool in_flight_ = false;
     /// Sent although it is under quarantine, to find out whether that is still needed.
     bool probe_ = false;
     bool done_ = false;
--- a/tests/invariants/host_without_path_test.cpp
+++ b/tests/invariants/host_without_path_test.cpp
@@ -391,3 +391,18 @@
     DOUBLES_EQUAL(1.0, served_share({1, 2, 3, 4}, begin), 0.01);
     check_runs();
 }
+
+// Guards against a caller who is told that its call has not run while an upstream has it.
+TEST(host_without_path, call_that_an_upstream_may_still_run_is_not_said_to_have_not_run)
+{
+    for (int i = 1; i <= instances; ++i) {
+        fleet->process_of(fmt::format("instance-{}", i)).send_signal(SIGSTOP);
+    }
+    const auto it = call(1, "/notice/a");
+    it.answer->wait_end();
+    for (int i = 1; i <= instances; ++i) {
+        fleet->process_of(fmt::format("instance-{}", i)).send_signal(SIGCONT);
+    }
+    LONGS_EQUAL(504, it.answer->head().status);
+    STRCMP_EQUAL("may_have_run", it.answer->head().outcome().c_str());
+}
