Check again whether an upstream has crashed when its port was just closing

Now a check whose connection is accepted and lost is repeated up to twice, 25 ms apart. Failed before: deadly_request_test.crash_is_seen_although_the_port_closes_a_moment_later.

--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -32,8 +32,11 @@
         instant at{};
         std::vector<crash_suspect> suspects;
         std::vector<done_hook> done;
+        int attempts = 0;
     };
 
+    void ask(const upstream_record& upstream);
+
     void check_ended(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
     /// Whether the upstream is known to leave, so that its end is no crash.
     bool is_leaving(const upstream_id& upstream) const;
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::size_t max_report_bytes = 256 * 1024;
+// Checks of one loss while the connection is accepted and then lost again, and the time between them.
+constexpr int max_attempts = 3;
+constexpr milliseconds retry_delay{25};
 
 } // namespace
 
@@ -46,6 +49,12 @@
         return;
     }
     found->second.at = context_.timers.now();
+    ask(upstream);
+}
+
+void crash_detector::ask(const upstream_record& upstream)
+{
+    ++checks_[upstream.id].attempts;
     context_.client.fetch(
         platform::make_engine_report_request(upstream.address), max_report_bytes, sequence_,
         [self = shared_from_this(), upstream](const http_call_result& end, const http_response& answer) {
@@ -56,6 +65,11 @@
 void crash_detector::check_ended(const upstream_record& upstream, const http_call_result& end,
                                  const http_response& answer)
 {
+    if (end.end == http_call_outcome::lost && checks_[upstream.id].attempts < max_attempts) {
+        // The port of a process that ends may still accept connections, which are reset then.
+        context_.timers.after(retry_delay, [self = shared_from_this(), upstream] { self->ask(upstream); });
+        return;
+    }
     auto node = checks_.extract(upstream.id);
     auto& value = node.mapped();
     const auto report = platform::parse_engine_report(end, answer);
--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -85,6 +85,8 @@
                {"crash_times", crash_times_},
                {"deadly_crashes", deadly_crashes_},
                {"refused", refused_}});
+    } else if (dying_) {
+        exchange->sequence()->post([exchange] { exchange->abort(); });
     } else if (cut_off(request, exchange)) {
         return;
     } else if (request.path() == "/report") {
@@ -306,7 +308,17 @@
         value->exchange->sequence()->post([exchange = value->exchange] { exchange->abort(); });
     }
     const auto own_address = server_->address();
-    server_->stop_accepting();
+    if (dying_time_.count() == 0) {
+        server_->stop_accepting();
+    } else {
+        dying_ = true;
+        pool_.timers().after(dying_time_, [this] {
+            sequence_->post([this] {
+                dying_ = false;
+                server_->stop_accepting();
+            });
+        });
+    }
     pool_.timers().after(down_time_,
                          [this, own_address] { sequence_->post([this, own_address] { listen(own_address); }); });
 }
@@ -368,6 +380,7 @@
     prefill_time_ = milliseconds(value.value("read_ms", prefill_time_.count()));
     copy_time_ = milliseconds(value.value("copy_ms", copy_time_.count()));
     deadly_targets_ = value.value("deadly_targets", deadly_targets_);
+    dying_time_ = milliseconds(value.value("dying_ms", dying_time_.count()));
     crash_delay_ = milliseconds(value.value("crash_ms", crash_delay_.count()));
     call_time_ = milliseconds(value.value("call_ms", call_time_.count()));
     deadly_part_ = value.value("deadly_part", deadly_part_);
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -119,6 +119,8 @@
     std::vector<std::string> deadly_targets_;
     anvillead::milliseconds crash_delay_{100};
     anvillead::milliseconds down_time_{500};
+    anvillead::milliseconds dying_time_{0};
+    bool dying_ = false;
     /// Milliseconds of the steady clock.
     std::vector<std::int64_t> crash_times_;
     /// Targets of the requests that caused a crash, with its time.
