Pass no refusal on of a request that an upstream here has had

Its first attempt had been lost with the upstream; the host then lost its path, passed the call on, and passed on the other host's refusal. Now the forwarder knows, and the caller gets 502.

The harness keeps the lines of each start of a host in a file of its own.

--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -54,7 +54,7 @@
         self->forwarder_.reset();
         self->fail(failure);
     };
-    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, std::move(hooks));
+    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, false, std::move(hooks));
     forwarder_ = forwarder;
     forwarder->start();
 }
--- a/src/node/internal/node_settings.cpp
+++ b/src/node/internal/node_settings.cpp
@@ -16,7 +16,8 @@
 bool operator==(const node_settings& a, const node_settings& b)
 {
     const auto others = [](const node_settings& it) {
-        return std::tie(it.seeds, it.shutdown_grace, it.retry_share, it.retry_slack, it.max_endpoint_age, it.upstream_source);
+        return std::tie(it.seeds, it.shutdown_grace, it.retry_share, it.retry_slack, it.max_endpoint_age,
+                        it.upstream_source);
     };
     return same_addresses(a, b) && others(a) == others(b);
 }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -91,7 +91,7 @@
         ++self->accepted_;
         self->retry_or_fail(reason);
     };
-    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, std::move(hooks));
+    const auto forwarder = std::make_shared<request_forwarder>(context_, request_, accepted_ > 0, std::move(hooks));
     forwarder_ = forwarder;
     forwarder->start();
 }
--- a/src/node/internal/request_forwarder.cpp
+++ b/src/node/internal/request_forwarder.cpp
@@ -39,8 +39,10 @@
 
 } // namespace
 
-request_forwarder::request_forwarder(node_context& context, const admitted_request& request, hooks value)
-    : context_(context), request_(request), hooks_(std::move(value)), body_buffer_(context.answer_buffers)
+request_forwarder::request_forwarder(node_context& context, const admitted_request& request, bool may_have_run,
+                                     hooks value)
+    : context_(context), request_(request), may_have_run_(may_have_run), hooks_(std::move(value)),
+      body_buffer_(context.answer_buffers)
 {}
 
 bool request_forwarder::possible(const node_context& context)
@@ -200,11 +202,17 @@
 void request_forwarder::on_refusal()
 {
     const auto refusal = parse_error_body(body_);
-    if (!refusal || !concerns_host_alone(refusal->kind)) {
+    const bool final = !refusal || !concerns_host_alone(refusal->kind);
+    if (final && !may_have_run_) {
         reply();
         return;
     }
     sent_ = false;
+    if (final) {
+        done_ = true;
+        hooks_.on_unserved(refusal);
+        return;
+    }
     refusal_ = refusal;
     start();
 }
--- a/src/node/request_forwarder.h
+++ b/src/node/request_forwarder.h
@@ -31,13 +31,15 @@
         std::function<void(const error& reason)> on_failed;
     };
 
-    request_forwarder(node_context& context, const admitted_request& request, hooks value);
+    /// `may_have_run` states that an upstream of this host has had the request, so that no refusal of another host is
+    /// passed on: it would say that the request has not run.
+    request_forwarder(node_context& context, const admitted_request& request, bool may_have_run, hooks value);
     /// Whether there is a host that reaches upstreams.
     static bool possible(const node_context& context);
     void start();
     void cancel();
     /// The request may have reached an upstream through another host.
-    bool may_have_run() const { return sent_; }
+    bool may_have_run() const { return may_have_run_ || sent_; }
 
 private:
     const host_report* choose_host() const;
@@ -51,6 +53,7 @@
 
     node_context& context_;
     const admitted_request& request_;
+    bool may_have_run_;
     hooks hooks_;
     std::shared_ptr<ihttp_call> call_;
     std::vector<host_id> tried_;
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -21,14 +21,13 @@
 /// `POST /control` takes: `id`, `event_ms`, `read_ms` (time to the first event), `copy_ms`, `refuse` (answers 503
 /// without running), `leaving`, `break_after` (number of events after which the next generation's connection is
 /// aborted), `errors` and `resets` (number of plain calls that end with status 500 or a connection reset), `unstamped`
-/// (responses lack the Response-Stamp header) and `foreign` (responses carry another request's id), `call_ms` (time
-/// that a plain call takes), `deadly_targets` (a request to one of them crashes this program `crash_ms` after it has
-/// begun to run), `crash` (at once),
-/// `slots`
-/// (plain calls that run at the same time; further ones are refused; 0 for no limit), `brittle` (refusals within a
-/// second beyond which this program crashes, named in each answer; negative for none), `cut_from` (addresses of hosts
-/// whose requests do not reach it), `cut_how` (`hang`: no answer; `reset`) and `down_ms` (time until it serves again
-/// after a crash). `GET /ran` lists the executed requests and the times of crashes.
+/// (responses lack the Response-Stamp header), `foreign` (responses carry another request's id), `call_ms` (time that a
+/// plain call takes), `slots` (plain calls that run at the same time; further ones are refused; 0 for no limit),
+/// `brittle` (refusals within a second beyond which this program crashes, named in each answer; negative for none),
+/// `deadly_targets` (a request to one of them crashes this program `crash_ms` after it has begun to run), `crash` (at
+/// once), `dying_ms` (time after a crash in which connections are still accepted, and reset), `down_ms` (time until it
+/// serves again), `cut_from` (addresses of hosts whose requests do not reach it) and `cut_how` (`hang`: no answer;
+/// `reset`). `GET /ran` lists the executed requests and the times of crashes.
 class engine_server
 {
 public:
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -65,8 +65,9 @@
 void node_fleet::start_node(int number)
 {
     const auto name = fmt::format("node-{}", number);
+    // A new file for each start, so that the lines of the process before are kept.
     processes_[name] = std::make_unique<process>(
-        directory_.file(name + ".log"),
+        directory_.file(fmt::format("{}-{}.log", name, ++starts_[number])),
         std::vector<std::string>{program("anvillead-node"), "--settings", write_settings(number)});
 }
 
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -81,6 +81,7 @@
     std::vector<std::unique_ptr<port_reservation>> ports_;
     std::map<std::string, std::string> addresses_;
     std::map<int, std::string> upstream_sources_;
+    std::map<int, int> starts_;
     std::map<std::string, std::unique_ptr<process>> processes_;
 };
 
