--- a/src/quarantine/tests/request_quarantine_test.cpp
+++ b/src/quarantine/tests/request_quarantine_test.cpp
@@ -353,6 +353,7 @@
     void crash(const std::vector<request_trait>& open)
     {
         std::vector<crash_suspect> suspects;
+        suspects.reserve(open.size());
         for (const auto& it : open) {
             suspects.push_back({false, {it}});
         }
@@ -442,6 +443,7 @@
 {
     for (int i = 0; i < 500; ++i) {
         std::vector<request_trait> open;
+        open.reserve(60);
         for (int n = 0; n < 60; ++n) {
             open.push_back(call("/" + std::to_string(i) + "/" + std::to_string(n)));
         }
--- a/tests/invariants/deadly_request_test.cpp
+++ b/tests/invariants/deadly_request_test.cpp
@@ -337,7 +337,8 @@
     LONGS_EQUAL(0, refused);
 }
 
-// Guards against a crash that no host counts, because the port still accepted connections for a moment when it was checked.
+// Guards against a crash that no host counts, because the port still accepted connections for a moment when it was
+// checked.
 TEST(deadly_request, crash_is_seen_although_the_port_closes_a_moment_later)
 {
     start(0, {deadly_target});
