Tell the others of requests that time alone puts under quarantine, and two faults found by reading

An entry that was made 100 ms after a crash, when all hosts have reported, was told with the next refresh only. The number of forwarded requests is shared with these requests, which may outlive the context at shutdown. A streamed answer of a plain call through another host could be followed by an error at the deadline.

--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -116,14 +116,14 @@
         reason.retry_after = retry_after_start;
         return reason;
     }
-    if (context_.forwarded_requests >= max_forwarded_requests) {
+    if (*context_.forwarded_requests >= max_forwarded_requests) {
         auto reason = make_error(error_kind::too_many_connections, "this host serves enough callers of other hosts");
         reason.retry_after = retry_after_start;
         return reason;
     }
     out.forwarded = true;
-    ++context_.forwarded_requests;
-    out.forwarded_slot = std::shared_ptr<void>(nullptr, [&context = context_](void*) { --context.forwarded_requests; });
+    ++*context_.forwarded_requests;
+    out.forwarded_slot = std::shared_ptr<void>(nullptr, [count = context_.forwarded_requests](void*) { --*count; });
     return std::nullopt;
 }
 
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -78,7 +78,8 @@
     forwarded_ = true;
     request_forwarder::hooks hooks;
     const auto self = shared_from_this();
-    hooks.on_begun = [] {};
+    // An answer that has begun cannot be replaced by an error any more; the other host keeps the deadline.
+    hooks.on_begun = [self] { self->context_.timers.cancel(self->deadline_timer_); };
     hooks.on_done = [self] {
         log(log_level::info, log_event::request_ended,
             {{"request", self->request_.caller.id.str()}, {"outcome", "forwarded"}});
--- a/src/node/internal/quarantine_service.cpp
+++ b/src/node/internal/quarantine_service.cpp
@@ -41,6 +41,8 @@
     context_.timers.every(period, [self = shared_from_this()] {
         const auto now = self->context_.timers.now();
         self->quarantine_.expire(now);
+        // Time alone may have put a request under quarantine.
+        self->schedule_changes();
         self->send(self->exchange_.run_period(now));
         self->context_.counters.set("quarantined_requests", static_cast<double>(self->quarantine_.entries().size()));
     });
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -55,8 +55,8 @@
     std::map<service_name, host_retry_budget> retry_budgets;
     /// The process is shutting down.
     bool leaving = false;
-    /// Requests of other hosts' callers that this host serves at present.
-    std::size_t forwarded_requests = 0;
+    /// Number of requests of other hosts' callers that this host serves at present; shared with these requests.
+    std::shared_ptr<std::size_t> forwarded_requests;
     /// Bytes of upstreams' answers that are held in memory at the same time, beside the first ones of each.
     std::shared_ptr<byte_budget> answer_buffers;
     /// Requests engines for generations; set before the first request.
