--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -12,8 +12,8 @@
 #include "apps/ctl/drain_file.h"
 #include "apps/ctl/explain.h"
 #include "apps/ctl/folder_upload.h"
+#include "apps/ctl/host_call.h"
 #include "apps/ctl/platform_session.h"
-#include "apps/ctl/quarantine_command.h"
 #include "configuration/diff.h"
 
 namespace anvillead {
@@ -262,8 +262,9 @@
         fmt::print("{}", timeline.value());
         return exit_ok;
     }
-    if (options.command == "quarantine") {
-        const auto answer = call_quarantine(options.host, options.trait);
+    if (options.command == "quarantine" || options.command == "evacuations") {
+        const auto answer = call_host(options.host, options.trait.empty() ? "GET" : "DELETE",
+                                      "/" + options.command + (options.trait.empty() ? "" : "/" + options.trait));
         if (!answer) {
             return print_error(options, answer.error());
         }
--- a/src/apps/ctl/ctl_options.cpp
+++ b/src/apps/ctl/ctl_options.cpp
@@ -14,8 +14,7 @@
 constexpr const char* summary =
     "Client for operators. Commands: config validate DIR | config diff DIR | config apply DIR | config status | audit "
     "| drain host|upstream NAME --dir DIR [--remove] | quarantine list HOST | quarantine lift HOST TRAIT | "
-    "explain "
-    "REQUEST-ID LOGFILE...";
+    "evacuations HOST | explain REQUEST-ID LOGFILE...";
 
 [[noreturn]] void exit_with_usage_error(const std::string& problem)
 {
@@ -54,6 +53,9 @@
         out.command = "quarantine";
         out.host = arguments[2];
         out.trait = is(1, "lift") ? arguments[3] : std::string();
+    } else if (is(0, "evacuations") && arguments.size() == 2) {
+        out.command = "evacuations";
+        out.host = arguments[1];
     } else if (is(0, "explain") && arguments.size() >= 3) {
         out.command = "explain";
         out.request = arguments[1];
@@ -65,8 +67,7 @@
 
 void validate_options(const ctl_options& options)
 {
-    const bool needs_platform =
-        options.command != "validate" && options.command != "explain" && options.command != "quarantine";
+    const bool needs_platform = options.host.empty() && options.command != "validate" && options.command != "explain";
     if (needs_platform && options.platform.empty()) {
         exit_with_usage_error("--platform ADDRESS:PORT is required");
     }
--- a/src/apps/ctl/ctl_options.h
+++ b/src/apps/ctl/ctl_options.h
@@ -8,7 +8,7 @@
 /// The parsed command line.
 struct ctl_options
 {
-    /// "validate", "diff", "apply", "status", "audit", "drain", "quarantine" or "explain"
+    /// "validate", "diff", "apply", "status", "audit", "drain", "quarantine", "evacuations" or "explain"
     std::string command;
     /// Folder of configuration files.
     std::string folder;
--- a/src/apps/ctl/quarantine_command.cpp
+++ b/src/apps/ctl/host_call.cpp
@@ -1,4 +1,4 @@
-#include "apps/ctl/quarantine_command.h"
+#include "apps/ctl/host_call.h"
 
 #include <future>
 
@@ -16,15 +16,15 @@
 
 } // namespace
 
-result<std::string> call_quarantine(const std::string& host, const std::string& trait)
+result<std::string> call_host(const std::string& host, const std::string& method, const std::string& target)
 {
     worker_pool pool(1);
     const auto client = make_http_client(pool);
     pool.start();
     http_call_request request;
     request.address = host;
-    request.method = trait.empty() ? "GET" : "DELETE";
-    request.target = trait.empty() ? "/quarantine" : "/quarantine/" + trait;
+    request.method = method;
+    request.target = target;
     request.connect_timeout = answer_timeout;
     request.head_timeout = answer_timeout;
     request.idle_timeout = answer_timeout;
--- a/src/dispatch/internal/load_table.cpp
+++ b/src/dispatch/internal/load_table.cpp
@@ -118,9 +118,17 @@
     }
 }
 
-void load_table::on_report(instant now, const upstream_id& id, int requests)
+void load_table::on_report(instant now, const upstream_id& id, const upstream_load& load)
 {
-    reports_[id] = {now, requests};
+    reports_[id] = {now, load.requests, load.pace_percent};
+}
+
+int load_table::pace_percent(instant now, const upstream_id& id) const
+{
+    constexpr int usual_pace = 100;
+    const auto it = reports_.find(id);
+    const bool recent = it != reports_.end() && now - it->second.at <= limits_.report_max_age;
+    return recent ? it->second.pace_percent.value_or(usual_pace) : usual_pace;
 }
 
 void load_table::record_outcome(instant now, const upstream_id& id, bool failed)
--- a/src/dispatch/internal/selection.cpp
+++ b/src/dispatch/internal/selection.cpp
@@ -23,12 +23,17 @@
     return tie_threshold_ms * static_cast<double>(placement_hash(id.str(), tie_breaker) % steps) / steps;
 }
 
-double common_cost(const selection_input& input, const upstream_record& record, const selection_weights& weights)
+double common_cost(const selection_input& input, const upstream_directory::entry& entry,
+                   const selection_weights& weights)
 {
+    const auto& record = entry.record;
     double out = weights.failure_ms * input.loads->failure_ratio(input.now, record.id);
     if (record.availability_zone != input.own_zone) {
         out += weights.other_zone_ms;
     }
+    if (input.directory->is_cold(input.now, entry)) {
+        out += weights.cold_ms;
+    }
     return out;
 }
 
@@ -65,7 +70,7 @@
             work.active > 0) {
             continue;
         }
-        double cost = common_cost(input, record, weights);
+        double cost = common_cost(input, *it, weights);
         cost += static_cast<double>(work.unread_tokens) / weights.prompt_tokens_per_ms;
         cost += weights.active_ms * work.active + weights.copy_ms * work.copies;
         cost += tie_break_ms(record.id, need.tie_breaker);
@@ -89,7 +94,7 @@
         }
         const int requests = input.loads->requests(input.now, record.id);
         const double load = static_cast<double>(requests) / std::max(1, record.slots);
-        double cost = common_cost(input, record, weights) + tie_break_ms(record.id, tie_breaker);
+        double cost = common_cost(input, *it, weights) + tie_break_ms(record.id, tie_breaker);
         // An upstream hardly slows down until all its slots are in use; further requests are queued.
         cost += weights.plain_call_ms * (load + 3 * std::max(0.0, load - 1));
         if (!best || cost < best_cost) {
--- a/src/dispatch/internal/upstream_directory.cpp
+++ b/src/dispatch/internal/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace anvillead {
@@ -47,6 +48,8 @@
     if (found == entries_.end()) {
         auto& added = entries_[value.id];
         added.record = value;
+        added.returned_at = listed_ ? now : instant{};
+        added.cold_until = now + value.warmup_left;
         if (value.leaving) {
             begin_leaving(now, added);
         }
@@ -59,11 +62,13 @@
     if (restarted || moved) {
         known = entry{};
         known.record = value;
+        known.returned_at = now;
         if (hooks_.on_restarted) {
             hooks_.on_restarted(value.id);
         }
     }
     known.record = value;
+    known.cold_until = now + value.warmup_left;
     known.lapsed = false;
     known.removed = false;
     if (value.leaving) {
@@ -151,13 +156,77 @@
 {
     std::vector<const entry*> out;
     for (const auto& [id, value] : entries_) {
-        if (value.usable && value.record.service == service) {
+        if (value.usable && value.record.service == service && !is_evacuated(value)) {
             out.push_back(&value);
         }
     }
     return out;
 }
 
+bool upstream_directory::accepts(const upstream_id& id) const
+{
+    const auto* value = find(id);
+    return value != nullptr && value->usable && !is_evacuated(*value);
+}
+
+bool upstream_directory::all_evacuated(const service_name& service) const
+{
+    bool out = false;
+    for (const auto& [id, value] : entries_) {
+        if (!value.usable || value.record.service != service) {
+            continue;
+        }
+        if (!is_evacuated(value)) {
+            return false;
+        }
+        out = true;
+    }
+    return out;
+}
+
+void upstream_directory::set_evacuated(instant now, std::set<zone_name> zones)
+{
+    for (auto& [id, value] : entries_) {
+        if (is_evacuated(value) && zones.count(value.record.availability_zone) == 0) {
+            value.returned_at = now;
+        }
+    }
+    evacuated_ = std::move(zones);
+}
+
+void upstream_directory::on_warmup_stated(instant now, const upstream_id& id, milliseconds left)
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second.cold_until = now + left;
+    }
+}
+
+bool upstream_directory::is_cold(instant now, const entry& value) const
+{
+    const auto found = warmups_.find(value.record.service);
+    if (found == warmups_.end() || found->second.time.count() == 0) {
+        return false;
+    }
+    const bool returned = value.returned_at != instant{} && now < value.returned_at + found->second.time;
+    return returned || now < value.cold_until;
+}
+
+std::optional<double> upstream_directory::warmup_rate(instant now, const upstream_id& id) const
+{
+    const auto* value = find(id);
+    if (value == nullptr || !is_cold(now, *value)) {
+        return std::nullopt;
+    }
+    return warmups_.at(value->record.service).requests_per_s;
+}
+
+std::size_t upstream_directory::cold_count(instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [&](const auto& it) { return it.second.usable && is_cold(now, it.second); }));
+}
+
 std::vector<upstream_id> upstream_directory::recently_leaving(instant now) const
 {
     std::vector<upstream_id> out;
--- a/src/dispatch/internal/upstream_limits.cpp
+++ b/src/dispatch/internal/upstream_limits.cpp
@@ -27,7 +27,7 @@
         changes_.insert(value.upstream);
     }
     if (value.ended()) {
-        known.closed_until = {};
+        closed_until_.erase(value.upstream);
     }
     if (!value.brittle()) {
         known.slots_taken.clear();
@@ -38,11 +38,6 @@
     }
 }
 
-bool upstream_limits::limited(const upstream_id& id) const
-{
-    return find(id) != nullptr;
-}
-
 const upstream_limit* upstream_limits::find(const upstream_id& id) const
 {
     const auto found = entries_.find(id);
@@ -70,16 +65,42 @@
 {
     const auto found = entries_.find(id);
     if (found == entries_.end() || found->second.limit.rate < 0) {
-        return milliseconds(0);
+        return take_warmup(now, id);
     }
     auto& value = found->second;
     refill(now, value);
+    if (value.available >= 1) {
+        const auto wait = take_warmup(now, id);
+        value.available -= wait.count() == 0 ? 1 : 0;
+        return wait;
+    }
+    constexpr double ms_per_s = 1000;
+    const auto wait = std::ceil((1 - value.available) / used_rate(value) * ms_per_s);
+    return std::max(settings_.shortest_wait, milliseconds(static_cast<std::int64_t>(wait)));
+}
+
+milliseconds upstream_limits::take_warmup(instant now, const upstream_id& id)
+{
+    const auto tolerated = warmup_ ? warmup_(now, id) : std::nullopt;
+    if (!tolerated) {
+        warmups_.erase(id);
+        return milliseconds(0);
+    }
+    const double rate = std::max(settings_.lowest_rate, *tolerated * settings_.warmup_share);
+    const double most = std::max(1.0, rate * settings_.warmup_burst_s);
+    const auto [found, added] = warmups_.try_emplace(id);
+    auto& value = found->second;
+    if (!added) {
+        const double elapsed = std::chrono::duration<double>(now - value.refilled).count();
+        value.available = std::min(most, value.available + std::max(0.0, elapsed) * rate);
+    }
+    value.refilled = now;
     if (value.available >= 1) {
         value.available -= 1;
         return milliseconds(0);
     }
     constexpr double ms_per_s = 1000;
-    const auto wait = std::ceil((1 - value.available) / used_rate(value) * ms_per_s);
+    const auto wait = std::ceil((1 - value.available) / rate * ms_per_s);
     return std::max(settings_.shortest_wait, milliseconds(static_cast<std::int64_t>(wait)));
 }
 
@@ -121,9 +142,8 @@
 
 void upstream_limits::close(instant now, const upstream_id& id, milliseconds wait)
 {
-    const auto found = entries_.find(id);
-    if (found != entries_.end()) {
-        found->second.closed_until = now + std::max(wait, settings_.shortest_wait);
+    if (closed_until_.size() < settings_.max_upstreams || closed_until_.count(id) != 0) {
+        closed_until_[id] = now + std::max(wait, settings_.shortest_wait);
     }
 }
 
@@ -149,8 +169,8 @@
             out.push_back(id);
         }
     }
-    for (const auto& [id, value] : entries_) {
-        if (!value.limit.ended() && value.closed_until > now) {
+    for (const auto& [id, until] : closed_until_) {
+        if (until > now) {
             out.push_back(id);
         }
     }
@@ -163,10 +183,8 @@
     for (const auto& [id, until] : rests_) {
         first = until > now ? std::min(first, until) : first;
     }
-    for (const auto& [id, value] : entries_) {
-        if (!value.limit.ended() && value.closed_until > now) {
-            first = std::min(first, value.closed_until);
-        }
+    for (const auto& [id, until] : closed_until_) {
+        first = until > now ? std::min(first, until) : first;
     }
     return first == instant::max() ? milliseconds(0) : std::chrono::ceil<milliseconds>(first - now);
 }
@@ -176,6 +194,12 @@
     for (auto it = rests_.begin(); it != rests_.end();) {
         it = it->second <= now ? rests_.erase(it) : std::next(it);
     }
+    for (auto it = closed_until_.begin(); it != closed_until_.end();) {
+        it = it->second <= now ? closed_until_.erase(it) : std::next(it);
+    }
+    for (auto it = warmups_.begin(); it != warmups_.end();) {
+        it = warming(now, it->first) ? std::next(it) : warmups_.erase(it);
+    }
     for (auto it = entries_.begin(); it != entries_.end();) {
         it = now - it->second.limit.at > settings_.lifetime ? entries_.erase(it) : std::next(it);
     }
--- a/src/dispatch/load_table.h
+++ b/src/dispatch/load_table.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/types/ids.h"
 #include "core/types/units.h"
+#include "dispatch/types/upstream_call.h"
 #include "dispatch/types/upstream_work.h"
 
 namespace anvillead {
@@ -47,8 +49,10 @@
     void set_fleet_work(instant now, const work_map& work);
     /// Removes expired reservations and the work of hosts that have stopped reporting.
     void expire(instant now);
-    /// Records the number of running and queued requests that the upstream itself reported.
-    void on_report(instant now, const upstream_id& id, int requests);
+    /// Records what the upstream itself reported.
+    void on_report(instant now, const upstream_id& id, const upstream_load& load);
+    /// How long work takes at the upstream, in percent of the usual time, as it stated recently; 100 if it did not.
+    int pace_percent(instant now, const upstream_id& id) const;
     void record_outcome(instant now, const upstream_id& id, bool failed);
     /// Clears the failure counts and the reported load of an upstream that has restarted.
     void forget(const upstream_id& id);
@@ -80,6 +84,7 @@
     {
         instant at{};
         int requests = 0;
+        std::optional<int> pace_percent;
     };
 
     struct reservation
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -26,6 +26,8 @@
     double copy_ms = 0;
     /// Fraction of an engine's memory that may be reserved; the rest absorbs answers that are longer than expected.
     double memory_share = 0.92;
+    /// A cold upstream is slow, and may only get few requests; a warm one with about as much work is preferred.
+    double cold_ms = 100;
     /// Service time of a plain call; scales the cost of queueing.
     double plain_call_ms = 40;
 };
--- a/src/dispatch/tests/load_table_test.cpp
+++ b/src/dispatch/tests/load_table_test.cpp
@@ -47,7 +47,9 @@
 TEST(load_table_test, a_report_counts_until_it_is_too_old)
 {
     table.add(engine, {1, 0, 0, 0});
-    table.on_report(now, engine, 5);
+    table.on_report(now, engine, {5, 130, false});
+    LONGS_EQUAL(130, table.pace_percent(now, engine));
+    LONGS_EQUAL(100, table.pace_percent(now + load_table_limits().report_max_age + milliseconds(1), engine));
     LONGS_EQUAL(5, table.requests(now, engine));
     LONGS_EQUAL(1, table.requests(now + load_table_limits().report_max_age + milliseconds(1), engine));
 }
--- a/src/dispatch/tests/upstream_limits_test.cpp
+++ b/src/dispatch/tests/upstream_limits_test.cpp
@@ -61,7 +61,7 @@
     CHECK(granted(seconds(4), milliseconds(10)) >= 60);
     now += milliseconds(1);
     name(-1);
-    CHECK(!limits.limited(engine));
+    CHECK(!limits.limited(now, engine));
     LONGS_EQUAL(100, granted(seconds(1), milliseconds(10)));
 }
 
@@ -70,7 +70,7 @@
 {
     name(2);
     limits.update(now, {engine, -1, now - milliseconds(100)});
-    CHECK(limits.limited(engine));
+    CHECK(limits.limited(now, engine));
     limits.update(now, {engine, 50, now - milliseconds(100)});
     DOUBLES_EQUAL(2, limits.find(engine)->rate, 0.001);
 }
@@ -132,7 +132,7 @@
     LONGS_EQUAL(1, limits.closed(now + milliseconds(1400)).size());
     LONGS_EQUAL(1500, limits.next_opening(now).count());
     LONGS_EQUAL(0, limits.closed(now + milliseconds(1500)).size());
-    CHECK(!limits.limited(engine));
+    CHECK(!limits.limited(now, engine));
     for (int i = 0; i < 2000; ++i) {
         limits.rest(now, upstream_id(std::to_string(i)), seconds(1));
     }
@@ -143,7 +143,7 @@
 TEST(upstream_limits_test, brittle_upstream_gets_no_more_than_its_slots)
 {
     limits.update(now, {engine, -1, now, 2});
-    CHECK(limits.limited(engine));
+    CHECK(limits.limited(now, engine));
     for (int i = 0; i < 3; ++i) {
         LONGS_EQUAL(0, limits.take_slot(now, engine, 3).count());
     }
@@ -182,7 +182,7 @@
     CHECK(limits.take_slot(now, engine, 1).count() > 0);
     now += milliseconds(1);
     limits.update(now, {engine, -1, now, -1});
-    CHECK(!limits.limited(engine));
+    CHECK(!limits.limited(now, engine));
     for (int i = 0; i < 100; ++i) {
         LONGS_EQUAL(0, limits.take_slot(now, engine, 1).count());
     }
--- a/src/dispatch/types/route_table.h
+++ b/src/dispatch/types/route_table.h
@@ -58,9 +58,19 @@
     bool moves = false;
 };
 
+/// What upstreams of a service tolerate after a start.
+struct warmup_profile
+{
+    /// How long an upstream is cold after its start; zero if its service knows no warm-up.
+    milliseconds time{0};
+    /// Requests per second of all hosts together that a cold upstream tolerates.
+    double requests_per_s = 0;
+};
+
 struct service_profile
 {
     service_name name;
+    warmup_profile warmup;
     /// Set when the service consists of model engines.
     std::optional<engine_profile> engine;
 };
--- a/src/dispatch/types/upstream_call.h
+++ b/src/dispatch/types/upstream_call.h
@@ -31,6 +31,17 @@
     std::optional<resume_point> resume;
 };
 
+/// What an upstream says about its load at this moment.
+struct upstream_load
+{
+    /// Requests running or queued there.
+    int requests = 0;
+    /// How long work takes on its machine, in percent of the usual time; unset if it does not say so.
+    std::optional<int> pace_percent;
+    /// It named a pace that is no positive number in the expected range.
+    bool pace_invalid = false;
+};
+
 /// Information from the status line and headers of an upstream's answer.
 struct upstream_response_head
 {
@@ -43,8 +54,11 @@
     bool foreign = false;
     /// The body has a content encoding that was applied between the upstream and this host.
     bool encoded = false;
-    /// Requests running or queued at the upstream.
-    std::optional<int> load;
+    std::optional<upstream_load> load;
+    /// The upstream stated a load that cannot be read, completely or in part.
+    bool load_invalid = false;
+    /// How long the upstream stays cold, if it says so.
+    std::optional<milliseconds> warmup_left;
     /// Requests per second that the upstream accepts from all hosts together, as long as it says so.
     std::optional<double> rate_limit;
     /// Refusals within a second beyond which the upstream falls over, as long as it says so.
--- a/src/dispatch/types/upstream_record.h
+++ b/src/dispatch/types/upstream_record.h
@@ -22,6 +22,8 @@
     bool leaving = false;
     /// Wall-clock start time in milliseconds; differs after a restart under the same id. Zero if unknown.
     std::int64_t started_at_ms = 0;
+    /// How long the upstream stays cold, as it said when it published this entry.
+    milliseconds warmup_left{0};
 };
 
 } // namespace anvillead
--- a/src/dispatch/upstream_directory.h
+++ b/src/dispatch/upstream_directory.h
@@ -2,8 +2,11 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
+#include "dispatch/types/route_table.h"
 #include "dispatch/types/upstream_record.h"
 
 namespace anvillead {
@@ -45,6 +48,10 @@
         bool said_leaving = false;
         /// The platform does not list it any more.
         bool removed = false;
+        /// Until when the upstream has said that it is cold.
+        instant cold_until{};
+        /// When it has started or returned, as far as this host saw it; cold for its service's warm-up time from then.
+        instant returned_at{};
     };
 
     /// `on_leaving` is called when an upstream starts to leave or is removed, `on_restarted` when it was
@@ -83,8 +90,27 @@
     const std::map<upstream_id, entry>& entries() const { return entries_; }
     /// Upstreams that have begun to leave recently, to be announced to other hosts.
     std::vector<upstream_id> recently_leaving(instant now) const;
-    /// Usable upstreams of a service, ordered by id.
+    /// Usable upstreams of a service outside evacuated availability zones, ordered by id.
     std::vector<const entry*> usable(const service_name& service) const;
+    /// Whether the upstream may get anything new: it is not leaving, and its availability zone is not evacuated.
+    bool accepts(const upstream_id& id) const;
+    /// All upstreams of the service that could be used are in evacuated zones, and there is at least one.
+    bool all_evacuated(const service_name& service) const;
+
+    /// Sets the availability zones whose upstreams get nothing new. Upstreams of zones that return count as cold.
+    void set_evacuated(instant now, std::set<zone_name> zones);
+    const std::set<zone_name>& evacuated() const { return evacuated_; }
+    bool is_evacuated(const entry& value) const { return evacuated_.count(value.record.availability_zone) != 0; }
+
+    /// Entries that appear from now on describe upstreams that have just started.
+    void finish_first_listing() { listed_ = true; }
+    void set_warmups(std::map<service_name, warmup_profile> value) { warmups_ = std::move(value); }
+    /// The upstream itself has said how long it stays cold.
+    void on_warmup_stated(instant now, const upstream_id& id, milliseconds left);
+    /// Requests per second that a cold upstream tolerates from all hosts together; nothing for a warm one.
+    std::optional<double> warmup_rate(instant now, const upstream_id& id) const;
+    bool is_cold(instant now, const entry& value) const;
+    std::size_t cold_count(instant now) const;
 
 private:
     void begin_leaving(instant now, entry& value);
@@ -93,6 +119,9 @@
     directory_limits limits_;
     hooks hooks_;
     std::map<upstream_id, entry> entries_;
+    std::set<zone_name> evacuated_;
+    std::map<service_name, warmup_profile> warmups_;
+    bool listed_ = false;
     bool platform_unreachable_ = false;
     instant grace_until_{};
     /// Until when upstreams that were leaving before the platform forgot changes are held back.
--- a/src/dispatch/upstream_limits.h
+++ b/src/dispatch/upstream_limits.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -50,7 +51,11 @@
     double refusal_pause_factor = 1.5;
     /// The lowest number of refusals a second that the pause is worked out from.
     double lowest_refusals = 0.5;
-    std::size_t max_upstreams = 512;
+    /// Part of the rate of a cold upstream that is used, and requests that may follow each other at once in seconds of
+    /// that rate. Two hosts that both take themselves for the owner stay within one and a half times the rate.
+    double warmup_share = 0.7;
+    double warmup_burst_s = 0.25;
+    std::size_t max_upstreams = 1024;
 };
 
 /// Rates that upstreams name, and how many requests remain of them; and which upstreams are brittle.
@@ -63,14 +68,19 @@
 public:
     /// Called when a limit was named, changed or ended.
     using change_hook = std::function<void(const upstream_limit&)>;
+    /// Returns the requests per second that a cold upstream tolerates from all hosts together; nothing for a warm one.
+    using warmup_hook = std::function<std::optional<double>(instant, const upstream_id&)>;
 
     explicit upstream_limits(upstream_limit_settings settings = {}) : settings_(settings) {}
     void on_change(change_hook hook) { on_change_ = std::move(hook); }
+    void set_warmup(warmup_hook hook) { warmup_ = std::move(hook); }
 
     /// Records what an upstream or another host said. Older statements than the known one are dropped.
     void update(instant now, const upstream_limit& value);
     /// Whether requests to the upstream need a grant.
-    bool limited(const upstream_id& id) const;
+    bool limited(instant now, const upstream_id& id) const { return find(id) != nullptr || warming(now, id); }
+    /// Whether the upstream is cold.
+    bool warming(instant now, const upstream_id& id) const { return warmup_ && warmup_(now, id).has_value(); }
     /// The known limit; null if there is none.
     const upstream_limit* find(const upstream_id& id) const;
 
@@ -106,20 +116,32 @@
         instant announced{};
         double available = 1;
         instant refilled{};
-        instant closed_until{};
         /// When each slot that the owner has given away counts as free, if its end is not reported before.
         std::vector<instant> slots_taken;
         /// The owner gives no slot away until then, after a refusal.
         instant no_slots_until{};
     };
 
+    /// Requests that a cold upstream may still get.
+    struct warmup_bucket
+    {
+        double available = 1;
+        instant refilled{};
+    };
+
+    /// Takes one request from the rate of a cold upstream. Returns zero if it may be sent.
+    milliseconds take_warmup(instant now, const upstream_id& id);
     double used_rate(const entry& value) const;
     double capacity(const entry& value) const;
     void refill(instant now, entry& value) const;
 
     upstream_limit_settings settings_;
     change_hook on_change_;
+    warmup_hook warmup_;
     std::map<upstream_id, entry> entries_;
+    std::map<upstream_id, warmup_bucket> warmups_;
+    /// Until when this host does not use upstreams whose rates are used up.
+    std::map<upstream_id, instant> closed_until_;
     std::set<upstream_id> changes_;
     /// Until when upstreams rest, for this host alone.
     std::map<upstream_id, instant> rests_;
--- a/src/fleet/internal/peer_table.cpp
+++ b/src/fleet/internal/peer_table.cpp
@@ -28,6 +28,7 @@
     known.platform_reachable = update.platform_reachable;
     known.configuration = update.configuration;
     known.directory_revision = update.directory_revision;
+    known.evacuation_revision = update.evacuation_revision;
     known.leaving_upstreams = update.leaving_upstreams;
     known.requests_member_list = update.requests_member_list;
     for (const auto& [id, work] : update.work) {
@@ -143,15 +144,16 @@
     }
 }
 
-void peer_table::on_relay_summary(instant now, const host_id& relay, config_generation configuration,
-                                  store_revision directory_revision)
+void peer_table::on_relay_summary(instant now, const fleet_summary& summary)
 {
     last_summary_ = now;
-    on_relay_datagram(now, relay);
-    const auto found = peers_.find(relay);
+    on_relay_datagram(now, summary.relay);
+    const auto found = peers_.find(summary.relay);
     if (found != peers_.end()) {
-        found->second.report.configuration = configuration;
-        found->second.report.directory_revision = directory_revision;
+        auto& report = found->second.report;
+        report.configuration = summary.configuration;
+        report.directory_revision = summary.directory_revision;
+        report.evacuation_revision = summary.evacuation_revision;
     }
 }
 
--- a/src/fleet/internal/report_codec.cpp
+++ b/src/fleet/internal/report_codec.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-constexpr int format_version = 3;
+constexpr int format_version = 4;
 
 // Index of each field in the array that encodes a datagram.
 enum datagram_field : std::size_t
@@ -34,6 +34,7 @@
     f_sequence,
     f_configuration,
     f_directory,
+    f_evacuations,
     f_work,
     f_leaving_upstreams,
     f_incremental_count,
@@ -56,6 +57,7 @@
     s_digest,
     s_configuration,
     s_directory,
+    s_evacuations,
     s_reachable,
     s_work,
     s_leaving_upstreams,
@@ -115,10 +117,15 @@
 json encode_entry(const report_entry& value)
 {
     const auto& report = value.report;
-    json out = {flags_of(value),      report.host.str(),
-                report.incarnation,   report.sequence,
-                report.configuration, report.directory_revision.packed(),
-                encode_work(value),   encode_ids(report.leaving_upstreams)};
+    json out = {flags_of(value),
+                report.host.str(),
+                report.incarnation,
+                report.sequence,
+                report.configuration,
+                report.directory_revision.packed(),
+                report.evacuation_revision.packed(),
+                encode_work(value),
+                encode_ids(report.leaving_upstreams)};
     if (!value.incremental) {
         out.push_back(report.availability_zone.str());
         out.push_back(report.addresses.frontend);
@@ -171,6 +178,7 @@
     report.sequence = in.at(f_sequence).get<std::uint64_t>();
     report.configuration = in.at(f_configuration).get<config_generation>();
     report.directory_revision = store_revision::from_packed(in.at(f_directory).get<std::uint64_t>());
+    report.evacuation_revision = store_revision::from_packed(in.at(f_evacuations).get<std::uint64_t>());
     decode_work_list(in.at(f_work), report.work);
     decode_ids(in.at(f_leaving_upstreams), report.leaving_upstreams);
     if (!out.incremental) {
@@ -245,8 +253,8 @@
         work.push_back(encode_amounts(id, amounts));
     }
     return to_cbor_text({format_version, value.relay.str(), value.incarnation, value.sequence, value.member_digest,
-                         value.configuration, value.directory_revision.packed(), value.platform_reachable,
-                         std::move(work), encode_ids(value.leaving_upstreams)});
+                         value.configuration, value.directory_revision.packed(), value.evacuation_revision.packed(),
+                         value.platform_reachable, std::move(work), encode_ids(value.leaving_upstreams)});
 }
 
 std::optional<fleet_summary> decode_summary(std::string_view datagram)
@@ -264,6 +272,7 @@
         out.member_digest = in[s_digest].get<std::uint64_t>();
         out.configuration = in[s_configuration].get<config_generation>();
         out.directory_revision = store_revision::from_packed(in[s_directory].get<std::uint64_t>());
+        out.evacuation_revision = store_revision::from_packed(in[s_evacuations].get<std::uint64_t>());
         out.platform_reachable = in[s_reachable].get<bool>();
         decode_work_list(in[s_work], out.work);
         decode_ids(in[s_leaving_upstreams], out.leaving_upstreams);
--- a/src/fleet/internal/report_exchange.cpp
+++ b/src/fleet/internal/report_exchange.cpp
@@ -301,6 +301,7 @@
     }
     zone_configuration_ = std::max(zone_configuration_, report.configuration);
     zone_directory_revision_ = std::max(zone_directory_revision_, report.directory_revision);
+    zone_evacuation_revision_ = std::max(zone_evacuation_revision_, report.evacuation_revision);
 }
 
 bool report_exchange::needs_forwarding(const forwarded_report& last, const host_report& report) const
@@ -308,8 +309,8 @@
     // If the other relays already know of a version, they need not be told that one more host has it; the next full
     // report contains it.
     return report.configuration > zone_configuration_ || report.directory_revision > zone_directory_revision_ ||
-           report.ready != last.report.ready || report.leaving != last.report.leaving ||
-           report.without_path != last.report.without_path ||
+           report.evacuation_revision > zone_evacuation_revision_ || report.ready != last.report.ready ||
+           report.leaving != last.report.leaving || report.without_path != last.report.without_path ||
            report.platform_reachable != last.report.platform_reachable ||
            report.leaving_upstreams != last.report.leaving_upstreams || !changed_work(last.report, report).empty();
 }
@@ -583,6 +584,7 @@
     out.member_digest = peers_.member_digest() ^ member_hash(own_report_);
     out.configuration = own_report_.configuration;
     out.directory_revision = own_report_.directory_revision;
+    out.evacuation_revision = own_report_.evacuation_revision;
     out.platform_reachable =
         own_report_.platform_reachable || std::any_of(peers_.live().begin(), peers_.live().end(),
                                                       [](const host_report* it) { return it->platform_reachable; });
@@ -634,7 +636,7 @@
     summary_version_ = {summary.incarnation, summary.sequence};
     last_summary_ = now;
     summarized_ = true;
-    peers_.on_relay_summary(now, summary.relay, summary.configuration, summary.directory_revision);
+    peers_.on_relay_summary(now, summary);
     compare_lists(now, summary);
     if (hooks_.on_summary) {
         hooks_.on_summary(summary);
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -62,8 +62,7 @@
     void on_relay_datagram(instant now, const host_id& host, bool repeats = true);
     /// Records that the relay of this host considers all hosts live that it has not reported as lost, and which
     /// versions of the platform's state the relay holds.
-    void on_relay_summary(instant now, const host_id& relay, config_generation configuration,
-                          store_revision directory_revision);
+    void on_relay_summary(instant now, const fleet_summary& summary);
     /// Marks a host as lost from which nothing was received directly for `timeout`.
     void remove_if_silent(instant now, const host_id& host, milliseconds timeout);
     /// Marks hosts as lost about which nothing was received since `time`, except `relay`.
--- a/src/fleet/report_exchange.h
+++ b/src/fleet/report_exchange.h
@@ -222,6 +222,7 @@
     /// Latest versions that were forwarded as a relay.
     config_generation zone_configuration_ = 0;
     store_revision zone_directory_revision_;
+    store_revision zone_evacuation_revision_;
     instant last_sent_{};
     bool was_relay_ = false;
 
--- a/src/fleet/tests/fleet_broadcast_test.cpp
+++ b/src/fleet/tests/fleet_broadcast_test.cpp
@@ -200,3 +200,29 @@
         }
     }
 }
+
+// Guards against hosts that send requests to an evacuated zone because nobody told them of a newer list. One host reads
+// the list from the store. Relays fetch it at most every 50 ms, the others every 250 ms, as node_daemon does.
+TEST(paths_in_reports_test, newer_list_of_evacuated_zones_is_known_to_all_within_a_second)
+{
+    constexpr milliseconds relay_fetch_interval{50};
+    constexpr int relay_fetches = 20;
+    constexpr int relay_fetches_per_fetch = 5;
+    for (const int hosts : {7, 91, 295}) {
+        for (const unsigned seed : {8U, 9U}) {
+            simulated_fleet fleet(fleet_of(hosts, seed));
+            fleet.run(milliseconds(5000));
+            const auto relays = fleet.relays();
+            auto& follower = relays.empty() ? fleet.host(0) : fleet.find(relays.front()->id);
+            // The second list is one of a store that came back from an older copy and counts from a lower number.
+            for (const auto revision : {store_revision(1, 70), store_revision(2, 60)}) {
+                fleet.set_evacuation_revision(follower, revision);
+                for (int i = 1; i <= relay_fetches; ++i) {
+                    fleet.run(relay_fetch_interval);
+                    fleet.fetch_evacuations(i % relay_fetches_per_fetch != 0);
+                }
+                LONGS_EQUAL(0, fleet.hosts_with_older_evacuations(revision));
+            }
+        }
+    }
+}
--- a/src/fleet/tests/report_codec_test.cpp
+++ b/src/fleet/tests/report_codec_test.cpp
@@ -23,6 +23,7 @@
     value.platform_reachable = true;
     value.configuration = 12;
     value.directory_revision = {2, 34};
+    value.evacuation_revision = {2, 31};
     value.work[upstream_id("e")] = {1, 2, 3, 4};
     value.work[upstream_id("idle")] = {};
     value.leaving_upstreams = {upstream_id("gone")};
@@ -36,6 +37,7 @@
     CHECK(out->host == value.host);
     CHECK(out->ready && out->platform_reachable && !out->leaving);
     CHECK(out->directory_revision == store_revision(2, 34));
+    CHECK(out->evacuation_revision == store_revision(2, 31));
     LONGS_EQUAL(1, out->work.size());
     LONGS_EQUAL(3, out->work.at(upstream_id("e")).memory_tokens);
     CHECK(out->leaving_upstreams == value.leaving_upstreams);
@@ -95,6 +97,7 @@
     value.member_digest = 0xfedcba9876543210;
     value.configuration = 3;
     value.directory_revision = {1, 4};
+    value.evacuation_revision = {1, 2};
     value.platform_reachable = true;
     value.work[upstream_id("busy")] = {1, 2, 3, 4};
     value.work[upstream_id("ended")] = {};
@@ -105,6 +108,7 @@
     CHECK(out.has_value());
     CHECK(out->relay == value.relay && out->sequence == 9 && out->member_digest == value.member_digest);
     CHECK(out->configuration == 3 && out->directory_revision == store_revision(1, 4) && out->platform_reachable);
+    CHECK(out->evacuation_revision == store_revision(1, 2));
     CHECK(out->work == value.work);
     CHECK(out->leaving_upstreams == value.leaving_upstreams);
 }
--- a/src/fleet/tests/simulated_fleet.cpp
+++ b/src/fleet/tests/simulated_fleet.cpp
@@ -120,6 +120,7 @@
     out.ready = host.ready;
     out.leaving = host.leaving;
     out.without_path = host.without_path;
+    out.evacuation_revision = host.evacuation_revision;
     out.work = host.loads.own();
     if (periodic && !host.exchange->uses_relays() && host.sequence % reports_per_contact_list == 1) {
         out.contacts = host.peers->live_addresses();
@@ -237,6 +238,37 @@
     }
 }
 
+void simulated_fleet::set_evacuation_revision(simulated_host& host, store_revision value)
+{
+    host.evacuation_revision = value;
+    if (host.running) {
+        report(host, false);
+    }
+}
+
+void simulated_fleet::fetch_evacuations(bool relays_only)
+{
+    for (const auto& host : hosts_) {
+        if (!host->running || (relays_only && !host->exchange->is_relay())) {
+            continue;
+        }
+        auto newest = host->evacuation_revision;
+        for (const auto* it : host->peers->live()) {
+            newest = std::max(newest, it->evacuation_revision);
+        }
+        if (newest > host->evacuation_revision) {
+            set_evacuation_revision(*host, newest);
+        }
+    }
+}
+
+int simulated_fleet::hosts_with_older_evacuations(store_revision value) const
+{
+    const auto running = running_hosts();
+    return static_cast<int>(
+        std::count_if(running.begin(), running.end(), [&](const auto* it) { return it->evacuation_revision < value; }));
+}
+
 int simulated_fleet::hosts_wrong_about_paths() const
 {
     const auto running = running_hosts();
--- a/src/fleet/tests/simulated_fleet.h
+++ b/src/fleet/tests/simulated_fleet.h
@@ -45,6 +45,7 @@
     bool ready = true;
     bool leaving = false;
     bool without_path = false;
+    store_revision evacuation_revision;
     /// False for a process that was killed or is paused.
     bool running = false;
     /// Hosts of different partitions do not reach each other.
@@ -80,6 +81,11 @@
     int hosts_that_send(const request_traits& parts) const;
     /// A host loses its path to upstreams, or has it again; it reports that immediately.
     void set_without_path(simulated_host& host, bool value);
+    /// A host reads a newer list of evacuated zones from the store; it reports that immediately.
+    void set_evacuation_revision(simulated_host& host, store_revision value);
+    /// Each running host, or each relay, fetches the newest list of evacuated zones that another host reports.
+    void fetch_evacuations(bool relays_only);
+    int hosts_with_older_evacuations(store_revision value) const;
     /// Number of running hosts that are wrong about whether another one has a path.
     int hosts_wrong_about_paths() const;
     /// Ends the process of a host; `start` begins a new one that knows the seeds only.
--- a/src/fleet/types/host_report.h
+++ b/src/fleet/types/host_report.h
@@ -45,6 +45,8 @@
     config_generation configuration = 0;
     /// Platform revision up to which its upstream directory is current.
     store_revision directory_revision;
+    /// Platform revision of its list of evacuated availability zones; unset if it has none.
+    store_revision evacuation_revision;
     std::map<upstream_id, upstream_work> work;
     /// This host follows the platform's upstream directory and can reach it.
     bool platform_reachable = false;
@@ -95,6 +97,7 @@
     /// Versions of the platform's state that the relay holds and hands out.
     config_generation configuration = 0;
     store_revision directory_revision;
+    store_revision evacuation_revision;
     /// At least one host follows the platform's upstream directory and can reach it.
     bool platform_reachable = false;
     /// Work of the whole fleet on upstreams where it has changed; an amount of zero means that all work has ended.
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -157,9 +157,6 @@
     response_headers_ = headers;
     context_.record_path(sent_at_, engine_, true);
     context_.rates->on_answer(engine_.id, head_);
-    if (head_.load) {
-        context_.loads.on_report(context_.timers.now(), engine_.id, *head_.load);
-    }
     if (head_.refused) {
         // Counts as a failure: an engine that refuses requests looks idle and would attract all further ones.
         // After a rest that it has asked for, it is used again at once.
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -167,6 +167,11 @@
     if (!worth_moving() || is_quarantined()) {
         return;
     }
+    if (target_ && !context_.directory.accepts(target_->id)) {
+        // Its zone has been evacuated since it was chosen.
+        drop_target();
+        return;
+    }
     switch (move_.next(context_.timers.now(), others_copying())) {
     case move_step::wait:
         break;
@@ -266,6 +271,11 @@
             target_.reset();
         }
         move_.reset();
+        const auto* source = context_.directory.find(engine_.id);
+        if (source != nullptr && context_.directory.is_evacuated(*source)) {
+            fail(make_error(error_kind::generation_lost, "its engine's availability zone is evacuated"));
+            return;
+        }
         send(engine_, resume_point{platform::copy_source(engine_.address, handle), last_event_, events_ > 0});
         return;
     }
@@ -309,8 +319,7 @@
     if (copy_handle_.empty() || !target_ || is_quarantined()) {
         return false;
     }
-    const auto* entry = context_.directory.find(target_->id);
-    if (entry == nullptr || !entry->usable) {
+    if (!context_.directory.accepts(target_->id)) {
         return false;
     }
     auto fields = log_context();
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -183,6 +183,10 @@
 void generation_relay::place()
 {
     phase_ = phase::placing;
+    if (context_.directory.all_evacuated(request_.service)) {
+        refuse_for_capacity();
+        return;
+    }
     auto question = make_question();
     const auto wait = std::chrono::duration_cast<milliseconds>(capacity_deadline_ - context_.timers.now());
     question.patience = std::max(wait, milliseconds(0));
@@ -278,8 +282,11 @@
         forward(make_error(error_kind::no_upstream, "the engines cannot be reached"));
         return;
     }
-    auto reason = none ? make_error(error_kind::no_upstream, "the service has no engine that accepts requests")
-                       : make_error(error_kind::overloaded, "no engine has free capacity for the request");
+    const bool evacuated = context_.directory.all_evacuated(request_.service);
+    auto reason =
+        none ? make_error(error_kind::no_upstream, evacuated ? "the availability zones of all engines are evacuated"
+                                                             : "the service has no engine that accepts requests")
+             : make_error(error_kind::overloaded, "no engine has free capacity for the request");
     reason.retry_after =
         std::max(none ? retry_after_no_engine : retry_after_no_capacity, context_.time_until_open(request_.service));
     fail(reason);
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -106,13 +106,17 @@
                               *client_, settings_.store, platform::configuration_collection, sequence_)),
       upstreams_(platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
       hosts_(platform::make_object_collection(*client_, settings_.store, host_collection, sequence_)),
-      feed_(context_, *configuration_, *upstreams_, [this] { report_readiness(); })
+      evacuations_(settings_.evacuations ? platform::make_object_collection(*client_, settings_.store,
+                                                                            platform::evacuation_collection, sequence_)
+                                         : nullptr),
+      feed_(context_, {*configuration_, *upstreams_, evacuations_.get()}, [this] { report_readiness(); })
 {
     reporter_ = std::make_shared<fleet_reporter>(context_, sequence_, [this](host_report& report) {
         report.ready = ready();
         report.without_path = context_.paths.any_lost();
         report.configuration = feed_.configuration_version();
         report.directory_revision = feed_.state().upstream_revision;
+        report.evacuation_revision = feed_.state().evacuations.revision;
         report.platform_reachable = feed_.connected();
         report.leaving_upstreams.assign(poller_->leaving().begin(), poller_->leaving().end());
     });
@@ -140,7 +144,8 @@
         context_, *hosts_, [this] { return !large_fleet() || reporter_->exchange().is_relay(); });
     state_puller::hooks hooks;
     hooks.known_state = [this] {
-        return state_request{feed_.configuration_version(), feed_.state().upstream_revision};
+        return state_request{feed_.configuration_version(), feed_.state().upstream_revision,
+                             feed_.state().evacuations.revision};
     };
     hooks.on_update = [this](const state_update& value) { feed_.apply_update(value); };
     hooks.platform_connected = [this] { return feed_.connected() && feed_.configuration_connected(); };
@@ -231,6 +236,7 @@
     context_.timers.every(housekeeping_period, [this] {
         detect_suspension();
         context_.directory.expire(context_.timers.now());
+        feed_.expire();
         context_.loads.expire(context_.timers.now());
         prober_->probe_if_due();
         puller_->pull_if_behind();
@@ -351,7 +357,7 @@
 
 bool node_daemon::ready() const
 {
-    return context_.routes != nullptr && feed_.has_upstreams() && !context_.leaving;
+    return feed_.complete() && !context_.leaving;
 }
 
 void node_daemon::report_readiness()
@@ -377,6 +383,8 @@
                        encode_update(make_update(feed_.state(), *query)));
     } else if (const auto answer = answer_quarantine_request(*context_.quarantine, request)) {
         exchange.reply(answer->status, {{"Content-Type", "application/json"}}, answer->body);
+    } else if (request.method == "GET" && request.path() == "/evacuations") {
+        exchange.reply(http_ok, {{"Content-Type", "application/json"}}, feed_.describe_evacuations());
     } else if (request.path() == "/metrics") {
         exchange.reply(http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
     } else {
@@ -412,7 +420,7 @@
 void node_daemon::update_following()
 {
     const auto now = context_.timers.now();
-    if (!feed_.has_upstreams() || !context_.routes) {
+    if (!feed_.complete()) {
         feed_.set_following(true);
         return;
     }
--- a/src/node/internal/placement_service.cpp
+++ b/src/node/internal/placement_service.cpp
@@ -159,13 +159,12 @@
         }
         return;
     case placement_verdict::granted: {
-        const auto* entry = context_.directory.find(answer.engine);
-        if (entry == nullptr || !entry->usable) {
-            // The scheduler's directory is older or newer than that of this host.
+        if (!context_.directory.accepts(answer.engine)) {
+            // The scheduler's directory, or its list of evacuated zones, is older or newer than that of this host.
             finish(answer.number, {std::nullopt, true, {}});
             return;
         }
-        finish(answer.number, {entry->record, false, value.scheduler});
+        finish(answer.number, {context_.directory.find(answer.engine)->record, false, value.scheduler});
         return;
     }
     case placement_verdict::refused:
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -160,7 +160,9 @@
         return;
     }
     if (!chosen) {
-        auto reason = make_error(error_kind::no_upstream, "no upstream of the service accepts the request");
+        auto reason = make_error(error_kind::no_upstream, context_.directory.all_evacuated(request_.service)
+                                                              ? "the availability zones of all upstreams are evacuated"
+                                                              : "no upstream of the service accepts the request");
         reason.retry_after = std::max(retry_after, context_.time_until_open(request_.service));
         if (accepted_ == 0 && unreachable_ > 0 && can_forward()) {
             forwarding_reason_ = reason;
@@ -324,9 +326,6 @@
     }
     const auto facts = platform::read_upstream_response_head(answer.status, answer.headers, request_.caller.id);
     context_.rates->on_answer(upstream.id, facts);
-    if (facts.load) {
-        context_.loads.on_report(now, upstream.id, *facts.load);
-    }
     release_slot(end.end == http_call_outcome::complete && facts.refused);
     if (end.end == http_call_outcome::complete && facts.refused) {
         end_trial();
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -30,19 +30,23 @@
 
 } // namespace
 
-platform_feed::platform_feed(node_context& context, iobject_collection& configuration, iobject_collection& upstreams,
-                             std::function<void()> on_configuration)
+platform_feed::platform_feed(node_context& context, const sources& collections, std::function<void()> on_configuration)
     : context_(context), on_configuration_(std::move(on_configuration)),
-      configuration_follower_(
-          std::make_shared<collection_follower>(configuration, context.timers, "configuration", configuration_hooks())),
-      upstream_follower_(std::make_shared<collection_follower>(upstreams, context.timers, "upstreams", upstream_hooks(),
-                                                               upstream_follower_limits()))
+      configuration_follower_(std::make_shared<collection_follower>(collections.configuration, context.timers,
+                                                                    "configuration", configuration_hooks())),
+      upstream_follower_(std::make_shared<collection_follower>(collections.upstreams, context.timers, "upstreams",
+                                                               upstream_hooks(), upstream_follower_limits())),
+      evacuations_(context, collections.evacuations, [this](const evacuation_state& value) {
+          state_.evacuations = value;
+          context_.on_work_changed();
+      })
 {}
 
 void platform_feed::start()
 {
     configuration_follower_->start();
     upstream_follower_->start();
+    evacuations_.start();
 }
 
 void platform_feed::set_following(bool value)
@@ -56,6 +60,7 @@
     } else {
         configuration_follower_->stop();
         upstream_follower_->stop();
+        evacuations_.stop();
     }
 }
 
@@ -64,6 +69,7 @@
     if (following_) {
         configuration_follower_->refresh();
         upstream_follower_->refresh();
+        evacuations_.refresh();
     }
 }
 
@@ -118,6 +124,11 @@
     context_.routes = table.value();
     state_.configuration = object;
     state_.configuration_version = context_.routes->version;
+    std::map<service_name, warmup_profile> warmups;
+    for (const auto& [name, profile] : context_.routes->services) {
+        warmups.emplace(name, profile.warmup);
+    }
+    context_.directory.set_warmups(std::move(warmups));
     log(log_level::info, log_event::configuration_applied,
         {{"version", std::to_string(context_.routes->version)},
          {"routes", std::to_string(context_.routes->routes.size())}});
@@ -168,6 +179,7 @@
 void platform_feed::advance_upstream_revision(store_revision revision)
 {
     state_.upstream_revision = std::max(state_.upstream_revision, revision);
+    context_.directory.finish_first_listing();
     for (auto it = state_.upstreams.begin(); it != state_.upstreams.end();) {
         const auto removed_at = it->second.revision;
         const bool expired =
@@ -216,6 +228,9 @@
         // The platform's notification to this host was lost without an error.
         configuration_follower_->refresh();
     }
+    if (value.evacuations) {
+        evacuations_.apply(*value.evacuations);
+    }
     if (value.upstream_revision <= state_.upstream_revision) {
         return;
     }
--- a/src/node/internal/rate_service.cpp
+++ b/src/node/internal/rate_service.cpp
@@ -13,6 +13,8 @@
 
 // Changes within this time are sent together.
 constexpr milliseconds gather_time{10};
+// Interval of the log lines about one upstream whose load cannot be read; it may say so in each answer.
+constexpr milliseconds rejection_log_interval{10'000};
 // Covers a round trip between zones and the scheduling delays of two hosts, but no resending of a lost datagram.
 constexpr milliseconds answer_timeout{40};
 constexpr milliseconds period{150};
@@ -24,6 +26,8 @@
 rate_service::rate_service(node_context& context, const report_exchange& reports, send_hook send)
     : context_(context), send_(std::move(send)), exchange_(limit_state(limits_), reports)
 {
+    limits_.set_warmup(
+        [this](instant now, const upstream_id& upstream) { return context_.directory.warmup_rate(now, upstream); });
     limits_.on_change([this](const upstream_limit& value) {
         const auto age = std::chrono::duration_cast<milliseconds>(context_.timers.now() - value.at);
         log(log_level::warning, log_event::upstream_limit_changed,
@@ -41,8 +45,12 @@
     context_.timers.every(period, [self = shared_from_this()] {
         const auto now = self->context_.timers.now();
         self->limits_.expire(now);
+        for (auto it = self->load_rejections_.begin(); it != self->load_rejections_.end();) {
+            it = now - it->second >= rejection_log_interval ? self->load_rejections_.erase(it) : std::next(it);
+        }
         self->send(self->exchange_.run_period(now));
         self->context_.counters.set("limited_upstreams", static_cast<double>(self->limits_.count()));
+        self->context_.counters.set("cold_upstreams", static_cast<double>(self->context_.directory.cold_count(now)));
     });
 }
 
@@ -71,6 +79,7 @@
     if (head.leaving && !head.foreign) {
         context_.directory.on_said_leaving(context_.timers.now(), upstream);
     }
+    record_state(upstream, head);
     if (head.rest) {
         limits_.rest(context_.timers.now(), upstream, *head.rest);
         log(log_level::warning, log_event::upstream_rests,
@@ -91,6 +100,26 @@
     schedule_changes();
 }
 
+void rate_service::record_state(const upstream_id& upstream, const upstream_response_head& head)
+{
+    const auto now = context_.timers.now();
+    if (head.load) {
+        context_.loads.on_report(now, upstream, *head.load);
+    }
+    if (head.warmup_left && !head.foreign) {
+        context_.directory.on_warmup_stated(now, upstream, *head.warmup_left);
+    }
+    if (!head.load_invalid) {
+        return;
+    }
+    context_.counters.add("upstream_loads_rejected_total");
+    auto& logged = load_rejections_[upstream];
+    if (logged == instant{} || now - logged >= rejection_log_interval) {
+        logged = now;
+        log(log_level::warning, log_event::upstream_load_rejected, {{"upstream", upstream.str()}});
+    }
+}
+
 host_id rate_service::owner(const upstream_id& upstream) const
 {
     const auto* entry = context_.directory.find(upstream);
@@ -169,11 +198,13 @@
 
 void rate_service::request(const upstream_id& upstream, done_hook done)
 {
-    const auto* limit = limits_.find(upstream);
-    if (limit == nullptr) {
+    if (!limits_.limited(context_.timers.now(), upstream)) {
         done(true);
         return;
     }
+    // For an upstream that is only cold, the request tells the owner nothing about a rate.
+    const auto* known = limits_.find(upstream);
+    const auto limit = known != nullptr ? *known : upstream_limit{upstream};
     const auto granting = owner(upstream);
     const auto* report = context_.peers.find(granting);
     if (granting == context_.settings.host || report == nullptr) {
@@ -190,7 +221,7 @@
         self->finish(number, upstream_limit_settings().silence_wait);
     });
     send_(report->addresses.report,
-          encode_rate_request(context_.timers.now(), {context_.settings.host, number, *limit}));
+          encode_rate_request(context_.timers.now(), {context_.settings.host, number, limit}));
 }
 
 void rate_service::finish(std::uint64_t number, milliseconds wait)
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -1,6 +1,7 @@
 #include "node/state_exchange.h"
 
 #include <charconv>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -35,12 +36,31 @@
     return out;
 }
 
+std::vector<std::string> zone_names(const std::set<zone_name>& zones)
+{
+    std::vector<std::string> out;
+    for (const auto& it : zones) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+/// Throws json::exception if the value is no list of strings.
+std::set<zone_name> read_zones(const nlohmann::json& names)
+{
+    std::set<zone_name> out;
+    for (const auto& it : names) {
+        out.insert(zone_name(it.get<std::string>()));
+    }
+    return out;
+}
+
 } // namespace
 
 std::string state_request_target(const state_request& request)
 {
-    return fmt::format("{}?configuration={}&upstreams={}", state_path, request.configuration_version,
-                       request.upstream_revision.packed());
+    return fmt::format("{}?configuration={}&upstreams={}&evacuations={}", state_path, request.configuration_version,
+                       request.upstream_revision.packed(), request.evacuation_revision.packed());
 }
 
 std::optional<state_request> parse_state_request(const http_request& request)
@@ -49,7 +69,8 @@
         return std::nullopt;
     }
     return state_request{query_number(request, "configuration"),
-                         store_revision::from_packed(query_number(request, "upstreams"))};
+                         store_revision::from_packed(query_number(request, "upstreams")),
+                         store_revision::from_packed(query_number(request, "evacuations"))};
 }
 
 state_update make_update(const platform_state& state, const state_request& request)
@@ -66,15 +87,23 @@
             out.upstreams.emplace(name, entry.value);
         }
     }
+    if (state.evacuations.revision > request.evacuation_revision) {
+        out.evacuations = state.evacuations;
+    }
     return out;
 }
 
 std::string encode_update(const state_update& value)
 {
-    const nlohmann::json out = {{"configuration", value.configuration},
-                                {"upstreams", value.upstreams},
-                                {"upstream_revision", value.upstream_revision.packed()},
-                                {"whole", value.whole}};
+    nlohmann::json out = {{"configuration", value.configuration},
+                          {"upstreams", value.upstreams},
+                          {"upstream_revision", value.upstream_revision.packed()},
+                          {"whole", value.whole}};
+    if (value.evacuations) {
+        out["evacuations"] = {{"listed", zone_names(value.evacuations->listed)},
+                              {"held", zone_names(value.evacuations->held)},
+                              {"revision", value.evacuations->revision.packed()}};
+    }
     return out.dump();
 }
 
@@ -90,6 +119,10 @@
         out.upstreams = parsed->at("upstreams").get<std::map<std::string, nlohmann::json>>();
         out.upstream_revision = store_revision::from_packed(parsed->at("upstream_revision").get<std::uint64_t>());
         out.whole = parsed->at("whole").get<bool>();
+        if (const auto found = parsed->find("evacuations"); found != parsed->end()) {
+            out.evacuations = {read_zones(found->at("listed")), read_zones(found->at("held")),
+                               store_revision::from_packed(found->at("revision").get<std::uint64_t>())};
+        }
         return out;
     } catch (const nlohmann::json::exception&) {
         // A field is missing or has another type, so another program produced the text.
@@ -103,7 +136,8 @@
 
 bool state_puller::is_newer(const host_report& report, const state_request& known) const
 {
-    return report.configuration > known.configuration_version || report.directory_revision > known.upstream_revision;
+    return report.configuration > known.configuration_version || report.directory_revision > known.upstream_revision ||
+           report.evacuation_revision > known.evacuation_revision;
 }
 
 void state_puller::on_report(const host_report& report)
@@ -131,8 +165,11 @@
         // Peers of the same zone are preferred: traffic within a zone is free, and the hosts of a zone share the load
         // of its followers.
         const bool in_zone = it->availability_zone == context_.settings.availability_zone;
-        if (best == nullptr || in_zone > best_in_zone ||
-            (in_zone == best_in_zone && it->directory_revision > best->directory_revision)) {
+        const auto is_ahead = [&] {
+            return std::tie(it->evacuation_revision, it->directory_revision) >
+                   std::tie(best->evacuation_revision, best->directory_revision);
+        };
+        if (best == nullptr || in_zone > best_in_zone || (in_zone == best_in_zone && is_ahead())) {
             best = it;
             best_in_zone = in_zone;
         }
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -63,6 +63,8 @@
     std::unique_ptr<iobject_collection> configuration_;
     std::unique_ptr<iobject_collection> upstreams_;
     std::unique_ptr<iobject_collection> hosts_;
+    /// Null if operators of this deployment do not evacuate availability zones.
+    std::unique_ptr<iobject_collection> evacuations_;
     platform_feed feed_;
     std::shared_ptr<fleet_reporter> reporter_;
     std::shared_ptr<registration> registration_;
--- a/src/node/platform_feed.h
+++ b/src/node/platform_feed.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "node/collection_follower.h"
+#include "node/evacuation_feed.h"
 #include "node/node_context.h"
 #include "node/state_exchange.h"
 
@@ -16,12 +17,23 @@
 class platform_feed
 {
 public:
-    platform_feed(node_context& context, iobject_collection& configuration, iobject_collection& upstreams,
-                  std::function<void()> on_configuration);
+    /// The collections of the platform's store that are followed.
+    struct sources
+    {
+        iobject_collection& configuration;
+        iobject_collection& upstreams;
+        /// Null if operators of this deployment do not evacuate availability zones.
+        iobject_collection* evacuations = nullptr;
+    };
+
+    platform_feed(node_context& context, const sources& collections, std::function<void()> on_configuration);
 
     void start();
     /// Queries the platform again at once, after the process was suspended.
     void refresh();
+    /// Called several times a second; ends what is held for some time only.
+    void expire() { evacuations_.expire(); }
+    std::string describe_evacuations() const { return evacuations_.describe(); }
     /// Applies the parts of another host's state that are newer than this host's.
     void apply_update(const state_update& value);
     /// Sets the hook that is called once for each return of the store from an older copy, after which what this system
@@ -38,6 +50,8 @@
     bool configuration_connected() const { return following_ && configuration_follower_->connected(); }
     /// The directory has been read at least once.
     bool has_upstreams() const { return !state_.upstream_revision.unset(); }
+    /// All that is needed to serve requests is known.
+    bool complete() const { return context_.routes != nullptr && has_upstreams() && evacuations_.known(); }
 
 private:
     void apply_configuration_items(const std::vector<collection_item>& items);
@@ -61,6 +75,7 @@
     bool following_ = true;
     std::shared_ptr<collection_follower> configuration_follower_;
     std::shared_ptr<collection_follower> upstream_follower_;
+    evacuation_feed evacuations_;
 };
 
 } // namespace anvillead
--- a/src/node/rate_service.h
+++ b/src/node/rate_service.h
@@ -50,6 +50,8 @@
     };
 
     void handle_request(const rate_request& value);
+    /// Takes note of the load and the warm-up that an upstream states.
+    void record_state(const upstream_id& upstream, const upstream_response_head& head);
     /// As the owner, decides about a request of `asker`. Returns zero if it may be sent, otherwise the time until it
     /// may be asked for again.
     milliseconds grant(const upstream_id& upstream, const host_id& asker);
@@ -61,6 +63,8 @@
 
     node_context& context_;
     send_hook send_;
+    /// When a load of the upstream that cannot be read was last logged.
+    std::map<upstream_id, instant> load_rejections_;
     upstream_limits limits_;
     fleet_broadcast exchange_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/src/node/state_exchange.h
+++ b/src/node/state_exchange.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/types/store_revision.h"
+#include "dispatch/evacuation_list.h"
 #include "node/node_context.h"
 
 namespace anvillead {
@@ -30,6 +31,7 @@
     std::map<std::string, upstream_entry> upstreams;
     /// Platform revision of `upstreams`; unset before the first listing.
     store_revision upstream_revision;
+    evacuation_state evacuations;
 };
 
 /// Versions that the requesting host already has; the update contains only newer parts.
@@ -37,6 +39,7 @@
 {
     config_generation configuration_version = 0;
     store_revision upstream_revision;
+    store_revision evacuation_revision;
 };
 
 /// The parts of a host's state that are newer than the versions in a state_request.
@@ -49,6 +52,8 @@
     store_revision upstream_revision;
     /// `upstreams` is the complete directory rather than a change set.
     bool whole = false;
+    /// Set when it is newer than the requesting host's.
+    std::optional<evacuation_state> evacuations;
 };
 
 std::string state_request_target(const state_request& request);
--- a/src/node/tests/state_exchange_test.cpp
+++ b/src/node/tests/state_exchange_test.cpp
@@ -74,3 +74,18 @@
     request.target = "/metrics";
     CHECK(!parse_state_request(request).has_value());
 }
+
+// Guards against a host that serves an evacuated zone because the list of evacuated zones did not travel with the rest.
+TEST(state_exchange_test, newer_list_of_evacuated_zones_travels_with_the_update)
+{
+    state.evacuations = {{zone_name("a")}, {zone_name("b")}, {2, 30}};
+    const auto out = decode_update(encode_update(make_update(state, {7, {1, 25}, {1, 40}})));
+    CHECK(out.has_value() && out->evacuations.has_value());
+    CHECK(out->evacuations->listed == state.evacuations.listed);
+    CHECK(out->evacuations->held == state.evacuations.held);
+    CHECK(out->evacuations->revision == store_revision(2, 30));
+    CHECK(!make_update(state, {7, {1, 25}, {2, 30}}).evacuations.has_value());
+    CHECK(!decode_update(R"({"configuration":null,"upstreams":{},"upstream_revision":1,"whole":false,)"
+                         R"("evacuations":{"listed":[7],"held":[],"revision":1}})")
+               .has_value());
+}
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -42,6 +42,8 @@
     double retry_share = 0.2;
     /// Retries beyond that share that all hosts together may send to one service in one retry window.
     double retry_slack = 0;
+    /// Operators of this deployment may evacuate availability zones.
+    bool evacuations = false;
     /// Upper limit of the time for which callers may cache an answer of the discovery endpoint.
     milliseconds max_endpoint_age{5000};
 };
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -95,6 +95,11 @@
     // No process listens at this address; the host in options.host_without_store gets it as its store address.
     const auto unused =
         fmt::format("127.0.0.{}{}", options_.hosts + 1, addresses_.at(name).substr(addresses_.at(name).rfind(':')));
+    json bounds = {
+        {"grace-s", options_.grace_seconds}, {"retry-budget-ratio", 0.2}, {"retry-slack", 54}, {"ttl_max_s", 5}};
+    if (options_.evacuations) {
+        bounds["evacuate-ms"] = 5000;
+    }
     const json settings = {
         {"node-name", name},
         {"zone", number % 2 == 1 ? "colombo-a" : "colombo-b"},
@@ -110,8 +115,7 @@
           {"control-plane", addresses_.at(name + "/control")},
           {"registry", addresses_.at(name + "/directory")}}},
         {"platform", {{"address", number == options_.host_without_store ? unused : addresses_.at("store")}}},
-        {"bounds",
-         {{"grace-s", options_.grace_seconds}, {"retry-budget-ratio", 0.2}, {"retry-slack", 54}, {"ttl_max_s", 5}}}};
+        {"bounds", bounds}};
     return directory_.write(name + ".json", settings.dump());
 }
 
@@ -176,9 +180,10 @@
 
 json node_fleet::server_entry(const std::string& upstream, const std::string& service, const std::string& phase) const
 {
+    const bool even = (upstream.back() - '0') % 2 == 0;
     return {{"service", service},
             {"address", address(upstream)},
-            {"zone", "colombo-a"},
+            {"zone", options_.evacuations && even ? "colombo-b" : "colombo-a"},
             {"version", "v1"},
             {"capacity", service == "registry" ? options_.instance_slots : engine_slots},
             {"phase", phase},
@@ -192,6 +197,15 @@
     write("servers", engine, server_entry(engine, service, phase));
 }
 
+void node_fleet::set_evacuated(const std::string& zone, bool value)
+{
+    if (value) {
+        write("evacuations", zone, json::object());
+    } else {
+        remove("evacuations", zone);
+    }
+}
+
 json node_fleet::control(const std::string& name, const json& value)
 {
     return caller_.control(address(name), value);
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -28,6 +28,8 @@
         int host_without_store = 0;
         /// Number of the host with the highest bandwidth; 0 for none.
         int fast = 0;
+        /// The operator may evacuate zones; upstreams with even numbers are in "colombo-b".
+        bool evacuations = false;
     };
 
     explicit node_fleet(const options& value);
@@ -54,6 +56,8 @@
     /// Writes the configuration with this version; `keys` are the API keys of the organisation "galle".
     void configure(int version, const std::vector<std::string>& keys = {"key-galle"});
     void set_phase(const std::string& engine, const std::string& phase);
+    /// Evacuates an availability zone, or takes its evacuation back.
+    void set_evacuated(const std::string& zone, bool value);
     nlohmann::json control(const std::string& name, const nlohmann::json& value);
     /// Returns the requests that an upstream executed, in order.
     nlohmann::json ran(const std::string& name);
