Order requests for room by what a refusal costs, with a forecast

Cause: engines' room went to whoever asked first within a priority. An organisation's priority overrides that of its routes, so short labels and long summaries of most organisations had the same one; the 7 % of an engine's memory that priority 0 could use holds no whole request. A moving generation asked like a new one and gave up after eight tries within 0.5 s. A request waited an eighth of its objective and came back after 300 ms whatever the queue.

--- a/src/fleet/internal/placement_codec.cpp
+++ b/src/fleet/internal/placement_codec.cpp
@@ -1,5 +1,7 @@
 #include "fleet/placement_codec.h"
 
+#include <algorithm>
+
 #include "fleet/internal/cbor_datagram.h"
 
 namespace anvillead {
@@ -9,8 +11,8 @@
 using nlohmann::json;
 
 // The first element distinguishes these datagrams from each other and from reports, which start with a version number.
-constexpr const char* question_kind = "q1";
-constexpr const char* answer_kind = "a1";
+constexpr const char* question_kind = "q2";
+constexpr const char* answer_kind = "a2";
 
 enum question_field : std::size_t
 {
@@ -26,6 +28,10 @@
     q_moving,
     q_patience,
     q_excluded,
+    q_organisation,
+    q_produced,
+    q_brief,
+    q_late,
     q_count
 };
 
@@ -36,6 +42,8 @@
     a_number,
     a_verdict,
     a_engine,
+    a_retry_after,
+    a_before,
     a_count
 };
 
@@ -51,7 +59,8 @@
     return to_cbor_text({question_kind, value.asker.str(), question.request.str(), question.number,
                          question.service.str(), question.availability_zone.str(), question.priority,
                          question.prompt_tokens, question.memory_tokens, question.moving, question.patience.count(),
-                         excluded});
+                         excluded, question.organisation.str(), question.produced_tokens, question.brief,
+                         question.late});
 }
 
 std::optional<sent_request> decode_request(std::string_view datagram)
@@ -76,6 +85,10 @@
         for (const auto& it : (*in)[q_excluded]) {
             question.excluded.emplace_back(it.get<std::string>());
         }
+        question.organisation = organisation_id((*in)[q_organisation].get<std::string>());
+        question.produced_tokens = (*in)[q_produced].get<std::int64_t>();
+        question.brief = (*in)[q_brief].get<bool>();
+        question.late = (*in)[q_late].get<bool>();
         return out;
     } catch (const json::exception&) {
         // A field has another type: the datagram was sent by another program or version.
@@ -85,8 +98,8 @@
 
 std::string encode_response(const placement_response& value)
 {
-    return to_cbor_text(
-        {answer_kind, value.request.str(), value.number, static_cast<int>(value.verdict), value.engine.str()});
+    return to_cbor_text({answer_kind, value.request.str(), value.number, static_cast<int>(value.verdict),
+                         value.engine.str(), value.retry_after.count(), value.requests_before});
 }
 
 std::optional<placement_response> decode_response(std::string_view datagram)
@@ -100,9 +113,12 @@
         if (verdict < 0 || verdict > static_cast<int>(placement_verdict::unable)) {
             return std::nullopt;
         }
-        return placement_response{request_id((*in)[a_request].get<std::string>()), (*in)[a_number].get<std::uint64_t>(),
+        return placement_response{request_id((*in)[a_request].get<std::string>()),
+                                  (*in)[a_number].get<std::uint64_t>(),
                                   static_cast<placement_verdict>(verdict),
-                                  upstream_id((*in)[a_engine].get<std::string>())};
+                                  upstream_id((*in)[a_engine].get<std::string>()),
+                                  milliseconds(std::max<std::int64_t>(0, (*in)[a_retry_after].get<std::int64_t>())),
+                                  (*in)[a_before].get<std::size_t>()};
     } catch (const json::exception&) {
         // A field has another type: the datagram was sent by another program or version.
         return std::nullopt;
--- a/src/fleet/tests/placement_codec_test.cpp
+++ b/src/fleet/tests/placement_codec_test.cpp
@@ -18,6 +18,10 @@
 out.question.moving = true;
 out.question.patience = milliseconds(225);
 out.question.excluded = {upstream_id("e")};
+out.question.organisation = organisation_id("o");
+out.question.produced_tokens = 120;
+out.question.brief = true;
+out.question.late = true;
 return out;
 }
 }
@@ -35,13 +39,17 @@
     LONGS_EQUAL(4000, out->question.memory_tokens);
     LONGS_EQUAL(225, out->question.patience.count());
     CHECK(out->question.moving && out->question.excluded == question().question.excluded);
+    CHECK(out->question.organisation == organisation_id("o") && out->question.brief && out->question.late);
+    LONGS_EQUAL(120, out->question.produced_tokens);
 }
 
 TEST(placement_codec_test, an_answer_round_trips)
 {
-    const auto out =
-        decode_response(encode_response({request_id("r"), 7, placement_verdict::granted, upstream_id("engine")}));
+    const auto out = decode_response(encode_response(
+        {request_id("r"), 7, placement_verdict::granted, upstream_id("engine"), milliseconds(1700), 12}));
     CHECK(out.has_value());
+    LONGS_EQUAL(1700, out->retry_after.count());
+    LONGS_EQUAL(12, out->requests_before);
     CHECK(out->request == request_id("r") && out->engine == upstream_id("engine"));
     CHECK(out->verdict == placement_verdict::granted);
     LONGS_EQUAL(7, out->number);
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -8,6 +8,7 @@
 #include "dispatch/types/placement.h"
 #include "dispatch/types/upstream_call.h"
 #include "node/node_context.h"
+#include "node/placement_service.h"
 #include "node/request_forwarder.h"
 #include "node/scoped_work.h"
 #include "node/types/admitted_request.h"
@@ -67,8 +68,15 @@
     void request_rate(const upstream_record& chosen, const host_id& chosen_by);
     void send_placed(const upstream_record& chosen, const host_id& chosen_by);
     void wait_for_capacity();
-    void refuse_for_capacity();
+    void refuse_for_capacity(const placement_result& refusal = {});
     placement_request make_question() const;
+    /// Time in which an engine reads the prompt beside other work.
+    milliseconds reading_time() const;
+    /// Time until an engine has to start for the answer to be in time, at the arrival of the request; negative if the
+    /// caller has spent it on earlier tries.
+    milliseconds time_to_start() const;
+    /// How long the request may wait for an engine and still be answered in time.
+    milliseconds longest_useful_wait() const;
     void send(const upstream_record& upstream, std::optional<resume_point> resume);
     milliseconds send_timeout() const;
     void on_head(int status, const http_headers& headers);
@@ -88,6 +96,7 @@
     void copy_ended(bool final_copy, const http_call_result& end, const http_response& answer);
     bool others_copying() const;
     bool worth_moving() const;
+    std::int64_t generated_tokens() const;
     std::optional<upstream_record> select_target_locally();
     void request_target();
     void finish_target_request(const upstream_id& source, const std::optional<upstream_record>& target);
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -24,6 +24,8 @@
 constexpr int capacity_wait_divisor = 8;
 // Engines to which one request is sent.
 constexpr int max_offers = 4;
+// Copy attempts of one move, where it goes on until the engine has gone; one takes 40 ms and more.
+constexpr int max_copies_while_time_is_left = 100;
 // Bytes buffered for a slow caller before reading from the engine is paused.
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
 // An engine that a request crashes ends within this time after it has begun to run the request.
@@ -40,7 +42,13 @@
       error_buffer_(context.answer_buffers),
       splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
       planned_output_(planned_output(request_.caller))
-{}
+{
+    if (context_.settings.orders_by_cost) {
+        // Requests for room wait in the scheduler's queue, so further ones cost little.
+        move_ = generation_move({move_limits().max_jitter, move_limits().max_link_wait, move_limits().retry_pause,
+                                 max_copies_while_time_is_left});
+    }
+}
 
 void generation_relay::start()
 {
@@ -116,9 +124,7 @@
     out.dead_peer_timeout = dead_engine_timeout;
 
     resumed_ = resume.has_value();
-    const auto generated_tokens =
-        events_ * request_.table->service(request_.service)->engine.value_or(engine_profile{}).tokens_per_event;
-    const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, generated_tokens);
+    const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, generated_tokens());
     work_.assign(upstream.id, {1, resumed_ ? 0 : request_.caller.prompt_tokens, memory, 0});
     target_work_.release();
     engine_ = upstream;
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t max_copy_answer_bytes = 16 * 1024;
 // Tokens that an engine still generates for certain between its notice and its end, at less than 10 ms per token.
 constexpr std::int64_t tokens_within_notice = 100;
+// Longest wait for room on another engine: engines leave within about two seconds of their notice, and the copy takes
+// some tenths of a second.
+constexpr milliseconds move_room_wait{1500};
 
 } // namespace
 
@@ -77,10 +80,14 @@
 }
 
 bool generation_relay::worth_moving() const
+{
+    return request_.caller.output_limit - generated_tokens() > tokens_within_notice;
+}
+
+std::int64_t generation_relay::generated_tokens() const
 {
     const auto profile = request_.table->service(request_.service)->engine.value_or(engine_profile{});
-    const auto generated_tokens = events_ * profile.tokens_per_event;
-    return request_.caller.output_limit - generated_tokens > tokens_within_notice;
+    return events_ * profile.tokens_per_event;
 }
 
 bool generation_relay::others_copying() const
@@ -106,6 +113,10 @@
     target_requested_ = true;
     auto question = make_question();
     question.moving = true;
+    question.produced_tokens = generated_tokens();
+    if (context_.settings.orders_by_cost) {
+        question.patience = move_room_wait;
+    }
     question.availability_zone = engine_.availability_zone;
     question.excluded.push_back(engine_.id);
     context_.placements->request_engine(
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "core/crypto.h"
 #include "core/log.h"
 #include "node/generation_relay.h"
@@ -13,6 +15,11 @@
 
 constexpr milliseconds capacity_check_period{25};
 constexpr milliseconds trial_retry_period{25};
+// From the grant of an engine to the first event, beside the time to read the prompt: other prompts that the engine
+// reads first, and the first step.
+constexpr milliseconds start_margin{400};
+// Time in which an engine generates one token of an answer beside others.
+constexpr milliseconds token_time{10};
 // Reclaimed engines are replaced within seconds.
 constexpr milliseconds retry_after_no_engine{1000};
 
@@ -170,8 +177,11 @@
     out.request = request_.caller.id;
     out.service = request_.service;
     out.availability_zone = context_.settings.availability_zone;
+    out.organisation = request_.organisation;
     out.priority = request_.priority;
     out.prompt_tokens = request_.caller.prompt_tokens;
+    out.brief = start_margin + reading_time() + planned_output_ * token_time <= request_.matched_route->latency_target;
+    out.late = time_to_start().count() <= 0;
     out.memory_tokens = need().memory_tokens;
     out.excluded = excluded_;
     // The scheduler does not know which engines want nothing from this host for a while.
@@ -188,8 +198,7 @@
         return;
     }
     auto question = make_question();
-    const auto wait = std::chrono::duration_cast<milliseconds>(capacity_deadline_ - context_.timers.now());
-    question.patience = std::max(wait, milliseconds(0));
+    question.patience = longest_useful_wait();
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
     context_.placements->request_engine(
         std::move(question), [self = shared_from_this()](const placement_result& result) {
@@ -199,7 +208,7 @@
             if (result.unanswered) {
                 self->place_locally();
             } else if (!result.engine) {
-                self->refuse_for_capacity();
+                self->refuse_for_capacity(result);
             } else if (result.chosen_by == self->context_.rates->owner(result.engine->id)) {
                 // The scheduler's grant includes the request rate.
                 self->send_placed(*result.engine, result.chosen_by);
@@ -209,6 +218,35 @@
         });
 }
 
+milliseconds generation_relay::reading_time() const
+{
+    const auto tokens = static_cast<double>(request_.caller.prompt_tokens);
+    return milliseconds(static_cast<std::int64_t>(tokens / selection_weights().prompt_tokens_per_ms));
+}
+
+milliseconds generation_relay::time_to_start() const
+{
+    // A caller that comes back has less time left than the route gives to a first try.
+    auto earlier_tries = milliseconds(0);
+    if (request_.caller.patience && request_.matched_route->timeout > *request_.caller.patience) {
+        earlier_tries = request_.matched_route->timeout - *request_.caller.patience;
+    }
+    return request_.matched_route->latency_target - reading_time() - start_margin - earlier_tries;
+}
+
+milliseconds generation_relay::longest_useful_wait() const
+{
+    auto until = capacity_deadline_;
+    if (context_.settings.orders_by_cost) {
+        const auto in_time = time_to_start();
+        // What is late already waits as long as a first try, behind those that can be in time.
+        const auto wait =
+            in_time.count() > 0 ? in_time : request_.matched_route->latency_target - reading_time() - start_margin;
+        until = std::max(until, request_.arrived + wait);
+    }
+    return std::max(std::chrono::duration_cast<milliseconds>(until - context_.timers.now()), milliseconds(0));
+}
+
 void generation_relay::place_locally()
 {
     const auto* service = request_.table->service(request_.service);
@@ -275,7 +313,7 @@
     });
 }
 
-void generation_relay::refuse_for_capacity()
+void generation_relay::refuse_for_capacity(const placement_result& refusal)
 {
     const bool none = context_.directory.usable(request_.service).empty();
     if (unreachable_ > 0 && can_forward()) {
@@ -287,6 +325,13 @@
         none ? make_error(error_kind::no_upstream, evacuated ? "the availability zones of all engines are evacuated"
                                                              : "the service has no engine that accepts requests")
              : make_error(error_kind::overloaded, "no engine has free capacity for the request");
+    if (refusal.retry_after.count() > 0) {
+        reason.message =
+            fmt::format("no engine has free capacity for the request, and {} go before it", refusal.requests_before);
+        reason.retry_after = std::max(refusal.retry_after, context_.time_until_open(request_.service));
+        fail(reason);
+        return;
+    }
     reason.retry_after =
         std::max(none ? retry_after_no_engine : retry_after_no_capacity, context_.time_until_open(request_.service));
     fail(reason);
--- a/src/node/internal/placement_service.cpp
+++ b/src/node/internal/placement_service.cpp
@@ -1,5 +1,7 @@
 #include "node/placement_service.h"
 
+#include <cstdlib>
+
 #include "core/log.h"
 #include "dispatch/responsibility.h"
 #include "fleet/report_exchange.h"
@@ -24,7 +26,14 @@
           context.directory, context.loads,
           [this](const service_name& name) { return context_.routes ? context_.routes->service(name) : nullptr; },
           [this](const host_id& asker, const placement_response& answer) { send_answer(asker, answer); })
-{}
+{
+    if (context_.settings.orders_by_cost) {
+        scheduler_.set_order(request_order::cost);
+    }
+    scheduler_.on_forecast_checked([this](milliseconds late) {
+        context_.counters.observe_ms("room_forecast_error", std::abs(static_cast<double>(late.count())));
+    });
+}
 
 void placement_service::learn()
 {
@@ -62,11 +71,21 @@
     return profile != nullptr && profile->engine ? scheduler_of(service) : std::nullopt;
 }
 
+std::optional<host_id> placement_service::decider_of(const service_name& service)
+{
+    const auto scheduler = scheduler_of(service);
+    const bool silent = scheduler && *scheduler == silent_scheduler_ && context_.timers.now() < silent_until_;
+    if (scheduler && !silent) {
+        return scheduler;
+    }
+    return context_.settings.orders_by_cost ? std::optional<host_id>(context_.settings.host) : std::nullopt;
+}
+
 void placement_service::request_engine(placement_request question, done_hook done)
 {
     const auto now = context_.timers.now();
-    const auto scheduler = scheduler_of(question.service);
-    if (!scheduler || (*scheduler == silent_scheduler_ && now < silent_until_)) {
+    const auto scheduler = decider_of(question.service);
+    if (!scheduler) {
         done({std::nullopt, true, {}});
         return;
     }
@@ -126,6 +145,8 @@
 {
     if (answer.verdict == placement_verdict::granted) {
         context_.counters.add("places_given_total");
+    } else if (answer.verdict == placement_verdict::refused) {
+        context_.counters.add("places_refused_total");
     }
     if (asker == context_.settings.host) {
         handle_answer(answer);
@@ -168,7 +189,7 @@
         return;
     }
     case placement_verdict::refused:
-        finish(answer.number, {std::nullopt, false, value.scheduler});
+        finish(answer.number, {std::nullopt, false, value.scheduler, answer.retry_after, answer.requests_before});
         return;
     case placement_verdict::unable:
         finish(answer.number, {std::nullopt, true, {}});
--- a/src/node/placement_service.h
+++ b/src/node/placement_service.h
@@ -20,6 +20,9 @@
     bool unanswered = false;
     /// The scheduler that made the decision; empty when none did.
     host_id chosen_by;
+    /// Of a refusal: time until the request would have had its turn, and the requests before it. Zero if unknown.
+    milliseconds retry_after{0};
+    std::size_t requests_before = 0;
 };
 
 /// Requests engines from the host that schedules a service, and acts as the scheduler for the services that are
@@ -57,6 +60,9 @@
     };
 
     std::optional<host_id> scheduler_of(const service_name& service);
+    /// The host that decides about a question: the scheduler, or this host where requests are ordered by cost and no
+    /// scheduler answers. Nothing if the host chooses without a queue.
+    std::optional<host_id> decider_of(const service_name& service);
     void log_scheduler_change(const service_name& service, const host_id& host);
     void send_question(const pending_question& value);
     void send_answer(const host_id& asker, const placement_response& answer);
--- a/src/node/tests/state_exchange_test.cpp
+++ b/src/node/tests/state_exchange_test.cpp
@@ -22,7 +22,7 @@
 // Guards against sending the complete directory to every host after each change.
 TEST(state_exchange_test, update_contains_only_newer_parts)
 {
-    const auto out = make_update(state, {7, {1, 15}});
+    const auto out = make_update(state, {7, {1, 15}, {}});
     CHECK(out.configuration.is_null());
     LONGS_EQUAL(2, out.upstreams.size());
     CHECK(out.upstreams.at("gone").is_null());
@@ -32,7 +32,7 @@
 
 TEST(state_exchange_test, new_host_gets_the_complete_state)
 {
-    const auto out = make_update(state, {0, {}});
+    const auto out = make_update(state, {0, {}, {}});
     CHECK(out.configuration.is_object());
     CHECK(out.whole);
     LONGS_EQUAL(3, out.upstreams.size());
@@ -43,7 +43,7 @@
 TEST(state_exchange_test, host_of_an_earlier_era_gets_the_complete_directory)
 {
     state.upstream_revision = {2, 5};
-    const auto out = make_update(state, {7, {1, 25}});
+    const auto out = make_update(state, {7, {1, 25}, {}});
     CHECK(out.whole);
     LONGS_EQUAL(3, out.upstreams.size());
     CHECK(out.upstream_revision > store_revision(1, 25));
@@ -51,7 +51,7 @@
 
 TEST(state_exchange_test, update_round_trip)
 {
-    const auto out = decode_update(encode_update(make_update(state, {0, {}})));
+    const auto out = decode_update(encode_update(make_update(state, {0, {}, {}})));
     CHECK(out.has_value());
     LONGS_EQUAL(3, out->upstreams.size());
     CHECK(out->whole);
@@ -64,11 +64,12 @@
 TEST(state_exchange_test, request_round_trip)
 {
     http_request request;
-    request.target = state_request_target({12, {1, 34}});
+    request.target = state_request_target({12, {1, 34}, {1, 3}});
     const auto out = parse_state_request(request);
     CHECK(out.has_value());
     LONGS_EQUAL(12, out->configuration_version);
     CHECK(out->upstream_revision == store_revision(1, 34));
+    CHECK(out->evacuation_revision == store_revision(1, 3));
     request.target = "/state?configuration=x";
     LONGS_EQUAL(0, parse_state_request(request)->configuration_version);
     request.target = "/metrics";
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -42,6 +42,9 @@
     double retry_share = 0.2;
     /// Retries beyond that share that all hosts together may send to one service in one retry window.
     double retry_slack = 0;
+    /// Callers compete for room on the engines: requests are placed in the order of what a refusal costs, with a
+    /// forecast.
+    bool orders_by_cost = false;
     /// Operators of this deployment may evacuate availability zones.
     bool evacuations = false;
     /// Upper limit of the time for which callers may cache an answer of the discovery endpoint.
