Learn the speed of engines and choose them by the time that a request takes there

All engines counted as equally fast.

Change: hosts report the least gap between events of their generations with the work on an engine; engine_speeds makes the slowness of each engine from it, the cost of an engine is the time that this request takes longer there (docs/design/uneven-engines.md). In force where engines state the pace of their machine.

Tried: gaps over eight events, unknown engines as usual ones, faster engines preferred (one met more than its share).

--- a/src/dispatch/internal/load_table.cpp
+++ b/src/dispatch/internal/load_table.cpp
@@ -20,6 +20,8 @@
     it->second.unread_tokens -= amount.unread_tokens;
     it->second.memory_tokens -= amount.memory_tokens;
     it->second.copies -= amount.copies;
+    it->second.paced -= amount.paced;
+    it->second.gap_sum -= amount.gap_sum;
     if (it->second.empty()) {
         work.erase(it);
     }
@@ -27,8 +29,13 @@
 
 upstream_work largest(const upstream_work& a, const upstream_work& b)
 {
-    return {std::max(a.active, b.active), std::max(a.unread_tokens, b.unread_tokens),
-            std::max(a.memory_tokens, b.memory_tokens), std::max(a.copies, b.copies)};
+    const auto& paced = a.paced > b.paced ? a : b;
+    return {std::max(a.active, b.active),
+            std::max(a.unread_tokens, b.unread_tokens),
+            std::max(a.memory_tokens, b.memory_tokens),
+            std::max(a.copies, b.copies),
+            paced.paced,
+            paced.gap_sum};
 }
 
 } // namespace
@@ -121,6 +128,7 @@
 void load_table::on_report(instant now, const upstream_id& id, const upstream_load& load)
 {
     reports_[id] = {now, load.requests, load.pace_percent};
+    states_pace_ = states_pace_ || load.pace_percent.has_value();
 }
 
 int load_table::pace_percent(instant now, const upstream_id& id) const
--- a/src/dispatch/internal/placement_scheduler.cpp
+++ b/src/dispatch/internal/placement_scheduler.cpp
@@ -270,7 +270,7 @@
     if (service == nullptr) {
         return false;
     }
-    selection_input input{now, &directory_, &loads_, question.availability_zone, question.excluded};
+    selection_input input{now, &directory_, &loads_, question.availability_zone, question.excluded, speeds_};
     if (rates_.closed) {
         const auto closed = rates_.closed();
         input.excluded.insert(input.excluded.end(), closed.begin(), closed.end());
@@ -279,7 +279,9 @@
         const auto& reserved = rooms_[question.service].reserved;
         input.excluded.insert(input.excluded.end(), reserved.begin(), reserved.end());
     }
-    const generation_need need{question.memory_tokens, placement_hash(question.request.str())};
+    const auto output = question.memory_tokens - question.prompt_tokens - question.produced_tokens;
+    const generation_need need{question.memory_tokens, question.moving ? 0 : question.prompt_tokens,
+                               std::max<std::int64_t>(0, output), placement_hash(question.request.str())};
     const auto weights = weights_for(question);
     auto chosen = select_engine(input, *service, need, weights);
     while (chosen && rates_.take && !rates_.take(chosen->id)) {
--- a/src/dispatch/internal/selection.cpp
+++ b/src/dispatch/internal/selection.cpp
@@ -37,6 +37,22 @@
     return out;
 }
 
+/// Time that the request takes longer on this engine than on one of usual speed.
+double slowness_cost(const selection_input& input, const upstream_id& id, const generation_need& need,
+                     const selection_weights& weights)
+{
+    if (input.speeds == nullptr) {
+        return 0;
+    }
+    constexpr double usual_pace = 100;
+    // A faster engine is not preferred to a usual one, or all hosts would meet there.
+    const double slowness = std::max(1.0, input.speeds->slowness(id));
+    const double pace = static_cast<double>(input.loads->pace_percent(input.now, id)) / usual_pace;
+    const double reading = static_cast<double>(need.prompt_tokens) / weights.prompt_tokens_per_ms;
+    const double output = static_cast<double>(need.output_tokens) * weights.token_ms;
+    return reading * (slowness * pace - 1) + output * (slowness - 1);
+}
+
 /// Urgent requests that an engine with this work could still run.
 std::int64_t urgent_places(const upstream_work& work, const engine_profile& profile, int slots,
                            const selection_weights& weights)
@@ -108,6 +124,7 @@
         double cost = common_cost(input, *it, weights);
         cost += static_cast<double>(work.unread_tokens) / weights.prompt_tokens_per_ms;
         cost += weights.active_ms * work.active + weights.copy_ms * work.copies;
+        cost += slowness_cost(input, record.id, need, weights);
         cost += tie_break_ms(record.id, need.tie_breaker);
         if (!best || cost < best_cost) {
             best = record;
--- a/src/dispatch/internal/upstream_directory.cpp
+++ b/src/dispatch/internal/upstream_directory.cpp
@@ -205,7 +205,7 @@
 bool upstream_directory::is_cold(instant now, const entry& value) const
 {
     const auto found = warmups_.find(value.record.service);
-    if (found == warmups_.end() || found->second.time.count() == 0) {
+    if (found == warmups_.end() || !found->second.bounded()) {
         return false;
     }
     const bool returned = value.returned_at != instant{} && now < value.returned_at + found->second.time;
--- a/src/dispatch/load_table.h
+++ b/src/dispatch/load_table.h
@@ -53,6 +53,8 @@
     void on_report(instant now, const upstream_id& id, const upstream_load& load);
     /// How long work takes at the upstream, in percent of the usual time, as it stated recently; 100 if it did not.
     int pace_percent(instant now, const upstream_id& id) const;
+    /// An upstream has stated the pace of its machine, so upstreams share machines with others and differ in speed.
+    bool states_pace() const { return states_pace_; }
     void record_outcome(instant now, const upstream_id& id, bool failed);
     /// Clears the failure counts and the reported load of an upstream that has restarted.
     void forget(const upstream_id& id);
@@ -110,6 +112,7 @@
     instant fleet_work_updated_{};
     std::map<upstream_id, outcome_counts> outcomes_;
     std::map<upstream_id, load_report> reports_;
+    bool states_pace_ = false;
 };
 
 } // namespace anvillead
--- a/src/dispatch/placement_scheduler.h
+++ b/src/dispatch/placement_scheduler.h
@@ -89,6 +89,8 @@
                         answer_callback on_answer, scheduler_limits limits = {});
 
     void set_rates(rate_hooks value) { rates_ = std::move(value); }
+    /// Null if all engines count as equally fast.
+    void set_speeds(const engine_speeds* value) { speeds_ = value; }
     void set_order(request_order value) { limits_.order = value; }
     /// Called with the difference between the actual wait of a request and its forecast when it is granted.
     void on_forecast_checked(std::function<void(milliseconds)> hook) { on_forecast_checked_ = std::move(hook); }
@@ -169,6 +171,7 @@
     profile_lookup profiles_;
     answer_callback on_answer_;
     rate_hooks rates_;
+    const engine_speeds* speeds_ = nullptr;
     scheduler_limits limits_;
     /// In the order in which they get capacity.
     std::vector<waiting_request> waiting_;
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "dispatch/engine_speeds.h"
 #include "dispatch/load_table.h"
 #include "dispatch/types/route_table.h"
 #include "dispatch/upstream_directory.h"
@@ -17,6 +18,8 @@
     double prompt_tokens_per_ms = 7;
     /// Slowdown of the requests on the same upstream for each request that runs there.
     double active_ms = 20;
+    /// Time in which an engine of usual speed generates one token beside other work.
+    double token_ms = 10;
     /// Traffic between availability zones is expensive; an upstream in the local zone is preferred up to this
     /// difference in cost.
     double other_zone_ms = 60;
@@ -45,6 +48,9 @@
 {
     /// Tokens of the prompt and the expected output.
     std::int64_t memory_tokens = 0;
+    /// Of `memory_tokens`: what the engine has to read, and what it is expected to generate.
+    std::int64_t prompt_tokens = 0;
+    std::int64_t output_tokens = 0;
     /// Differs between requests, so that concurrent selections of different hosts break ties differently.
     std::uint64_t tie_breaker = 0;
 };
@@ -58,6 +64,8 @@
     zone_name own_zone;
     /// Upstreams that already failed or refused this request.
     std::vector<upstream_id> excluded;
+    /// Null if all engines count as equally fast.
+    const engine_speeds* speeds = nullptr;
 };
 
 /// Returns the usable engine with the lowest cost for a generation, or nothing if none has free capacity.
--- a/src/dispatch/tests/warmup_test.cpp
+++ b/src/dispatch/tests/warmup_test.cpp
@@ -76,6 +76,9 @@
     directory.set_warmups({{service, warmup_profile{}}});
     directory.apply(now, record("new"));
     CHECK(!cold("new"));
+    // An upstream that is slow after its start but names no rate gets requests like the others.
+    directory.set_warmups({{service, warmup_profile{seconds(1), 0}}});
+    CHECK(!cold("new"));
 }
 
 // Guards against full load on the engines of a zone that returns, which may have become cold meanwhile.
--- a/src/dispatch/types/route_table.h
+++ b/src/dispatch/types/route_table.h
@@ -63,8 +63,10 @@
 {
     /// How long an upstream is cold after its start; zero if its service knows no warm-up.
     milliseconds time{0};
-    /// Requests per second of all hosts together that a cold upstream tolerates.
+    /// Requests per second of all hosts together that a cold upstream tolerates; zero if it names no such rate.
     double requests_per_s = 0;
+
+    bool bounded() const { return time.count() > 0 && requests_per_s > 0; }
 };
 
 struct service_profile
--- a/src/fleet/internal/report_codec.cpp
+++ b/src/fleet/internal/report_codec.cpp
@@ -73,7 +73,7 @@
 constexpr unsigned flag_requests_member_list = 64;
 constexpr unsigned flag_uses_relay = 128;
 constexpr unsigned flag_without_path = 256;
-constexpr std::size_t work_field_count = 5;
+constexpr std::size_t work_field_count = 7;
 
 unsigned flags_of(const report_entry& value)
 {
@@ -87,7 +87,7 @@
 
 json encode_amounts(const upstream_id& id, const upstream_work& work)
 {
-    return {id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies};
+    return {id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies, work.paced, work.gap_sum};
 }
 
 json encode_work(const report_entry& value)
@@ -139,7 +139,8 @@
 
 upstream_work decode_work(const json& in)
 {
-    return {in.at(1).get<int>(), in.at(2).get<std::int64_t>(), in.at(3).get<std::int64_t>(), in.at(4).get<int>()};
+    return {in.at(1).get<int>(), in.at(2).get<std::int64_t>(), in.at(3).get<std::int64_t>(),
+            in.at(4).get<int>(), in.at(5).get<int>(),          in.at(6).get<std::int64_t>()};
 }
 
 void decode_work_list(const json& in, std::map<upstream_id, upstream_work>& out)
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -14,6 +14,7 @@
 #include "node/types/admitted_request.h"
 #include "quarantine/suspect_trials.h"
 #include "streams/event_splitter.h"
+#include "streams/least_gap.h"
 
 namespace anvillead {
 
@@ -97,6 +98,8 @@
     bool others_copying() const;
     bool worth_moving() const;
     std::int64_t generated_tokens() const;
+    /// Reports the speed of the engine as the gaps between events show it.
+    void observe_gap(instant now, least_gap::duration gap);
     std::optional<upstream_record> select_target_locally();
     void request_target();
     void finish_target_request(const upstream_id& source, const std::optional<upstream_record>& target);
@@ -148,6 +151,9 @@
     /// Number of engines that could not be reached.
     int unreachable_ = 0;
     instant last_event_at_{};
+    /// Least gap between events at the current engine, and the one that was reported last.
+    least_gap least_gap_;
+    least_gap::duration reported_gap_{};
     /// Longest time between two events; `longest_pause_after_` is the event before it.
     std::chrono::steady_clock::duration longest_pause_{};
     sequence_number longest_pause_after_ = 0;
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -28,6 +28,8 @@
 constexpr int max_copies_while_time_is_left = 100;
 // Bytes buffered for a slow caller before reading from the engine is paused.
 constexpr std::size_t max_unsent_bytes = 256 * 1024;
+// Part of a gap by which it has to change to be reported again.
+constexpr int gap_difference_divisor = 10;
 // An engine that a request crashes ends within this time after it has begun to run the request.
 constexpr milliseconds crash_delay_of_request{1000};
 constexpr std::size_t max_error_body_bytes = 1024 * 1024;
@@ -125,6 +127,8 @@
 
     resumed_ = resume.has_value();
     const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, generated_tokens());
+    least_gap_ = {};
+    reported_gap_ = {};
     work_.assign(upstream.id, {1, resumed_ ? 0 : request_.caller.prompt_tokens, memory, 0});
     target_work_.release();
     engine_ = upstream;
@@ -230,6 +234,9 @@
         longest_pause_ = now - last_event_at_;
         longest_pause_after_ = last_event_;
     }
+    if (events_ > 0 && context_.loads.states_pace()) {
+        observe_gap(now, now - last_event_at_);
+    }
     if (events_ > 0 && now - first_event_at_ >= crash_delay_of_request) {
         report_sound_request();
     }
@@ -244,6 +251,22 @@
     request_.exchange->write(bytes);
 }
 
+void generation_relay::observe_gap(instant now, least_gap::duration gap)
+{
+    least_gap_.add(now, gap);
+    if (!least_gap_.known()) {
+        return;
+    }
+    const auto least = least_gap_.value();
+    const auto difference = least > reported_gap_ ? least - reported_gap_ : reported_gap_ - least;
+    if (difference * gap_difference_divisor > reported_gap_) {
+        reported_gap_ = least;
+        constexpr double tenths = 10;
+        const std::chrono::duration<double, std::milli> value = least;
+        work_.set_gap(static_cast<std::int64_t>(value.count() * tenths));
+    }
+}
+
 void generation_relay::on_end(const http_call_result& end)
 {
     const auto now = context_.timers.now();
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -105,7 +105,9 @@
     auto input = context_.selection(excluded_);
     input.excluded.push_back(engine_.id);
     input.own_zone = engine_.availability_zone;
-    return select_engine(input, *request_.table->service(request_.service), need(), move_weights());
+    auto moved = need();
+    moved.prompt_tokens = 0;
+    return select_engine(input, *request_.table->service(request_.service), moved, move_weights());
 }
 
 void generation_relay::request_target()
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -167,6 +167,8 @@
 {
     generation_need out;
     out.memory_tokens = request_.caller.prompt_tokens + planned_output_;
+    out.prompt_tokens = request_.caller.prompt_tokens;
+    out.output_tokens = std::max<std::int64_t>(0, planned_output_ - generated_tokens());
     out.tie_breaker = placement_hash(request_.caller.id.str());
     return out;
 }
@@ -286,6 +288,9 @@
     fields.emplace_back("unread_tokens", std::to_string(work.unread_tokens));
     fields.emplace_back("memory_tokens", std::to_string(work.memory_tokens));
     fields.emplace_back("needed_tokens", std::to_string(need().memory_tokens));
+    if (const auto* speeds = context_.known_speeds()) {
+        fields.emplace_back("slowness_percent", fmt::format("{:.0f}", 100 * speeds->slowness(chosen.id)));
+    }
     fields.emplace_back("chosen_by", chosen_by.str());
     fields.emplace_back("configuration", std::to_string(request_.table->version));
     log(log_level::info, log_event::request_placed, fields);
--- a/src/node/internal/node_context.cpp
+++ b/src/node/internal/node_context.cpp
@@ -12,7 +12,7 @@
     const auto now = timers.now();
     const auto closed = rates->limits().closed(now);
     excluded.insert(excluded.end(), closed.begin(), closed.end());
-    return {now, &directory, &loads, settings.availability_zone, std::move(excluded)};
+    return {now, &directory, &loads, settings.availability_zone, std::move(excluded), known_speeds()};
 }
 
 milliseconds node_context::time_until_open(const service_name& service) const
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -88,6 +88,7 @@
                *client_,
                upstream_directory(),
                load_table(),
+               engine_speeds(),
                upstream_paths(),
                peer_table(settings_.host, settings_.report),
                nullptr,
@@ -197,6 +198,7 @@
                                   [this](const upstream_id& id) {
                                       log(log_level::info, log_event::upstream_restarted, {{"upstream", id.str()}});
                                       context_.loads.forget(id);
+                                      context_.speeds.forget(id);
                                       callers_.on_upstream_restarted(id);
                                   }});
     context_.peers.set_hooks({[this](const host_report& value) {
@@ -238,6 +240,10 @@
         context_.directory.expire(context_.timers.now());
         feed_.expire();
         context_.loads.expire(context_.timers.now());
+        if (context_.loads.states_pace()) {
+            context_.speeds.update(context_.timers.now(), context_.directory, context_.loads);
+            context_.placements->set_speeds(context_.known_speeds());
+        }
         prober_->probe_if_due();
         puller_->pull_if_behind();
         update_following();
--- a/src/node/internal/scoped_work.cpp
+++ b/src/node/internal/scoped_work.cpp
@@ -24,6 +24,14 @@
     change(next);
 }
 
+void scoped_work::set_gap(std::int64_t tenths_ms)
+{
+    auto next = amount_;
+    next.paced = 1;
+    next.gap_sum = tenths_ms;
+    change(next);
+}
+
 void scoped_work::set_copying(bool copying)
 {
     auto next = amount_;
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -46,6 +46,7 @@
     ihttp_client& host_client;
     upstream_directory directory;
     load_table loads;
+    engine_speeds speeds;
     /// Whether this host reaches the upstreams.
     upstream_paths paths;
     peer_table peers;
@@ -73,6 +74,8 @@
     /// Called when the work of this host changed; schedules a report to the other hosts.
     std::function<void()> on_work_changed;
 
+    /// The learned speeds, or null if no upstream has stated the pace of its machine.
+    const engine_speeds* known_speeds() const { return loads.states_pace() ? &speeds : nullptr; }
     /// Input for the choice of an upstream; also excludes those that accept no further request at present.
     selection_input selection(std::vector<upstream_id> excluded) const;
     /// Time until an upstream of the service accepts requests again, if all rest or have used up their request rates;
--- a/src/node/placement_service.h
+++ b/src/node/placement_service.h
@@ -36,6 +36,7 @@
     placement_service(node_context& context, send_hook send);
     /// Sets the hook that returns the hosts that may be schedulers, which know the work of all hosts.
     void set_candidates(std::function<std::vector<host_id>()> hook) { candidates_ = std::move(hook); }
+    void set_speeds(const engine_speeds* value) { scheduler_.set_speeds(value); }
     void set_rates(placement_scheduler::rate_hooks value) { scheduler_.set_rates(std::move(value)); }
     /// Called after the process started or was suspended. As a scheduler it has to learn the fleet's current work
     /// before it can place requests.
--- a/src/node/scoped_work.h
+++ b/src/node/scoped_work.h
@@ -18,6 +18,8 @@
     void release();
     /// The prompt has been read.
     void mark_prompt_read();
+    /// The least gap between two events of the generation, in tenths of a millisecond.
+    void set_gap(std::int64_t tenths_ms);
     /// Marks the start or end of a copy that is made while the generation runs.
     void set_copying(bool copying);
     bool copying() const { return amount_.copies > 0; }
