Check a configuration before it is sent, and bound what is held for slow callers

`anvilleadctl config check` reports errors, entries that can never match, limits that contradict each other and differences to another version, for a folder and for a configuration object of the platform.

Cause of the second: 256 KB were buffered for each slow caller, so 2,000 of them could take 512 MB on a host of 88 MB. The limit now falls with the number of open streams to a quarter of the memory (unsent_limit_test).

--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -2,12 +2,14 @@
 
 #include <chrono>
 #include <ctime>
+#include <filesystem>
 #include <thread>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include "apps/common/daemon.h"
+#include "apps/ctl/config_check.h"
 #include "apps/ctl/config_folder.h"
 #include "apps/ctl/drain_file.h"
 #include "apps/ctl/explain.h"
@@ -15,6 +17,8 @@
 #include "apps/ctl/host_call.h"
 #include "apps/ctl/platform_session.h"
 #include "configuration/diff.h"
+#include "core/bounded_json.h"
+#include "core/field_reader.h"
 
 namespace anvillead {
 
@@ -80,6 +84,89 @@
     return code;
 }
 
+/// A configuration of the platform: from a file, or the one in force on a host.
+result<json> read_platform_configuration(const ctl_options& options, const std::string& source)
+{
+    if (source != "in-force") {
+        return read_json_file(source);
+    }
+    const auto state = call_host(options.platform, "GET", "/state");
+    if (!state) {
+        return state.error();
+    }
+    const auto parsed = parse_bounded_json(state.value());
+    if (!parsed || !parsed->is_object()) {
+        return make_error(error_kind::invalid_settings, options.platform + ": expected the state of a host");
+    }
+    return parsed->value("configuration", json());
+}
+
+result<config_check> check_folder_against(const ctl_options& options)
+{
+    const auto files = read_folder(options.folder);
+    if (!files) {
+        return files.error();
+    }
+    if (options.against.empty()) {
+        return check_folder(files.value(), nullptr);
+    }
+    config_files before;
+    if (options.against == "in-force") {
+        platform_session platform(options.platform);
+        auto remote = folder_upload(platform).read();
+        if (!remote) {
+            return remote.error();
+        }
+        before = std::move(remote.value().texts);
+    } else {
+        auto other = read_folder(options.against);
+        if (!other) {
+            return other.error();
+        }
+        before = std::move(other.value());
+    }
+    return check_folder(files.value(), &before);
+}
+
+result<config_check> check_file_against(const ctl_options& options)
+{
+    const auto object = read_platform_configuration(options, options.folder);
+    if (!object) {
+        return object.error();
+    }
+    if (options.against.empty()) {
+        return check_platform_configuration(options.folder, object.value(), nullptr);
+    }
+    const auto before = read_platform_configuration(options, options.against);
+    if (!before) {
+        return before.error();
+    }
+    return check_platform_configuration(options.folder, object.value(), &before.value());
+}
+
+/// Exit codes: clean, warnings, errors.
+int check(const ctl_options& options)
+{
+    const auto checked =
+        std::filesystem::is_directory(options.folder) ? check_folder_against(options) : check_file_against(options);
+    if (!checked) {
+        print_error(options, checked.error());
+        return exit_usage;
+    }
+    const auto& value = checked.value();
+    if (options.json) {
+        fmt::print("{}\n", to_json(value).dump(-1, ' ', false, json::error_handler_t::replace));
+    } else {
+        for (const auto& it : value.findings) {
+            fmt::print("{}\n", to_string(it));
+        }
+        for (const auto& it : value.changes) {
+            fmt::print("{}\n", it);
+        }
+    }
+    return value.has_errors() ? exit_usage : value.findings.empty() ? exit_ok : exit_failure;
+}
+
 int diff(const ctl_options& options, const config_files& files)
 {
     const auto merged = merge_files(files);
@@ -254,6 +341,9 @@
     if (options.command == "audit") {
         return audit(options);
     }
+    if (options.command == "check") {
+        return check(options);
+    }
     if (options.command == "explain") {
         const auto timeline = explain_files(options.request, options.log_files);
         if (!timeline) {
--- a/src/apps/ctl/ctl_options.cpp
+++ b/src/apps/ctl/ctl_options.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr const char* summary =
-    "Client for operators. Commands: config validate DIR | config diff DIR | config apply DIR | config status | audit "
+    "Client for operators. Commands: config check PATH | config validate DIR | config diff DIR | config apply DIR | "
+    "config status | audit "
     "| drain host|upstream NAME --dir DIR [--remove] | quarantine list HOST | quarantine lift HOST TRAIT | "
     "evacuations HOST | explain REQUEST-ID LOGFILE...";
 
@@ -33,6 +34,9 @@
     const auto is = [&](std::size_t i, const char* text) { return arguments.size() > i && arguments[i] == text; };
     if (is(0, "config") && is(1, "status") && arguments.size() == 2) {
         out.command = "status";
+    } else if (is(0, "config") && is(1, "check") && arguments.size() == 3) {
+        out.command = "check";
+        out.folder = arguments[2];
     } else if (is(0, "config") && arguments.size() >= 3 && (is(1, "validate") || is(1, "diff") || is(1, "apply"))) {
         out.command = arguments[1];
         out.folder = arguments[2];
@@ -67,7 +71,9 @@
 
 void validate_options(const ctl_options& options)
 {
-    const bool needs_platform = options.host.empty() && options.command != "validate" && options.command != "explain";
+    const bool offline = options.command == "validate" || options.command == "explain" ||
+                         (options.command == "check" && options.against != "in-force");
+    const bool needs_platform = options.host.empty() && !offline;
     if (needs_platform && options.platform.empty()) {
         exit_with_usage_error("--platform ADDRESS:PORT is required");
     }
@@ -91,6 +97,10 @@
         TCLAP::ValueArg<std::string> operator_name("o", "operator", "Name for the audit trail, by default $USER", false,
                                                    environment_user(), "NAME", line);
         TCLAP::ValueArg<std::string> folder("d", "dir", "Folder that drain edits", false, "", "DIR", line);
+        TCLAP::ValueArg<std::string> against("a", "against",
+                                             "What config check compares with: a file, a folder or in-force (the "
+                                             "platform's object API for a folder, a host's control address for a file)",
+                                             false, "", "PATH", line);
         TCLAP::ValueArg<int> days("", "days", "Days that audit lists", false, 7, "N", line);
         TCLAP::ValueArg<int> wait("w", "wait", "Seconds to wait for the result of apply", false, 10, "SECONDS", line);
         TCLAP::SwitchArg remove("r", "remove", "Ends a drain", line);
@@ -100,6 +110,7 @@
         out.platform = platform.getValue();
         out.operator_name = operator_name.getValue();
         out.folder = folder.getValue();
+        out.against = against.getValue();
         out.days = days.getValue();
         out.wait_seconds = wait.getValue();
         out.remove = remove.getValue();
--- a/src/apps/ctl/ctl_options.h
+++ b/src/apps/ctl/ctl_options.h
@@ -8,10 +8,12 @@
 /// The parsed command line.
 struct ctl_options
 {
-    /// "validate", "diff", "apply", "status", "audit", "drain", "quarantine", "evacuations" or "explain"
+    /// "check", "validate", "diff", "apply", "status", "audit", "drain", "quarantine", "evacuations" or "explain"
     std::string command;
     /// Folder of configuration files.
     std::string folder;
+    /// What `check` compares with: a file or folder, or "in-force"; empty for nothing.
+    std::string against;
     std::string platform;
     std::string operator_name;
     /// "host" or "upstream"
--- a/src/apps/ctl/host_call.cpp
+++ b/src/apps/ctl/host_call.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr milliseconds answer_timeout{3000};
-constexpr std::size_t max_answer_bytes = 256 * 1024;
+// The state of a host holds the whole configuration.
+constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr int http_ok = 200;
 
 } // namespace
--- a/src/dispatch/internal/route_table.cpp
+++ b/src/dispatch/internal/route_table.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-/// Lower-case host name without the port.
-std::string normalize_host(std::string_view host)
-{
-    std::string out(host.substr(0, host.find(':')));
-    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
-    return out;
-}
-
 bool starts_with(std::string_view text, std::string_view prefix)
 {
     return text.substr(0, prefix.size()) == prefix;
@@ -24,6 +16,13 @@
 
 } // namespace
 
+std::string normalize_host(std::string_view host)
+{
+    std::string out(host.substr(0, host.find(':')));
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+    return out;
+}
+
 void route_table::index()
 {
     by_host_.clear();
--- a/src/dispatch/types/route_table.h
+++ b/src/dispatch/types/route_table.h
@@ -107,6 +107,9 @@
     std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
 };
 
+/// Host name in lower case and without a port, as routes are compared.
+std::string normalize_host(std::string_view host);
+
 /// Picks the service for one request by weight. The choice is deterministic for a request id.
 const service_name& pick_service(const route& value, std::string_view request);
 
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -141,6 +141,8 @@
     http_headers response_headers_;
     std::string error_body_;
     std::int64_t planned_output_ = 0;
+    /// Counts this answer among the open streams for as long as it lives.
+    std::shared_ptr<void> stream_slot_;
     sequence_number last_event_ = 0;
     std::int64_t events_ = 0;
     instant capacity_deadline_{};
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -26,8 +26,6 @@
 constexpr int max_offers = 4;
 // Copy attempts of one move, where it goes on until the engine has gone; one takes 40 ms and more.
 constexpr int max_copies_while_time_is_left = 100;
-// Bytes buffered for a slow caller before reading from the engine is paused.
-constexpr std::size_t max_unsent_bytes = 256 * 1024;
 // Part of a gap by which it has to change to be reported again.
 constexpr int gap_difference_divisor = 10;
 // An engine that a request crashes ends within this time after it has begun to run the request.
@@ -43,7 +41,7 @@
     : context_(context), request_(std::move(request)), work_(context), target_work_(context),
       error_buffer_(context.answer_buffers),
       splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
-      planned_output_(planned_output(request_.caller))
+      planned_output_(planned_output(request_.caller)), stream_slot_(context.count_stream())
 {
     if (context_.settings.orders_by_cost) {
         // Requests for room wait in the scheduler's queue, so further ones cost little.
@@ -206,7 +204,7 @@
         fail(make_error(error_kind::upstream_failed, "an event in the engine's stream is too large"));
         return;
     }
-    if (!done_ && request_.exchange->unsent_bytes() > max_unsent_bytes) {
+    if (!done_ && request_.exchange->unsent_bytes() > context_.unsent_bytes_limit()) {
         call_->pause();
     }
 }
--- a/src/node/internal/node_context.cpp
+++ b/src/node/internal/node_context.cpp
@@ -15,6 +15,12 @@
     return {now, &directory, &loads, settings.availability_zone, std::move(excluded), known_speeds()};
 }
 
+std::shared_ptr<void> node_context::count_stream() const
+{
+    ++*open_streams;
+    return {nullptr, [count = open_streams](void*) { --*count; }};
+}
+
 milliseconds node_context::time_until_open(const service_name& service) const
 {
     const auto now = timers.now();
--- a/src/node/internal/request_forwarder.cpp
+++ b/src/node/internal/request_forwarder.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t max_hosts = 2;
 // As for the answers of upstreams.
 constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
-constexpr std::size_t max_unsent_bytes = 256 * 1024;
 
 constexpr int http_ok = 200;
 constexpr int http_multiple_choices = 300;
@@ -158,7 +157,7 @@
 {
     if (streaming_) {
         request_.exchange->write(data);
-        if (request_.exchange->unsent_bytes() > max_unsent_bytes) {
+        if (request_.exchange->unsent_bytes() > context_.unsent_bytes_limit()) {
             call_->pause();
         }
         return;
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -14,6 +14,7 @@
 #include "fleet/peer_table.h"
 #include "node/types/node_settings.h"
 #include "routing/retry_budget.h"
+#include "streams/unsent_limit.h"
 #include "transport/ihttp_client.h"
 
 namespace anvillead {
@@ -58,6 +59,8 @@
     bool leaving = false;
     /// Number of requests of other hosts' callers that this host serves at present; shared with these requests.
     std::shared_ptr<std::size_t> forwarded_requests;
+    /// Answers that are passed on to callers as they arrive; shared with these answers.
+    std::shared_ptr<std::size_t> open_streams;
     /// Bytes of upstreams' answers that are held in memory at the same time, beside the first ones of each.
     std::shared_ptr<byte_budget> answer_buffers;
     /// Requests engines for generations; set before the first request.
@@ -78,6 +81,10 @@
     const engine_speeds* known_speeds() const { return loads.states_pace() ? &speeds : nullptr; }
     /// Input for the choice of an upstream; also excludes those that accept no further request at present.
     selection_input selection(std::vector<upstream_id> excluded) const;
+    /// Bytes buffered for one slow caller before reading from its upstream is paused.
+    std::size_t unsent_bytes_limit() const { return unsent_limit(settings.memory_bytes, *open_streams); }
+    /// Counts one open stream until the result is released.
+    std::shared_ptr<void> count_stream() const;
     /// Time until an upstream of the service accepts requests again, if all rest or have used up their request rates;
     /// otherwise zero.
     milliseconds time_until_open(const service_name& service) const;
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -36,6 +36,8 @@
     std::string store;
     /// Bandwidth of the host's network link; 0 if unknown.
     int link_mbps = 0;
+    /// Memory of the host; 0 if unknown.
+    std::size_t memory_bytes = 0;
     /// Time between SIGTERM and SIGKILL.
     milliseconds shutdown_grace{8000};
     /// Retries per request that all hosts together may send to one service.
