--- a/src/dispatch/internal/urgent_room.cpp
+++ b/src/dispatch/internal/brief_room.cpp
@@ -1,11 +1,11 @@
-#include "dispatch/urgent_room.h"
+#include "dispatch/brief_room.h"
 
 #include <algorithm>
 #include <cmath>
 
 namespace anvillead {
 
-void urgent_room::add(instant now, std::int64_t memory_tokens, milliseconds time)
+void brief_room::add(instant now, std::int64_t memory_tokens, milliseconds time)
 {
     if (ends_.size() < limits_.max_places) {
         ends_.push_back(now + time);
@@ -15,7 +15,7 @@
     average_tokens_ = average_tokens_ == 0 ? size : average_tokens_ + weight * (size - average_tokens_);
 }
 
-void urgent_room::observe(instant now, std::size_t waiting)
+void brief_room::observe(instant now, std::size_t waiting)
 {
     ends_.erase(std::remove_if(ends_.begin(), ends_.end(), [now](instant it) { return it <= now; }), ends_.end());
     const double elapsed = observed_ == instant{} ? 0 : std::chrono::duration<double>(now - observed_).count();
--- a/src/dispatch/internal/placement_scheduler.cpp
+++ b/src/dispatch/internal/placement_scheduler.cpp
@@ -34,8 +34,8 @@
     out.urgent_memory_share = limits_.urgent_memory_share;
     if (ordered && !may_fill) {
         const auto& room = rooms_[question.service];
-        out.kept_places = room.urgent.places();
-        out.place_tokens = room.urgent.place_tokens();
+        out.kept_places = room.brief.places();
+        out.place_tokens = room.brief.place_tokens();
         const double others = shares_.active_weight() - shares_.weight(question.organisation);
         const auto place = static_cast<std::int64_t>(room.average_tokens);
         if (others > 0 && place > 0 && shares_.excess(question.organisation) > 0) {
@@ -199,14 +199,14 @@
     }
     for (auto& [name, room] : rooms_) {
         std::size_t waiting = 0;
-        std::size_t urgent = 0;
+        std::size_t brief = 0;
         for (const auto& it : waiting_) {
             if (it.question.service == name) {
                 ++waiting;
-                urgent += is_brief(it.question) ? 1 : 0;
+                brief += is_brief(it.question) ? 1 : 0;
             }
         }
-        room.urgent.observe(now, urgent);
+        room.brief.observe(now, brief);
         room.estimator.observe_delivery(now, std::exchange(room.granted_tokens, 0), waiting > 0, room.assumed_rate);
     }
 }
@@ -305,7 +305,7 @@
     } else {
         const auto reading = static_cast<std::int64_t>(static_cast<double>(question.prompt_tokens) /
                                                        selection_weights().prompt_tokens_per_ms);
-        room.urgent.add(now, question.memory_tokens, milliseconds(reading) + limits_.urgent_output_time);
+        room.brief.add(now, question.memory_tokens, milliseconds(reading) + limits_.brief_output_time);
     }
     answer(now, asker, {question.request, question.number, placement_verdict::granted, chosen->id});
     return true;
--- a/src/dispatch/internal/selection.cpp
+++ b/src/dispatch/internal/selection.cpp
@@ -53,9 +53,9 @@
     return reading * (slowness * pace - 1) + output * (slowness - 1);
 }
 
-/// Urgent requests that an engine with this work could still run.
-std::int64_t urgent_places(const upstream_work& work, const engine_profile& profile, int slots,
-                           const selection_weights& weights)
+/// Brief requests that an engine with this work could still run.
+std::int64_t free_places(const upstream_work& work, const engine_profile& profile, int slots,
+                         const selection_weights& weights)
 {
     const double memory = weights.urgent_memory_share * static_cast<double>(profile.memory_tokens);
     const auto by_memory = static_cast<std::int64_t>(memory - static_cast<double>(work.memory_tokens)) /
@@ -63,15 +63,15 @@
     return std::max<std::int64_t>(0, std::min<std::int64_t>(by_memory, slots - work.active));
 }
 
-/// Places for urgent requests in the whole service beyond those that have to remain. Negative if there are too few.
-std::int64_t spare_urgent_places(const selection_input& input, const service_profile& service,
-                                 const engine_profile& profile, const selection_weights& weights)
+/// Places for brief requests in the whole service beyond those that have to remain. Negative if there are too few.
+std::int64_t spare_place_count(const selection_input& input, const service_profile& service,
+                               const engine_profile& profile, const selection_weights& weights)
 {
     auto out = -static_cast<std::int64_t>(weights.kept_places);
     for (const auto* it : input.directory->usable(service.name)) {
         if (!is_excluded(input, it->record.id)) {
-            out += urgent_places(input.loads->total(it->record.id), profile, std::max(it->record.slots, profile.slots),
-                                 weights);
+            out += free_places(input.loads->total(it->record.id), profile, std::max(it->record.slots, profile.slots),
+                               weights);
         }
     }
     return out;
@@ -95,7 +95,7 @@
     const auto profile = service.engine.value_or(engine_profile{});
     const double memory_limit = weights.memory_share * static_cast<double>(profile.memory_tokens);
     const bool keeps_places = weights.kept_places > 0 && weights.place_tokens > 0 && profile.memory_tokens > 0;
-    const auto spare_places = keeps_places ? spare_urgent_places(input, service, profile, weights) : 0;
+    const auto spare_places = keeps_places ? spare_place_count(input, service, profile, weights) : 0;
     std::optional<upstream_record> best;
     double best_cost = 0;
     for (const auto* it : input.directory->usable(service.name)) {
@@ -115,8 +115,7 @@
         if (keeps_places) {
             auto after = work;
             after += {1, 0, need.memory_tokens, 0};
-            const auto taken =
-                urgent_places(work, profile, slots, weights) - urgent_places(after, profile, slots, weights);
+            const auto taken = free_places(work, profile, slots, weights) - free_places(after, profile, slots, weights);
             if (taken > std::max<std::int64_t>(0, spare_places)) {
                 continue;
             }
--- a/src/dispatch/placement_scheduler.h
+++ b/src/dispatch/placement_scheduler.h
@@ -7,12 +7,12 @@
 
 #include "admission/fair_share.h"
 #include "admission/retry_after_estimator.h"
+#include "dispatch/brief_room.h"
 #include "dispatch/load_table.h"
 #include "dispatch/selection.h"
 #include "dispatch/types/placement.h"
 #include "dispatch/types/route_table.h"
 #include "dispatch/upstream_directory.h"
-#include "dispatch/urgent_room.h"
 
 namespace anvillead {
 
@@ -23,8 +23,9 @@
     arrival,
     /// Most urgent first, then by arrival.
     priority,
-    /// Those first whose refusal would cost their callers most: generations that have to leave their engine, then by
-    /// priority, then by organisation. Keeps places for urgent requests, and refuses at once what would wait too long.
+    /// By what a delay or a refusal costs: requests that are complete within their objective, then generations that
+    /// have to leave their engine, then long ones by priority, organisation and latest start. Keeps places for the
+    /// first, and refuses at once what would wait too long.
     cost
 };
 
@@ -53,8 +54,8 @@
     std::size_t places_for_others = 2;
     /// Bound of the placed requests that are remembered as running, for the shares of organisations.
     std::size_t max_remembered = 20'000;
-    /// Time that an urgent request takes beside reading its prompt.
-    milliseconds urgent_output_time{150};
+    /// Time that a brief request takes beside reading its prompt.
+    milliseconds brief_output_time{150};
 };
 
 /// When a request would have its turn.
@@ -120,12 +121,12 @@
     struct service_room
     {
         retry_after_estimator estimator{estimator_seed};
-        urgent_room urgent;
+        brief_room brief;
         /// Memory granted since the estimator was told last.
         double granted_tokens = 0;
         /// Tokens per second that are assumed before a rate was measured.
         double assumed_rate = 0;
-        /// An urgent request found no room when the queue was looked through last.
+        /// A brief request found no room when the queue was looked through last.
         bool brief_unserved = false;
         /// Engines on which requests that have waited long get the next room.
         std::vector<upstream_id> reserved;
@@ -151,10 +152,10 @@
     bool goes_before(const waiting_request& a, const waiting_request& b) const;
     void sort_queue();
     turn_forecast forecast(const waiting_request& value);
-    /// Whether a more urgent request waits, so that this one gets nothing.
+    /// Whether a brief request waits, so that this one gets nothing.
     bool is_held_back(const placement_request& question) const;
-    /// Keeps room for a request that could not be served: from less urgent ones, and, when it has waited long, on one
-    /// engine from all that come after it.
+    /// Keeps room for a request that could not be served: from long ones if it is brief, and, when it has waited long,
+    /// on one engine from all that come after it.
     void hold_back_others(instant now, const waiting_request& value);
     void refuse(instant now, const waiting_request& value);
     void enqueue(instant now, waiting_request value);
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -31,10 +31,10 @@
     double memory_share = 0.92;
     /// A cold upstream is slow, and may only get few requests; a warm one with about as much work is preferred.
     double cold_ms = 100;
-    /// Places for urgent requests that have to remain in the service, and the memory of one.
+    /// Places for brief requests that have to remain in the service, and the memory of one.
     std::size_t kept_places = 0;
     std::int64_t place_tokens = 0;
-    /// Fraction of an engine's memory that urgent requests may use.
+    /// Fraction of an engine's memory that brief requests may use.
     double urgent_memory_share = 0.99;
     /// Service time of a plain call; scales the cost of queueing.
     double plain_call_ms = 40;
--- a/tests/invariants/node_chaos_main.cpp
+++ b/tests/invariants/node_chaos_main.cpp
@@ -31,15 +31,21 @@
 // Time after the last fault in which everything is served again.
 constexpr milliseconds recovery_time{4000};
 constexpr double least_served = 0.95;
+// A request may reach an evacuated zone this long after the store's answer; a stopped upstream runs it when it wakes.
+constexpr milliseconds evacuation_bound{5000};
+constexpr milliseconds longest_stop{1000};
+constexpr milliseconds evacuation_time{7500};
+constexpr unsigned evacuation_seed_offset = 1000;
 constexpr const char* foreign_address = "192.0.2.1";
 
 /// Hosts running anvillead-node under load, with random faults that come in series and overlap: requests that crash
-/// upstreams, hosts without a path to upstreams, killed hosts, crashed, silent and brittle upstreams, a silent store.
-/// Collects violated invariants.
+/// upstreams, hosts without a path to upstreams, killed hosts, evacuated zones, crashed, silent and brittle upstreams,
+/// a silent store. Collects violated invariants.
 class node_chaos
 {
 public:
-    node_chaos(unsigned seed, int hosts) : random_(seed), hosts_(hosts), fleet_(options(hosts))
+    node_chaos(unsigned seed, int hosts)
+        : random_(seed), evacuation_random_(seed + evacuation_seed_offset), hosts_(hosts), fleet_(options(hosts))
     {
         fleet_.configure(3);
         for (int i = 1; i <= hosts_; ++i) {
@@ -71,12 +77,17 @@
         const auto end = clock::now() + length;
         auto next_fault = clock::now() + milliseconds(500);
         auto next_deadly = clock::now();
+        auto next_evacuation = clock::now() + milliseconds(evacuation_random_() % 4000);
         while (clock::now() < end) {
             if (clock::now() >= next_fault) {
                 begin_fault();
                 next_fault = clock::now() + milliseconds(300 + random_() % 1500);
             }
             end_due_faults(clock::now());
+            if (clock::now() >= next_evacuation) {
+                begin_evacuation();
+                next_evacuation = clock::now() + evacuation_time + milliseconds(evacuation_random_() % 4000);
+            }
             if (clock::now() >= next_deadly) {
                 next_deadly += deadly_gap;
                 send(deadly_[random_() % deadly_.size()], false);
@@ -111,6 +122,14 @@
         stream::ptr answer;
     };
 
+    /// A time in which the upstreams of a zone may get nothing, in milliseconds of the steady clock.
+    struct evacuated_time
+    {
+        std::string zone;
+        std::int64_t from = 0;
+        std::int64_t until = 0;
+    };
+
     struct running_fault
     {
         clock::time_point until;
@@ -124,6 +143,7 @@
         out.engines = engines;
         out.instances = instances;
         out.instance_slots = 6;
+        out.evacuations = true;
         return out;
     }
 
@@ -230,6 +250,41 @@
         }
     }
 
+    static std::int64_t steady_ms()
+    {
+        return std::chrono::duration_cast<milliseconds>(clock::now().time_since_epoch()).count();
+    }
+
+    void wake_store() { fleet_.process_of("store").send_signal(SIGCONT); }
+
+    void begin_evacuation()
+    {
+        const std::string zone = evacuation_random_() % 2 == 0 ? "colombo-a" : "colombo-b";
+        start_fault(
+            zone + " evacuated", evacuation_time,
+            [&] {
+                wake_store();
+                fleet_.set_evacuated(zone, true);
+                evacuations_.push_back({zone, steady_ms() + (evacuation_bound + longest_stop).count(), 0});
+            },
+            [this, zone, index = evacuations_.size()] {
+                wake_store();
+                evacuations_.at(index).until = steady_ms();
+                fleet_.set_evacuated(zone, false);
+            });
+    }
+
+    void check_evacuations(const std::string& upstream, std::int64_t ran_at)
+    {
+        const bool even = (upstream.back() - '0') % 2 == 0;
+        for (const auto& it : evacuations_) {
+            if ((it.zone == "colombo-b") == even && ran_at > it.from && ran_at < it.until) {
+                violate(fmt::format("{} got a request {} ms after the bound of its zone's evacuation", upstream,
+                                    ran_at - it.from));
+            }
+        }
+    }
+
     void begin_cut(milliseconds length, bool at_host)
     {
         std::vector<int> cut;
@@ -328,6 +383,7 @@
             const auto state = fleet_.client().get(fleet_.address(name), "/ran");
             for (const auto& it : state.value("ran", json::array())) {
                 ++runs[it.value("id", "")];
+                check_evacuations(name, it.value("at_ms", std::int64_t{0}));
                 deadly_runs[it.value("target", "")].push_back(it.value("at_ms", std::int64_t{0}));
             }
             for (const auto& it : state.value("deadly_crashes", json::array())) {
@@ -386,6 +442,8 @@
     }
 
     std::mt19937 random_;
+    /// Of its own, so that a seed plays the same other faults as before there were evacuations.
+    std::mt19937 evacuation_random_;
     int hosts_;
     node_fleet fleet_;
     std::vector<std::string> upstreams_;
@@ -393,6 +451,7 @@
     std::vector<request> sent_;
     std::set<int> killed_;
     std::set<std::string> silent_;
+    std::vector<evacuated_time> evacuations_;
     std::map<std::string, running_fault> running_;
     std::set<std::string> violations_;
 };
