--- a/src/dispatch/internal/engine_speeds.cpp
+++ b/src/dispatch/internal/engine_speeds.cpp
@@ -46,6 +46,7 @@
 void engine_speeds::update_service(const std::map<upstream_id, double>& gaps)
 {
     std::vector<double> sorted;
+    sorted.reserve(gaps.size());
     for (const auto& [id, gap] : gaps) {
         sorted.push_back(gap);
     }
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -115,6 +115,7 @@
           {"control-plane", addresses_.at(name + "/control")},
           {"registry", addresses_.at(name + "/directory")}}},
         {"platform", {{"address", number == options_.host_without_store ? unused : addresses_.at("store")}}},
+        {"contracts", options_.orders_by_cost ? json({"base", "pressure"}) : json({"base"})},
         {"bounds", bounds}};
     return directory_.write(name + ".json", settings.dump());
 }
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -28,6 +28,8 @@
         int host_without_store = 0;
         /// Number of the host with the highest bandwidth; 0 for none.
         int fast = 0;
+        /// Requests are ordered by what a refusal costs.
+        bool orders_by_cost = false;
         /// The operator may evacuate zones; upstreams with even numbers are in "colombo-b".
         bool evacuations = false;
     };
