Charge organisations for a moved generation once, and mend what the linter found

A generation that moved was charged to its organisation's share again, which put organisations with many reclaimed engines behind the others. Found by reading; the shares of room_test have no moves of several organisations, so no test failed.

--- a/src/dispatch/internal/placement_scheduler.cpp
+++ b/src/dispatch/internal/placement_scheduler.cpp
@@ -296,13 +296,18 @@
                    {1, unread, question.memory_tokens, question.moving ? 1 : 0});
     auto& room = rooms_[question.service];
     room.granted_tokens += static_cast<double>(question.memory_tokens);
-    shares_.charge(question.organisation, static_cast<double>(question.memory_tokens));
-    running_.push_back({now + limits_.assumed_residence, question.organisation});
-    if (!is_brief(question)) {
+    if (question.moving) {
+        // Its organisation was charged when it was placed first.
+        shares_.remove_request(question.organisation);
+    } else {
+        shares_.charge(question.organisation, static_cast<double>(question.memory_tokens));
+        running_.push_back({now + limits_.assumed_residence, question.organisation});
+    }
+    if (!question.brief) {
         constexpr double weight = 0.05;
         const auto size = static_cast<double>(question.memory_tokens);
         room.average_tokens += (room.average_tokens == 0 ? 1 : weight) * (size - room.average_tokens);
-    } else {
+    } else if (!question.moving) {
         const auto reading = static_cast<std::int64_t>(static_cast<double>(question.prompt_tokens) /
                                                        selection_weights().prompt_tokens_per_ms);
         room.brief.add(now, question.memory_tokens, milliseconds(reading) + limits_.brief_output_time);
--- a/src/node/internal/placement_service.cpp
+++ b/src/node/internal/placement_service.cpp
@@ -73,7 +73,7 @@
 
 std::optional<host_id> placement_service::decider_of(const service_name& service)
 {
-    const auto scheduler = scheduler_of(service);
+    auto scheduler = scheduler_of(service);
     const bool silent = scheduler && *scheduler == silent_scheduler_ && context_.timers.now() < silent_until_;
     if (scheduler && !silent) {
         return scheduler;
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -39,6 +39,7 @@
 std::vector<std::string> zone_names(const std::set<zone_name>& zones)
 {
     std::vector<std::string> out;
+    out.reserve(zones.size());
     for (const auto& it : zones) {
         out.push_back(it.str());
     }
--- a/tests/invariants/evacuation_test.cpp
+++ b/tests/invariants/evacuation_test.cpp
@@ -102,6 +102,7 @@
     start(1);
     // One of each pair runs in the zone.
     std::vector<stream::ptr> answers;
+    answers.reserve(6);
     for (int i = 0; i < 6; ++i) {
         answers.push_back(fleet->open_generation(1, fmt::format("long-{}", i), 100));
     }
