--- a/src/fleet/internal/report_codec.cpp
+++ b/src/fleet/internal/report_codec.cpp
@@ -73,7 +73,9 @@
 constexpr unsigned flag_requests_member_list = 64;
 constexpr unsigned flag_uses_relay = 128;
 constexpr unsigned flag_without_path = 256;
-constexpr std::size_t work_field_count = 7;
+// Without and with the gaps between events.
+constexpr std::size_t work_field_count = 5;
+constexpr std::size_t paced_work_field_count = 7;
 
 unsigned flags_of(const report_entry& value)
 {
@@ -87,7 +89,13 @@
 
 json encode_amounts(const upstream_id& id, const upstream_work& work)
 {
-    return {id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies, work.paced, work.gap_sum};
+    json out = {id.str(), work.active, work.unread_tokens, work.memory_tokens, work.copies};
+    // Only engines of uneven speed have known gaps.
+    if (work.paced > 0) {
+        out.push_back(work.paced);
+        out.push_back(work.gap_sum);
+    }
+    return out;
 }
 
 json encode_work(const report_entry& value)
@@ -139,14 +147,19 @@
 
 upstream_work decode_work(const json& in)
 {
-    return {in.at(1).get<int>(), in.at(2).get<std::int64_t>(), in.at(3).get<std::int64_t>(),
-            in.at(4).get<int>(), in.at(5).get<int>(),          in.at(6).get<std::int64_t>()};
+    upstream_work out{in.at(1).get<int>(), in.at(2).get<std::int64_t>(), in.at(3).get<std::int64_t>(),
+                      in.at(4).get<int>()};
+    if (in.size() == paced_work_field_count) {
+        out.paced = in.at(5).get<int>();
+        out.gap_sum = in.at(6).get<std::int64_t>();
+    }
+    return out;
 }
 
 void decode_work_list(const json& in, std::map<upstream_id, upstream_work>& out)
 {
     for (const auto& it : in) {
-        if (it.size() == work_field_count) {
+        if (it.size() == work_field_count || it.size() == paced_work_field_count) {
             out[upstream_id(it.at(0).get<std::string>())] = decode_work(it);
         }
     }
