--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -383,11 +383,15 @@
 
     const std::string& address() const { return address_; }
 
-    /// Closes the port; connections that are open go on.
-    void stop_listening()
+    /// Closes the port and ends all connections, as a crash of the process does.
+    void crash()
     {
         ::shutdown(fd_, SHUT_RDWR);
         ::close(fd_);
+        const std::lock_guard lock(mutex_);
+        for (const int it : open_) {
+            ::shutdown(it, SHUT_RDWR);
+        }
     }
 
 private:
@@ -400,9 +404,15 @@
             }
             const int yes = 1;
             ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+            {
+                const std::lock_guard lock(mutex_);
+                open_.insert(fd);
+            }
             std::thread([this, fd] {
                 connection peer(fd);
                 handler_(peer);
+                const std::lock_guard lock(mutex_);
+                open_.erase(fd);
             }).detach();
         }
     }
@@ -410,6 +420,8 @@
     std::string address_;
     handler handler_;
     int fd_ = -1;
+    std::mutex mutex_;
+    std::set<int> open_;
 };
 
 /// The platform's store: objects by kind and name, one revision counter, listings, watches, conditional writes.
@@ -605,8 +617,11 @@
     /// Answers a request that the engine runs. The request is complete.
     using run_hook = std::function<void(connection&, const request&)>;
 
-    engine(std::string id, const std::string& ip, run_hook run)
-        : id_(std::move(id)), run_(std::move(run)), server_(ip + ":0", [this](connection& peer) { serve(peer); })
+    /// `place` is an IP address, or an address with a port.
+    engine(std::string id, const std::string& place, run_hook run, long born_ms = 1'000'000)
+        : id_(std::move(id)), run_(std::move(run)), born_ms_(born_ms),
+          server_(place.find(':') == std::string::npos ? place + ":0" : place,
+                  [this](connection& peer) { serve(peer); })
     {}
 
     const std::string& id() const { return id_; }
@@ -619,8 +634,8 @@
                       const std::string& zone = "colombo-a")
     {
         return text("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":%d,"
-                    "\"phase\":\"%s\",\"warmup-left-ms\":0,\"born\":1000000,\"sequence\":%d}",
-                    service.c_str(), address().c_str(), zone.c_str(), capacity, phase.c_str(), 1);
+                    "\"phase\":\"%s\",\"warmup-left-ms\":0,\"born\":%ld,\"sequence\":%d}",
+                    service.c_str(), address().c_str(), zone.c_str(), capacity, phase.c_str(), born_ms_, 1);
     }
 
     /// Headers of an answer of this engine to this request.
@@ -634,6 +649,7 @@
 
     /// From now on the engine reads at most this many bytes of a request's body in a second.
     void read_slowly(std::size_t bytes_per_s) { bytes_per_s_ = bytes_per_s; }
+    void crash() { server_.crash(); }
 
 private:
     void serve(connection& peer)
@@ -644,7 +660,8 @@
                 peer.write(response(200, {{"Content-Type", "application/json"}},
                                     "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
                                     "\"busy\":false,\"sequence\":1,\"queued\":0,\"active\":1,\"kv-used\":0,"
-                                    "\"kv-total\":34450,\"cache-handles\":0,\"phase\":\"ready\",\"born\":1000000}"));
+                                    "\"kv-total\":34450,\"cache-handles\":0,\"phase\":\"ready\",\"born\":" +
+                                        std::to_string(born_ms_) + "}"));
             } else if (message.path() == "/healthz") {
                 peer.write(response(200, {{"Instance-Id", id_}}, "ok"));
             } else if (message.id().empty()) {
@@ -667,6 +684,7 @@
 
     std::string id_;
     run_hook run_;
+    long born_ms_;
     std::atomic<std::size_t> bytes_per_s_{0};
     std::atomic<std::size_t> runs_{0};
     std::atomic<std::size_t> running_{0};
