--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -26,6 +26,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -982,6 +983,8 @@
     {
         pid_ = ::fork();
         if (pid_ == 0) {
+            // If the case itself is ended, its hosts end with it.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
