--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // Case 1: an engine that leaves loses the answers of some calls that move its generations to another engine.
-#include "../standins/standins.h"
+#include "../standins/standins.hpp"
 
 using namespace review;
 
@@ -8,7 +8,8 @@
 constexpr int callers = 20;
 constexpr int engines_at_once = 6;
 constexpr int length_ms = 60'000;
-// As on the site's days: an engine in six gets notice each 3.3 s, is gone 2 s later; another one comes with the next notice.
+// As on the site's days: an engine in six gets notice each 3.3 s, is gone 2 s later; another one comes with the next
+// notice.
 constexpr int notice_period_ms = 3300;
 constexpr int notice_ms = 2000;
 // Of the answers of half of the engines, one in twenty is lost.
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,5 +1,5 @@
 // Case 2: an engine's answer whose body begins a chunk and never ends the line that states its size.
-#include "../standins/standins.h"
+#include "../standins/standins.hpp"
 
 using namespace review;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,5 +1,5 @@
 // Case 4: an engine starts again under its id while it is idle; its entry in the store follows with the next heartbeat.
-#include "../standins/standins.h"
+#include "../standins/standins.hpp"
 
 using namespace review;
 
