--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -5,7 +5,9 @@
 
 namespace {
 
-constexpr int callers = 24;
+constexpr int callers = 60;
+// One of six is a share of 0.17.
+constexpr int engines = 6;
 constexpr int heartbeat_ms = 1200;
 constexpr int down_ms = 1000;
 constexpr int stream_events = 60;
@@ -35,11 +37,16 @@
     engine app("i-app1", net.platform_ip, [&](connection& peer, const request& message) {
         peer.write(response(200, app.answer_headers(message), "notice " + message.id()));
     });
-    engine one("i-e1", net.platform_ip, [&](connection& peer, const request& message) { run_on(one, peer, message); });
-    engine two("i-e2", net.platform_ip, [&](connection& peer, const request& message) { run_on(two, peer, message); });
+    std::vector<std::unique_ptr<engine>> models(engines);
+    for (int i = 0; i < engines; ++i) {
+        auto& slot = models[static_cast<std::size_t>(i)];
+        slot =
+            std::make_unique<engine>(text("i-e%d", i + 1), net.platform_ip,
+                                     [&](connection& peer, const request& message) { run_on(*slot, peer, message); });
+        platform.write("servers", slot->id(), slot->entry("engines", 24));
+    }
+    auto& one = *models.front();
     platform.write("servers", app.id(), app.entry("app", 24));
-    platform.write("servers", one.id(), one.entry("engines", 24));
-    platform.write("servers", two.id(), two.entry("engines", 24));
     entry_host first(net, 1, platform.address(), folder);
     entry_host second(net, 2, platform.address(), folder);
     first.start();
@@ -74,7 +81,7 @@
     std::vector<std::thread> threads;
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&, i] {
-            sleep_ms(40 * i);
+            sleep_ms(16 * i);
             const auto id = text("c%015x", i);
             const bool kept = clients[static_cast<std::size_t>(i)]->connected();
             const auto seen = clients[static_cast<std::size_t>(i)]->call("POST", "/sheet/2f",
