Go on from the earlier copy when the answer to the last copy call is lost

Cause: a stream with neither a length nor chunks ends with its connection. The last copy call of a move stops the generation and closes its stream; without the call's answer the end of the stream does not tell a stopped generation from a complete one, and copy_ended() took it for complete. stream_ended() did the same when the call failed before the stream closed.

Ruled out: framed streams (chunks show the cut), streams of other hosts (always in chunks), a partial event (none is left at an event's end).

Change: a last copy call that was sent and got neither 404 nor 409 leaves open whether the generation was stopped. The end of an unframed stream is then no completion: continue_from_copy() goes on from the copy before, as for framed streams. The engine, which did as asked, is not checked for a crash.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -175,6 +175,8 @@
     bool source_closed_ = false;
     bool source_complete_ = false;
     bool final_copy_done_ = false;
+    /// The engine may have stopped the generation for a final copy whose answer is missing.
+    bool may_be_stopped_ = false;
     bool reported_sound_ = false;
     bool forwarded_ = false;
     bool done_ = false;
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -124,6 +124,7 @@
     out.dead_peer_timeout = dead_engine_timeout;
 
     resumed_ = resume.has_value();
+    may_be_stopped_ = false;
     const auto memory = request_.caller.prompt_tokens + std::max(planned_output_, generated_tokens());
     least_gap_ = {};
     reported_gap_ = {};
@@ -341,8 +342,9 @@
     const bool framed = !find_header(response_headers_, "Transfer-Encoding").empty() ||
                         !find_header(response_headers_, "Content-Length").empty();
     // Without framing, the end of the connection looks the same for an answer and for an engine that crashed.
-    const bool has_output = framed || events_ > 0;
-    const bool complete = end.end == http_call_outcome::complete && !splitter_.has_partial_event() && has_output;
+    // The same holds for an engine that has stopped the generation for a final copy.
+    const bool end_tells = framed || (events_ > 0 && !may_be_stopped_);
+    const bool complete = end.end == http_call_outcome::complete && !splitter_.has_partial_event() && end_tells;
     if (phase_ == phase::switching_over) {
         // Without framing, a stopped stream ends like a complete one; the answer to the copy call tells them apart.
         if (complete && framed) {
@@ -360,8 +362,10 @@
         finish_stream();
         return;
     }
-    context_.loads.record_outcome(context_.timers.now(), engine_.id, true);
-    check_for_crash(true);
+    if (!may_be_stopped_) {
+        context_.loads.record_outcome(context_.timers.now(), engine_.id, true);
+        check_for_crash(true);
+    }
     if (!continue_from_copy(end.detail)) {
         fail(make_error(error_kind::generation_lost, "the engine's stream ended early: " + end.detail));
     }
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -292,7 +292,10 @@
         send(engine_, resume_point{platform::copy_source(engine_.address, handle), last_event_, events_ > 0});
         return;
     }
-    if (source_closed_ && source_complete_) {
+    // Only these two answers say that the call has not stopped the generation.
+    const bool runs_on = copy.error().kind == error_kind::not_found || copy.error().kind == error_kind::conflict;
+    may_be_stopped_ = may_be_stopped_ || (!runs_on && end.may_have_been_sent);
+    if (source_closed_ && source_complete_ && !may_be_stopped_) {
         finish_stream();
         return;
     }
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdlib>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -14,16 +15,21 @@
 constexpr int backlog = 128;
 // Longest time for which a call on a connection may block, after which the end of the test is noticed.
 constexpr timeval call_timeout{0, 100'000};
+constexpr const char* end_of_head = "\r\n\r\n";
 
-bool ends_head(const std::string& received)
+bool timed_out(ssize_t count)
 {
-    return received.find("\r\n\r\n") != std::string::npos;
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace
 
-scripted_upstream::scripted_upstream(std::string answer, std::string repeated)
-    : answer_(std::move(answer)), repeated_(std::move(repeated))
+bool scripted_upstream::connection::send(const std::string& bytes)
+{
+    return ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0 || errno == EAGAIN;
+}
+
+scripted_upstream::scripted_upstream(handler serve) : serve_(std::move(serve))
 {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in endpoint = {};
@@ -37,12 +43,20 @@
     acceptor_ = std::thread([this] { accept_connections(); });
 }
 
+scripted_upstream::scripted_upstream(const std::string& answer, const std::string& repeated)
+    : scripted_upstream([this, answer, repeated](const std::string&, connection& peer) {
+          peer.send(answer);
+          while (!repeated.empty() && !stopped_ && peer.send(repeated)) {
+          }
+      })
+{}
+
 scripted_upstream::~scripted_upstream()
 {
     stopped_ = true;
     ::shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
-    for (auto& it : answers_) {
+    for (auto& it : threads_) {
         it.join();
     }
     ::close(listener_);
@@ -57,39 +71,62 @@
         }
         ++connections_;
         ++open_connections_;
-        answers_.emplace_back([this, socket] {
-            answer_connection(socket);
+        threads_.emplace_back([this, socket] {
+            serve_connection(socket);
+            ::close(socket);
             --open_connections_;
         });
     }
 }
 
-void scripted_upstream::answer_connection(int socket)
+bool scripted_upstream::read_request(int socket, std::string& received) const
 {
-    ::setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &call_timeout, sizeof(call_timeout));
-    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &call_timeout, sizeof(call_timeout));
-    std::string received;
+    // Closing the socket with unread bytes would reset the connection, so the body is read, too.
     std::array<char, 4096> buf = {};
-    // Closing the socket with unread bytes would reset the connection.
-    while (!ends_head(received)) {
+    while (!stopped_) {
+        const auto head = received.find(end_of_head);
+        if (head != std::string::npos) {
+            const auto length = std::strtoul(header_of(received, "Content-Length").c_str(), nullptr, 10);
+            if (received.size() >= head + std::char_traits<char>::length(end_of_head) + length) {
+                return true;
+            }
+        }
         const auto n = ::recv(socket, buf.data(), buf.size(), 0);
-        const bool timed_out = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (timed_out && !stopped_) {
+        if (timed_out(n)) {
             continue;
         }
         if (n <= 0) {
-            ::close(socket);
-            return;
+            return false;
         }
         received.append(buf.data(), static_cast<std::size_t>(n));
     }
-    ::send(socket, answer_.data(), answer_.size(), MSG_NOSIGNAL);
-    while (!repeated_.empty() && !stopped_) {
-        if (::send(socket, repeated_.data(), repeated_.size(), MSG_NOSIGNAL) < 0 && errno != EAGAIN) {
-            break;
+    return false;
+}
+
+void scripted_upstream::serve_connection(int socket)
+{
+    ::setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &call_timeout, sizeof(call_timeout));
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &call_timeout, sizeof(call_timeout));
+    connection peer(socket);
+    do {
+        peer.open_ = false;
+        std::string request;
+        if (!read_request(socket, request)) {
+            return;
         }
+        serve_(request, peer);
+    } while (peer.open_ && !stopped_);
+}
+
+std::string header_of(const std::string& request, const std::string& name)
+{
+    const auto prefix = "\r\n" + name + ": ";
+    const auto found = request.find(prefix);
+    if (found == std::string::npos) {
+        return {};
     }
-    ::close(socket);
+    const auto begin = found + prefix.size();
+    return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
 } // namespace testing
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -1,18 +1,42 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace testing {
 
-/// An upstream that answers each connection with the same bytes, whatever it was asked, and closes it.
+/// An upstream whose answers a test states byte by byte, so that they may break the protocol.
 class scripted_upstream
 {
 public:
-    /// After `answer`, sends `repeated` again and again until the peer closes, unless it is empty.
-    explicit scripted_upstream(std::string answer, std::string repeated = "");
+    /// One connection, while a request on it is being answered.
+    class connection
+    {
+    public:
+        explicit connection(int socket) : socket_(socket) {}
+        /// Returns false once the peer has closed the connection.
+        bool send(const std::string& bytes);
+        /// Lets the upstream read a further request on this connection instead of closing it.
+        void keep_open() { open_ = true; }
+
+    private:
+        friend class scripted_upstream;
+
+        int socket_;
+        bool open_ = false;
+    };
+
+    /// Called for each request, with its head and body as received, on a thread of its connection.
+    using handler = std::function<void(const std::string& request, connection& peer)>;
+
+    explicit scripted_upstream(handler serve);
+    /// Answers each request with the same bytes and closes the connection. After `answer`, sends `repeated` again and
+    /// again until the peer closes, unless it is empty.
+    explicit scripted_upstream(const std::string& answer, const std::string& repeated = "");
     ~scripted_upstream();
     scripted_upstream(const scripted_upstream&) = delete;
     scripted_upstream& operator=(const scripted_upstream&) = delete;
@@ -21,20 +45,26 @@
     std::size_t connections() const { return connections_; }
     /// Connections that are still open.
     std::size_t open_connections() const { return open_connections_; }
+    /// The upstream is being destroyed, so handlers should return.
+    bool stopped() const { return stopped_; }
 
 private:
     void accept_connections();
-    void answer_connection(int socket);
+    void serve_connection(int socket);
+    /// Reads one request with a body that has a Content-Length; returns false when the connection has ended.
+    bool read_request(int socket, std::string& received) const;
 
-    std::string answer_;
-    std::string repeated_;
+    handler serve_;
     std::string address_;
     int listener_ = -1;
     std::atomic<bool> stopped_{false};
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> open_connections_{0};
-    std::vector<std::thread> answers_;
+    std::vector<std::thread> threads_;
     std::thread acceptor_;
 };
 
+/// Returns the value of a header of a request as `scripted_upstream` receives it; empty if there is none.
+std::string header_of(const std::string& request, const std::string& name);
+
 } // namespace testing
