Bound the framing of bodies that peers send

Cause: bytes of a body are counted by those who asked for it and a head has a limit, but chunk lines and trailers were buffered without one until they could be parsed. Related: the same in requests, and interim responses without end, each of which began the count of the head anew.

Ruled out: a timer (the peer sends all the time), the limits of callers (their on_data sees no framing), links (4 MiB a message), events (bounded).

Change: the read buffers of http_client (16 KiB) and http_session (64 KiB above the largest head) have a maximum; interim responses count towards the head.

--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -208,6 +208,7 @@
         message_.prepare_payload();
         send_started_ = true;
         request_written_ = false;
+        head_bytes_ = 0;
         start_timer(request_.head_timeout);
         http::async_write(*socket_, message_,
                           bind_to_strand([self = shared_from_this(), n = connection_number_](
@@ -228,7 +229,6 @@
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         // The headers of a response to HEAD describe a body that is not sent.
         parser_->skip(request_.method == "HEAD");
-        head_bytes_ = 0;
         parse_head();
     }
 
@@ -364,6 +364,9 @@
     static constexpr std::size_t head_read_bytes = 4096;
     // Equals Beast's default limit, which applies to the unparsed part of a head only.
     static constexpr std::size_t max_head_bytes = 8 * 1024;
+    // Bounds the framing of a body, which is buffered until it can be parsed: the line of a chunk, or all trailers.
+    static constexpr std::size_t max_unparsed_bytes = 16 * 1024;
+    static_assert(max_unparsed_bytes >= max_head_bytes + head_read_bytes);
 
     net::io_context& context_;
     std::shared_ptr<idle_connection_pool> pool_;
@@ -375,8 +378,8 @@
     socket_ptr socket_;
     http::request<http::string_body> message_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
-    beast::flat_buffer buffer_;
-    /// Number of parsed bytes of the response head.
+    beast::flat_buffer buffer_{max_unparsed_bytes};
+    /// Number of parsed bytes of the response head, including those of interim responses before it.
     std::size_t head_bytes_ = 0;
     std::array<char, body_read_bytes> body_buffer_ = {};
     std::uint64_t timer_wait_number_ = 0;
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t max_linger_bytes = 16 * 1024 * 1024;
 constexpr std::size_t linger_read_bytes = 16 * 1024;
 constexpr std::size_t head_read_bytes = 4096;
+// Bounds the framing of a body, which is buffered until it can be parsed: the line of a chunk, or all trailers.
+constexpr std::size_t max_unparsed_body_bytes = 64 * 1024;
+static_assert(max_unparsed_body_bytes >= head_read_bytes && max_unparsed_body_bytes >= linger_read_bytes);
 
 constexpr int http_no_content = 204;
 constexpr int http_not_modified = 304;
@@ -39,7 +42,8 @@
 http_session::http_session(net::ip::tcp::socket socket, std::shared_ptr<asio_sequence> sequence,
                            std::shared_ptr<http_server_state> state, std::atomic<std::size_t>& connection_count)
     : socket_(std::move(socket)), read_timer_(sequence->strand), write_timer_(sequence->strand),
-      sequence_(std::move(sequence)), state_(std::move(state)), connection_count_(connection_count)
+      sequence_(std::move(sequence)), state_(std::move(state)), connection_count_(connection_count),
+      buffer_(state_->limits.header_bytes + max_unparsed_body_bytes)
 {
     ++connection_count_;
 }
@@ -207,6 +211,8 @@
         rejection = make_error(error_kind::headers_too_large, "the request head exceeds the size limit");
     } else if (ec == http::error::body_limit) {
         rejection = make_error(error_kind::body_too_large, "the request body exceeds the size limit");
+    } else if (ec == http::error::buffer_overflow) {
+        rejection = make_error(error_kind::invalid_request, "the framing of the request body exceeds the size limit");
     } else if (is_parse_error(ec)) {
         rejection = make_error(error_kind::invalid_request, "the request is not valid HTTP/1.1: " + ec.message());
     }
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -126,6 +126,33 @@
     CHECK(fetch(server.address()).call_result.end == http_call_outcome::lost);
 }
 
+// Guards against a chunk line or trailers without end that fill the memory of a host: they are no part of the body, so
+// no limit of the body applies.
+TEST(http_client_test, framing_of_a_body_above_the_limit_is_rejected)
+{
+    constexpr std::size_t bytes = 64 * 1024;
+    const std::string filler(1000, 'a');
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const scripted_server chunk_line(head + "1;x=", filler, bytes, "\r\na\r\n0\r\n\r\n");
+    CHECK(fetch(chunk_line.address()).call_result.end == http_call_outcome::lost);
+    const scripted_server trailers(head + "1\r\na\r\n0\r\n", "X: " + filler + "\r\n", bytes, "\r\n");
+    CHECK(fetch(trailers.address()).call_result.end == http_call_outcome::lost);
+}
+
+// Guards against a peer that sends interim responses for ever instead of an answer.
+TEST(http_client_test, interim_responses_above_the_limit_of_a_head_are_rejected)
+{
+    std::string interim;
+    for (int i = 0; i < 10; ++i) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const scripted_server few(interim, "", 0, answer);
+    CHECK(fetch(few.address()).call_result.end == http_call_outcome::complete);
+    const scripted_server endless("", interim, 4 * max_head_bytes, answer);
+    CHECK(fetch(endless.address()).call_result.end == http_call_outcome::lost);
+}
+
 // Guards against a limit that rejects heads of the permitted size, and against body bytes that are lost while the head
 // is parsed.
 TEST(http_client_test, a_head_at_the_limit_is_read_with_its_body)
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -71,6 +71,18 @@
 
 TEST_GROUP(http_server_test){};
 
+// Guards against a chunk line or trailers of a request that fill the memory of a host: no limit of the body counts
+// them.
+TEST(http_server_test, framing_of_a_request_body_above_the_limit_is_rejected)
+{
+    server_fixture f(echo);
+    const std::string filler(200'000, 'a');
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(contains(f.send_and_read(head + "1;x=a\r\na\r\n0\r\nX: a\r\n\r\n"), "POST a"));
+    CHECK(contains(f.send_and_read(head + "1;x=" + filler + "\r\na\r\n0\r\n\r\n"), "\"invalid_request\""));
+    CHECK(contains(f.send_and_read(head + "1\r\na\r\n0\r\nX: " + filler + "\r\n\r\n"), "\"invalid_request\""));
+}
+
 // Guards against malformed requests that terminate the process or get no response with a known error kind.
 TEST(http_server_test, malformed_requests_get_a_known_error_kind)
 {
--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -74,8 +74,8 @@
     STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str());
 }
 
-// Guards against 50 answers without end that fill the host's memory, in a head, a body or one event, and against
-// callers that wait for them.
+// Guards against 50 answers without end that fill the host's memory, in a head, a body, its framing or one event, and
+// against callers that wait for them.
 TEST(odd_answer, answers_without_end_are_cut_within_stated_limits)
 {
     struct endless_answer
@@ -87,7 +87,15 @@
     };
     const std::string filler(4096, 'x');
     const std::string plain_head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\n\n\n\r\n";
+    const std::string plain_chunks = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n" + chunked;
+    const std::string stream_chunks =
+        "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\n" + chunked;
     for (const auto& it : std::vector<endless_answer>{
+             {"registry", "/notice/1", plain_chunks + "1;", filler},
+             {"registry", "/notice/1", plain_chunks + "0\r\n", "X-Filler: " + filler + "\r\n"},
+             {"engines", "/sheet/week", stream_chunks + "1;", filler},
+             {"engines", "/sheet/week", stream_chunks + "0\r\n", "X-Filler: " + filler + "\r\n"},
              {"registry", "/notice/1", "", filler},
              {"registry", "/notice/1", "HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"},
              {"registry", "/notice/1", plain_head, filler},
