Leave generations to their connections when an engine has restarted

Cause: the directory notices a restart when the entry arrives, one heartbeat after the start. on_upstream_restarted() then ended each generation at the engine, also those sent to the process that runs now.

Ruled out: the crash itself (the engine was idle), the hosts' clocks (no time is compared), a lost connection (they were delivering events).

Change: the news ends a generation only if it was sent to another address than the engine has now. Otherwise the connection tells: it does not outlive the process, and keep-alive probes find a machine without power.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -27,7 +27,8 @@
     void start();
     /// Called when the directory marks an engine as leaving.
     void on_upstream_leaving(const upstream_id& upstream);
-    /// Called when an engine restarted under the same id; its generations and copies are lost.
+    /// Called when an engine is known to have restarted under the same id. Its generations are lost if they ran at
+    /// another address.
     void on_upstream_restarted(const upstream_id& upstream);
     /// Called when requests were put under quarantine. Ends the generation if it is one of them and has no output yet.
     void on_requests_quarantined();
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -64,6 +64,12 @@
     if (done_ || upstream != engine_.id || phase_ == phase::placing) {
         return;
     }
+    // The engine may have begun to serve before this host heard of its start, so the generation may be one of the
+    // process that runs now. Its connection tells: it does not outlive the process.
+    const auto* entry = context_.directory.find(engine_.id);
+    if (entry != nullptr && entry->record.address == engine_.address) {
+        return;
+    }
     if (!continue_from_copy("the engine restarted")) {
         fail(make_error(error_kind::generation_lost, "the engine restarted"));
     }
--- a/tests/invariants/node_test.cpp
+++ b/tests/invariants/node_test.cpp
@@ -328,6 +328,31 @@
     LONGS_EQUAL(0, code.value_or(-1));
 }
 
+// Guards against streams that are cut although they run at an engine that has started again, because its entry shows the
+// start only later.
+TEST(node, generation_at_a_restarted_engine_outlives_the_news_of_its_start)
+{
+    node_fleet it(sized(1, 1));
+    start(it, 1);
+    it.control("engine-1", {{"down_ms", 200}, {"crash", true}});
+    const auto running = [&] { return it.client().call(it.address("engine-1"), "GET", "/report").status == 200; };
+    CHECK(eventually([&] { return !running(); }));
+    CHECK(eventually(running));
+    const auto answer = it.open_generation(1, "r-1", 100);
+    CHECK(eventually([&] { return received_bytes(answer) > 100; }));
+    it.write("servers", "engine-1",
+             {{"service", "engines"},
+              {"address", it.address("engine-1")},
+              {"zone", "colombo-a"},
+              {"capacity", 24},
+              {"phase", "ready"},
+              {"born", 2'000'000}});
+    CHECK(eventually([&] { return it.log_of(1).find("upstream_restarted") != std::string::npos; }));
+    CHECK(answer->wait_end());
+    CHECK(answer->head().complete());
+    STRCMP_EQUAL(expected_events("r-1", 100).c_str(), answer->head().body.c_str());
+}
+
 // Guards against SIGHUP ending the process (the signal's default), and against a bad file replacing good settings.
 TEST(node, sighup_reads_the_settings_again)
 {
