Take over the start time that an engine states itself

Until the new entry came, each further lost request counted as a crash that it had caused.

Change: the directory takes over a start that the engine states (one restart, noticed once) and ignores entries of the process before. An engine that is leaving does not come back by this.

Tests: two in upstream_directory_test; on_start_stated() is new, so they cannot be built before.

--- a/src/dispatch/internal/upstream_directory.cpp
+++ b/src/dispatch/internal/upstream_directory.cpp
@@ -56,16 +56,15 @@
         return;
     }
     auto& known = found->second;
+    if (value.started_at_ms != 0 && value.started_at_ms == known.earlier_start_ms) {
+        // It was written by the process before, and the upstream has said since that it has started again.
+        return;
+    }
     const bool restarted = known.record.started_at_ms != 0 && value.started_at_ms != 0 &&
                            known.record.started_at_ms != value.started_at_ms;
     const bool moved = known.record.address != value.address;
     if (restarted || moved) {
-        known = entry{};
-        known.record = value;
-        known.returned_at = now;
-        if (hooks_.on_restarted) {
-            hooks_.on_restarted(value.id);
-        }
+        on_restart(now, known, value);
     }
     known.record = value;
     known.cold_until = now + value.warmup_left;
@@ -122,6 +121,22 @@
     }
 }
 
+void upstream_directory::on_start_stated(instant now, const upstream_id& id, std::int64_t started_at_ms)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || !found->second.usable || found->second.lapsed) {
+        return;
+    }
+    auto& known = found->second;
+    const bool comparable = started_at_ms != 0 && known.record.started_at_ms != 0;
+    if (!comparable || started_at_ms == known.record.started_at_ms || started_at_ms == known.earlier_start_ms) {
+        return;
+    }
+    auto record = known.record;
+    record.started_at_ms = started_at_ms;
+    on_restart(now, known, record);
+}
+
 void upstream_directory::expire(instant now)
 {
     for (auto& [id, value] : entries_) {
@@ -238,6 +253,18 @@
     return out;
 }
 
+void upstream_directory::on_restart(instant now, entry& value, const upstream_record& record)
+{
+    const auto earlier = value.record.started_at_ms == record.started_at_ms ? 0 : value.record.started_at_ms;
+    value = entry{};
+    value.record = record;
+    value.returned_at = now;
+    value.earlier_start_ms = earlier;
+    if (hooks_.on_restarted) {
+        hooks_.on_restarted(record.id);
+    }
+}
+
 void upstream_directory::begin_leaving(instant now, entry& value)
 {
     if (!value.usable) {
--- a/src/dispatch/tests/upstream_directory_test.cpp
+++ b/src/dispatch/tests/upstream_directory_test.cpp
@@ -81,6 +81,32 @@
     STRCMP_EQUAL("b", left.at(0).c_str());
 }
 
+// Guards against an entry of the process before that undoes what the upstream itself has said of its start: each
+// request lost since then would count as a crash.
+TEST(upstream_directory_test, entry_that_is_older_than_a_stated_start_is_ignored)
+{
+    directory.apply(now, record("a"));
+    directory.on_start_stated(now, upstream_id("a"), 2);
+    LONGS_EQUAL(1, restarted.size());
+    directory.on_start_stated(now, upstream_id("a"), 2);
+    directory.apply(now, record("a", true));
+    directory.apply(now, record("a", false, 2));
+    LONGS_EQUAL(1, restarted.size());
+    LONGS_EQUAL(0, left.size());
+    LONGS_EQUAL(2, directory.find(upstream_id("a"))->record.started_at_ms);
+    directory.apply(now, record("a", false, 3));
+    LONGS_EQUAL(2, restarted.size());
+}
+
+// Guards against an upstream that is used again because it answered while it was leaving.
+TEST(upstream_directory_test, stated_start_does_not_bring_a_leaving_upstream_back)
+{
+    directory.apply(now, record("a", true));
+    directory.on_start_stated(now, upstream_id("a"), 2);
+    LONGS_EQUAL(0, restarted.size());
+    LONGS_EQUAL(0, usable());
+}
+
 // Guards against generations that are assumed to be running on an engine that has restarted under the same id.
 TEST(upstream_directory_test, a_restart_under_the_same_id_is_notified)
 {
--- a/src/dispatch/upstream_directory.h
+++ b/src/dispatch/upstream_directory.h
@@ -52,6 +52,8 @@
         instant cold_until{};
         /// When it has started or returned, as far as this host saw it; cold for its service's warm-up time from then.
         instant returned_at{};
+        /// Start of the process before the one in `record`; 0 if none is known.
+        std::int64_t earlier_start_ms = 0;
     };
 
     /// `on_leaving` is called when an upstream starts to leave or is removed, `on_restarted` when it was
@@ -83,6 +85,8 @@
     void mark_leaving(instant now, const upstream_id& id);
     /// The upstream itself has said in an answer that it leaves.
     void on_said_leaving(instant now, const upstream_id& id);
+    /// The upstream itself has said when it started. Its entry shows a restart only some time later.
+    void on_start_stated(instant now, const upstream_id& id, std::int64_t started_at_ms);
     /// Applies the expiry of grace periods and erases departed upstreams.
     void expire(instant now);
 
@@ -114,6 +118,7 @@
 
 private:
     void begin_leaving(instant now, entry& value);
+    void on_restart(instant now, entry& value, const upstream_record& record);
     bool may_be_lapsed_lease(instant now) const;
 
     directory_limits limits_;
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -75,6 +75,10 @@
     const auto report = platform::parse_engine_report(end, answer);
     const bool restarted = report && report.value().started_at_ms != 0 && upstream.started_at_ms != 0 &&
                            report.value().started_at_ms != upstream.started_at_ms;
+    if (report) {
+        // A request that is lost next was sent to the process that runs now.
+        context_.directory.on_start_stated(context_.timers.now(), upstream.id, report.value().started_at_ms);
+    }
     const bool leaving = is_leaving(upstream.id) || (report && report.value().leaving);
     const bool crashed = !leaving && (end.refused || restarted);
     log(crashed ? log_level::warning : log_level::info, log_event::engine_checked,
