Answer what a host has accepted before it exits

Cause: a host that shuts down counted only complete requests, and at the end of the grace time it ended generations and dropped plain calls with the process.

Ruled out: repeated SIGTERM and SIGHUP (end nothing), the answer's write (an exchange is open until the kernel has it).

Change: connections are busy from the first byte of a request on; the process leaves after two quiet checks. A host that shuts down refuses what may outlive it (503, not run), answers what is left at the end (502, or 503 if never sent), and lingers on connections whose clients expect them to stay. The end is 500 ms before the kill. SIGHUP is ignored until the process listens for it. The gateway counts busy connections, too.

--- a/src/apps/gateway/gateway_daemon.cpp
+++ b/src/apps/gateway/gateway_daemon.cpp
@@ -312,7 +312,7 @@
 
 void gateway_daemon::exit_when_drained()
 {
-    if (*context_->open_requests == 0 && http_server_->open_exchanges() == 0) {
+    if (*context_->open_requests == 0 && http_server_->busy_connections() == 0) {
         schedulers_->report_progress();
         pool_.timers().after(final_report_delay, [this] { pool_.stop(); });
         return;
--- a/src/apps/node/main.cpp
+++ b/src/apps/node/main.cpp
@@ -68,6 +68,8 @@
 {
     // Writing to a closed log pipe must not terminate the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Until the process listens for it; the settings are read after this.
+    std::signal(SIGHUP, SIG_IGN);
     const auto options = read_command_line(argc, argv);
     const auto read_settings = [&options] {
         auto out = platform::read_node_settings(options.settings_path);
--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -6,6 +6,7 @@
 #include "core/result.h"
 #include "node/generation_relay.h"
 #include "node/node_context.h"
+#include "node/plain_call.h"
 
 namespace anvillead {
 
@@ -24,17 +25,24 @@
     void on_upstream_restarted(const upstream_id& upstream);
     /// Number of generations in progress.
     std::size_t open_generations();
+    /// Ends all requests in progress, for a process that has to exit.
     void abort_all(const std::string& reason);
 
 private:
     /// Takes out of a request that another host has passed on what that host has added; returns why it is not served.
     std::optional<error> admit_forwarded(http_request& message, admitted_request& out) const;
     result<admitted_request> admit(http_request message, const std::shared_ptr<ihttp_exchange>& exchange) const;
+    /// Whether the process might exit before the request has ended.
+    bool may_outlive_process(const admitted_request& request) const;
     void start_generation(admitted_request request);
+    void start_plain_call(admitted_request request);
     void for_each_generation(const std::function<void(generation_relay&)>& action);
 
     node_context& context_;
     std::vector<std::weak_ptr<generation_relay>> generations_;
+    std::vector<std::weak_ptr<plain_call>> plain_calls_;
+    /// Number of entries at which those of ended calls are removed.
+    std::size_t plain_calls_limit_ = 0;
 };
 
 } // namespace anvillead
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -4,7 +4,6 @@
 
 #include "core/log.h"
 #include "node/error_response.h"
-#include "node/plain_call.h"
 #include "node/types/forwarding.h"
 #include "platform/call_headers.h"
 
@@ -16,6 +15,9 @@
 constexpr milliseconds retry_after_start{300};
 // Retry-After during shutdown; callers choose another host with their next connection.
 constexpr milliseconds retry_after_leaving{10};
+// Longest time that a plain call without a deadline is expected to take.
+constexpr milliseconds call_time_without_deadline{2000};
+constexpr std::size_t min_plain_calls_limit = 64;
 // Requests of other hosts' callers that this host serves at the same time; each holds two connections and their
 // buffers.
 constexpr std::size_t max_forwarded_requests = 128;
@@ -36,7 +38,7 @@
         start_generation(std::move(request));
         return;
     }
-    std::make_shared<plain_call>(context_, std::move(request))->start();
+    start_plain_call(std::move(request));
 }
 
 result<admitted_request> caller_handler::admit(http_request message,
@@ -76,13 +78,6 @@
         reason.retry_after = retry_after_start;
         return reason;
     }
-    if (context_.leaving && out.matched_route->event_stream &&
-        out.matched_route->timeout > context_.settings.shutdown_grace) {
-        // The generation might not finish within the shutdown grace period.
-        auto reason = make_error(error_kind::leaving, "this host is shutting down");
-        reason.retry_after = retry_after_leaving;
-        return reason;
-    }
     out.message = std::move(message);
     out.traits =
         traits_of({out.message.method, out.caller.host, out.message.target, out.organisation, out.message.body},
@@ -95,9 +90,22 @@
     if (out.matched_route->timeout.count() > 0) {
         out.deadline = std::min(out.deadline, out.arrived + out.matched_route->timeout);
     }
+    if (context_.leaving && may_outlive_process(out)) {
+        auto reason = make_error(error_kind::leaving, "this host is shutting down");
+        reason.retry_after = retry_after_leaving;
+        return reason;
+    }
     return out;
 }
 
+bool caller_handler::may_outlive_process(const admitted_request& request) const
+{
+    if (request.deadline == instant::max() && !request.matched_route->event_stream) {
+        return request.arrived + call_time_without_deadline > context_.exit_at;
+    }
+    return request.deadline > context_.exit_at;
+}
+
 std::optional<error> caller_handler::admit_forwarded(http_request& message, admitted_request& out) const
 {
     if (message.header(forwarded_by_header).empty()) {
@@ -140,6 +148,19 @@
     relay->start();
 }
 
+void caller_handler::start_plain_call(admitted_request request)
+{
+    auto call = std::make_shared<plain_call>(context_, std::move(request));
+    if (plain_calls_.size() >= plain_calls_limit_) {
+        plain_calls_.erase(
+            std::remove_if(plain_calls_.begin(), plain_calls_.end(), [](const auto& it) { return it.expired(); }),
+            plain_calls_.end());
+        plain_calls_limit_ = std::max(min_plain_calls_limit, 2 * plain_calls_.size());
+    }
+    plain_calls_.push_back(call);
+    call->start();
+}
+
 void caller_handler::for_each_generation(const std::function<void(generation_relay&)>& action)
 {
     // Iterates over a copy, because an action may end a generation and thereby change the list.
@@ -176,6 +197,11 @@
 void caller_handler::abort_all(const std::string& reason)
 {
     for_each_generation([&reason](generation_relay& it) { it.abort(reason); });
+    for (const auto& it : std::exchange(plain_calls_, {})) {
+        if (const auto call = it.lock()) {
+            call->abort(reason);
+        }
+    }
 }
 
 } // namespace anvillead
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -450,9 +450,11 @@
 
 void generation_relay::abort(const std::string& reason)
 {
-    if (!done_) {
-        fail(make_error(error_kind::generation_lost, reason));
+    if (done_) {
+        return;
     }
+    const bool not_run = phase_ == phase::placing && offers_ == 0 && !response_started_ && !forwarder_;
+    fail(make_error(not_run ? error_kind::leaving : error_kind::generation_lost, reason));
 }
 
 void generation_relay::finish()
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -51,7 +51,11 @@
 // The settings file may change without a reload signal.
 constexpr milliseconds settings_check_period{5000};
 // Open requests are aborted this long before the grace period ends, so that their last bytes can still be sent.
-constexpr milliseconds shutdown_margin{300};
+constexpr milliseconds shutdown_margin{500};
+// Time in which the last answers are passed to the sockets.
+constexpr milliseconds flush_time{100};
+// Checks in a row without a request, after which the process ends. What arrives before one is read before the next.
+constexpr int quiet_checks = 2;
 // After a suspension of this length the state of the process is treated as stale; shorter ones are ordinary
 // scheduling delays.
 constexpr milliseconds min_suspension{500};
@@ -94,6 +98,7 @@
                nullptr,
                {},
                false,
+               instant::max(),
                std::make_shared<std::size_t>(0),
                std::make_shared<std::size_t>(0),
                std::make_shared<byte_budget>(max_answer_buffer_bytes),
@@ -532,6 +537,7 @@
     }
     context_.leaving = true;
     leaving_since_ = context_.timers.now();
+    context_.exit_at = leaving_since_ + settings_.shutdown_grace - shutdown_margin;
     log(log_level::info, log_event::shutdown_began,
         {{"generations", std::to_string(callers_.open_generations())},
          {"requests", std::to_string(frontend_->open_exchanges())}});
@@ -542,16 +548,27 @@
 
 void node_daemon::check_shutdown()
 {
-    const auto elapsed = context_.timers.now() - leaving_since_;
-    const bool endpoint_answers_expired = elapsed >= endpoint_time_to_live * endpoint_overrun_factor;
-    if (endpoint_answers_expired && frontend_->open_exchanges() == 0) {
+    const auto now = context_.timers.now();
+    const bool endpoint_answers_expired = now - leaving_since_ >= endpoint_time_to_live * endpoint_overrun_factor;
+    const auto arrivals = frontend_->arrivals();
+    const bool quiet = frontend_->busy_connections() == 0 && arrivals == std::exchange(last_arrivals_, arrivals);
+    quiet_checks_ = quiet ? quiet_checks_ + 1 : 0;
+    if (endpoint_answers_expired && quiet_checks_ >= quiet_checks) {
         pool_.stop();
         return;
     }
-    if (elapsed >= settings_.shutdown_grace - shutdown_margin) {
+    if (now < context_.exit_at) {
+        return;
+    }
+    if (!std::exchange(shutdown_forced_, true)) {
         log(log_level::warning, log_event::shutdown_forced,
-            {{"generations", std::to_string(callers_.open_generations())}});
+            {{"generations", std::to_string(callers_.open_generations())},
+             {"requests", std::to_string(frontend_->open_exchanges())},
+             {"connections", std::to_string(frontend_->busy_connections())}});
         callers_.abort_all("the host is shutting down");
+        return;
+    }
+    if (frontend_->open_exchanges() == 0 || now >= context_.exit_at + flush_time) {
         pool_.stop();
     }
 }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -54,9 +54,7 @@
         deadline_timer_ =
             context_.timers.after(std::max(remaining_time(), milliseconds(0)), [self = shared_from_this()] {
                 auto reason = make_error(error_kind::deadline_exceeded, "no answer before the deadline");
-                const bool may_have_run =
-                    self->accepted_ > 0 || self->in_flight_ || (self->forwarder_ && self->forwarder_->may_have_run());
-                reason.outcome = may_have_run ? run_outcome::may_have_run : run_outcome::not_run;
+                reason.outcome = self->may_have_run() ? run_outcome::may_have_run : run_outcome::not_run;
                 self->reply_error(reason);
             });
     }
@@ -379,6 +377,18 @@
         });
 }
 
+bool plain_call::may_have_run() const
+{
+    return accepted_ > 0 || in_flight_ || (forwarder_ && forwarder_->may_have_run());
+}
+
+void plain_call::abort(const std::string& reason)
+{
+    if (!done_) {
+        reply_error(make_error(may_have_run() ? error_kind::upstream_failed : error_kind::leaving, reason));
+    }
+}
+
 bool plain_call::may_retry() const
 {
     return request_.matched_route->idempotent && accepted_ < request_.matched_route->max_attempts &&
@@ -387,12 +397,12 @@
 
 void plain_call::retry_or_fail(error reason)
 {
-    const bool may_have_run = accepted_ > 0;
-    const bool allowed = may_have_run ? may_retry() : sent_ < max_offers && remaining_time() > min_attempt_time;
+    const bool was_accepted = accepted_ > 0;
+    const bool allowed = was_accepted ? may_retry() : sent_ < max_offers && remaining_time() > min_attempt_time;
     // A request that did not reach an upstream puts no load on it, so the next attempt does not use the retry budget.
     const bool reached_upstream = reason.kind != error_kind::no_upstream;
     const bool may_forward = context_.paths.lost(request_.service) ? can_forward() : !allowed && can_forward();
-    if (!may_have_run && !reached_upstream && may_forward) {
+    if (!was_accepted && !reached_upstream && may_forward) {
         forwarding_reason_ = reason;
         forward();
         return;
@@ -412,7 +422,7 @@
         attempt();
         return;
     }
-    if (may_have_run) {
+    if (was_accepted) {
         reason.kind = error_kind::upstream_failed;
         reason.outcome = run_outcome::may_have_run;
     } else {
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -57,6 +57,8 @@
     std::map<service_name, host_retry_budget> retry_budgets;
     /// The process is shutting down.
     bool leaving = false;
+    /// When the process ends at the latest; set while it is shutting down.
+    instant exit_at = instant::max();
     /// Number of requests of other hosts' callers that this host serves at present; shared with these requests.
     std::shared_ptr<std::size_t> forwarded_requests;
     /// Answers that are passed on to callers as they arrive; shared with these answers.
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -84,6 +84,10 @@
     /// Since when no host of a large fleet has reached the platform; unset while one does.
     instant unreachable_since_{};
     instant leaving_since_{};
+    /// Connections and requests at the last check of the shutdown, and checks in a row without any.
+    std::uint64_t last_arrivals_ = 0;
+    int quiet_checks_ = 0;
+    bool shutdown_forced_ = false;
     std::chrono::nanoseconds last_suspended_{0};
     bool reported_ready_ = false;
 };
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -18,6 +18,8 @@
 public:
     plain_call(node_context& context, admitted_request request);
     void start();
+    /// Answers with an error, for a process that has to exit.
+    void abort(const std::string& reason);
 
 private:
     /// Passes the request on to another host.
@@ -45,6 +47,8 @@
     void reply_error(const error& reason);
     void finish();
     bool may_retry() const;
+    /// Whether some upstream may have executed the request, or may still do so.
+    bool may_have_run() const;
     milliseconds remaining_time() const;
 
     node_context& context_;
--- a/src/transport/ihttp_server.h
+++ b/src/transport/ihttp_server.h
@@ -48,7 +48,12 @@
     /// From now on each response closes its connection, so that clients reconnect to another host.
     virtual void drain() = 0;
     virtual void stop_accepting() = 0;
+    /// Complete requests whose response has not been passed to the socket yet.
     virtual std::size_t open_exchanges() const = 0;
+    /// Connections on which a request has begun to arrive or is handled, or that wait for the client to close them.
+    virtual std::size_t busy_connections() const = 0;
+    /// Number of connections and requests so far; it rises with the first byte of a request.
+    virtual std::uint64_t arrivals() const = 0;
 };
 
 /// Listening address and limits.
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -129,6 +129,8 @@
     void drain() override { listener_->state().draining = true; }
     void stop_accepting() override { listener_->stop(); }
     std::size_t open_exchanges() const override { return listener_->state().exchanges; }
+    std::size_t busy_connections() const override { return listener_->state().busy_connections; }
+    std::uint64_t arrivals() const override { return listener_->state().arrivals; }
 
 private:
     std::shared_ptr<http_listener> listener_;
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -46,6 +46,7 @@
       buffer_(state_->limits.header_bytes + max_unparsed_body_bytes)
 {
     ++connection_count_;
+    ++state_->arrivals;
 }
 
 http_session::~http_session()
@@ -56,6 +57,7 @@
     if (in_exchange_) {
         --state_->exchanges;
     }
+    set_busy(false);
 }
 
 void http_session::start()
@@ -67,8 +69,22 @@
     read_head();
 }
 
+void http_session::set_busy(bool value)
+{
+    if (std::exchange(busy_, value) == value) {
+        return;
+    }
+    if (value) {
+        ++state_->arrivals;
+        ++state_->busy_connections;
+    } else {
+        --state_->busy_connections;
+    }
+}
+
 void http_session::reply_error_and_close(const error& reason)
 {
+    set_busy(true);
     keep_alive_ = false;
     linger_on_close_ = true;
     phase_ = phase::handling;
@@ -84,6 +100,7 @@
         read_head();
         return;
     }
+    set_busy(false);
     // The idle time is limited by keep_alive; the shorter limit for the head applies from its first byte on.
     start_read_timer(state_->limits.keep_alive);
     socket_.async_read_some(buffer_.prepare(head_read_bytes),
@@ -94,6 +111,7 @@
                                     return;
                                 }
                                 self->buffer_.commit(count);
+                                self->set_busy(true);
                                 self->read_head();
                             });
 }
@@ -123,6 +141,7 @@
                                     return;
                                 }
                                 self->buffer_.commit(count);
+                                self->set_busy(true);
                                 self->parse_head();
                             });
 }
@@ -246,7 +265,12 @@
 
 void http_session::append_head(int status, const http_headers& headers)
 {
-    keep_alive_ = keep_alive_ && state_->accepting && !state_->draining;
+    if (keep_alive_ && (!state_->accepting || state_->draining)) {
+        // The client does not expect the close, so bytes of its next request may be on their way. They would reset a
+        // connection that is closed at once, and the client could lose the response.
+        keep_alive_ = false;
+        linger_on_close_ = true;
+    }
     const auto reason = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
     pending_ += fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view(reason.data(), reason.size()));
     for (const auto& [key, value] : headers) {
@@ -436,6 +460,7 @@
     }
     phase_ = phase::closed;
     --connection_count_;
+    set_busy(false);
     pending_.clear();
     on_drained_ = nullptr;
     stop_read_timer();
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -25,6 +25,8 @@
     /// Open connections over the limit, which get an error response and are closed.
     std::atomic<std::size_t> refused_connections{0};
     std::atomic<std::size_t> exchanges{0};
+    std::atomic<std::size_t> busy_connections{0};
+    std::atomic<std::uint64_t> arrivals{0};
     std::atomic<bool> accepting{true};
     std::atomic<bool> draining{false};
 };
@@ -78,6 +80,8 @@
     void wait_for_request();
     void read_head();
     void parse_head();
+    /// Counts the connection as busy from the first byte of a request until it waits for the next one.
+    void set_busy(bool value);
     void on_head_read(const boost::system::error_code& ec);
     void read_body();
     void on_body_read(const boost::system::error_code& ec);
@@ -124,6 +128,7 @@
     bool omit_body_ = false;
     bool is_head_request_ = false;
     bool in_exchange_ = false;
+    bool busy_ = false;
     std::uint64_t read_wait_number_ = 0;
     std::uint64_t exchange_number_ = 0;
 };
