Bring a configuration to all hosts of a large fleet in time

Causes, all on the way of a version through the fleet: it was told with the next period at two steps; the source of a fetch was the host with the newest directory, with or without the configuration; each answer copied and serialised the whole configuration; a host had no second way before two failed fetches; and a host that knew of a newer version answered 404 and 401 as if it were sure.

Change: a version is told at once; who has it is asked first, each 50 ms; its text is made once; after 0.7 s it is read from the platform; unknown routes and keys get 503 not_ready while a newer version is known and missing. The update between hosts keeps its members (test). The log tells source, time and lag.

--- /dev/null
+++ b/src/core/json_slices.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace anvillead {
+
+/// The values of a JSON container as text, found without interpreting them: one that cannot be parsed, because it is
+/// nested too deeply, holds a number out of range or is no text, does not take the others with it. Views into the
+/// input. Both functions return nothing if the bounds of the values cannot be found.
+std::optional<std::vector<std::string_view>> split_json_array(std::string_view text);
+/// The keys are unescaped; members whose keys cannot be are left out.
+std::optional<std::vector<std::pair<std::string, std::string_view>>> split_json_object(std::string_view text);
+/// The text of a member of an object; empty if there is none or `object` is no object.
+std::string_view json_member(std::string_view object, std::string_view key);
+
+} // namespace anvillead
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -38,6 +38,7 @@
     zone_evacuated = 310,
     zone_returned = 311,
     evacuation_entry_rejected = 312,
+    configuration_overdue = 313,
     member_joined = 400,
     member_suspected = 401,
     member_lost = 402,
--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -32,6 +32,8 @@
     /// Takes out of a request that another host has passed on what that host has added; returns why it is not served.
     std::optional<error> admit_forwarded(http_request& message, admitted_request& out) const;
     result<admitted_request> admit(http_request message, const std::shared_ptr<ihttp_exchange>& exchange) const;
+    /// The error for a route or key that the configuration of this host does not have.
+    error refuse_unknown(error_kind kind, std::string message) const;
     /// Whether the process might exit before the request has ended.
     bool may_outlive_process(const admitted_request& request) const;
     void start_generation(admitted_request request);
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -13,6 +13,8 @@
 
 // Retry-After while the configuration is not loaded yet; a starting host usually has it within this time.
 constexpr milliseconds retry_after_start{300};
+// Retry-After while another host has a newer configuration; this host usually gets it within this time.
+constexpr milliseconds retry_after_configuration{100};
 // Retry-After during shutdown; callers choose another host with their next connection.
 constexpr milliseconds retry_after_leaving{10};
 // Longest time that a plain call without a deadline is expected to take.
@@ -61,13 +63,13 @@
     out.caller = std::move(caller.value());
     out.matched_route = out.table->find(out.caller.host, out.caller.path);
     if (out.matched_route == nullptr) {
-        return make_error(error_kind::not_found, "no route matches this host and path");
+        return refuse_unknown(error_kind::not_found, "no route matches this host and path");
     }
     out.priority = out.matched_route->priority;
     if (out.table->keys_required && !out.matched_route->anonymous) {
         const auto* organisation = out.table->organisation_for_key(out.caller.api_key);
         if (organisation == nullptr) {
-            return make_error(error_kind::unauthorized, "the API key is unknown");
+            return refuse_unknown(error_kind::unauthorized, "the API key is unknown");
         }
         out.organisation = organisation->id;
         out.priority = organisation->priority.value_or(out.priority);
@@ -98,6 +100,16 @@
     return out;
 }
 
+error caller_handler::refuse_unknown(error_kind kind, std::string message) const
+{
+    if (!context_.knows_newer_configuration()) {
+        return make_error(kind, std::move(message));
+    }
+    auto reason = make_error(error_kind::not_ready, "this host does not have the newest configuration yet");
+    reason.retry_after = retry_after_configuration;
+    return reason;
+}
+
 bool caller_handler::may_outlive_process(const admitted_request& request) const
 {
     if (request.deadline == instant::max() && !request.matched_route->event_stream) {
--- a/src/node/internal/node_context.cpp
+++ b/src/node/internal/node_context.cpp
@@ -32,6 +32,13 @@
     return all_closed ? rates->limits().next_opening(now) : milliseconds(0);
 }
 
+bool node_context::knows_newer_configuration() const
+{
+    const auto& live = peers.live();
+    return std::any_of(live.begin(), live.end(),
+                       [this](const host_report* it) { return routes && it->configuration > routes->version; });
+}
+
 host_id node_context::responsible_for(const std::string& key)
 {
     const std::pair<std::uint64_t, bool> version(peers.version(), leaving);
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -47,6 +47,8 @@
 // With fewer hosts than this in its zone, a caller also gets hosts of other zones, so that it has an alternative.
 constexpr std::size_t min_zone_endpoints = 2;
 constexpr milliseconds housekeeping_period{50};
+// A host that lacks a newer configuration of another host for this long reads it from the platform.
+constexpr milliseconds configuration_tolerance{700};
 constexpr milliseconds shutdown_check_period{20};
 // The settings file may change without a reload signal.
 constexpr milliseconds settings_check_period{5000};
@@ -116,7 +118,7 @@
       evacuations_(settings_.evacuations ? platform::make_object_collection(*client_, settings_.store,
                                                                             platform::evacuation_collection, sequence_)
                                          : nullptr),
-      feed_(context_, {*configuration_, *upstreams_, evacuations_.get()}, [this] { report_readiness(); })
+      feed_(context_, {*configuration_, *upstreams_, evacuations_.get()}, [this] { announce_configuration(); })
 {
     reporter_ = std::make_shared<fleet_reporter>(context_, sequence_, [this](host_report& report) {
         report.ready = ready();
@@ -252,6 +254,9 @@
         }
         prober_->probe_if_due();
         puller_->pull_if_behind();
+        if (puller_->misses_configuration(configuration_tolerance)) {
+            feed_.fetch_configuration();
+        }
         update_following();
         // Upstream leases can lapse while no host reaches the store, but not while the store rejects only single hosts.
         const bool watched = directory_watched();
@@ -383,6 +388,14 @@
     reporter_->schedule_report();
 }
 
+void node_daemon::announce_configuration()
+{
+    report_readiness();
+    // The hosts that get it from this one hear of it at once instead of with the next period.
+    reporter_->schedule_report();
+    reporter_->schedule_summary();
+}
+
 void node_daemon::answer_readiness(ihttp_exchange& exchange)
 {
     exchange.reply(ready() ? http_ok : http_service_unavailable, {}, {});
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/bounded_json.h"
 #include "core/log.h"
 #include "fleet/report_exchange.h"
 #include "platform/configuration_reader.h"
@@ -20,6 +21,8 @@
 // Removals are kept for this many revisions to pass them to other hosts; a host that is further behind reads the
 // complete directory from the platform.
 constexpr std::uint64_t removal_retention = 2000;
+// Longest time for which a host that does not follow the platform tries to read the configuration there.
+constexpr milliseconds fetch_time{2000};
 
 follower_limits upstream_follower_limits()
 {
@@ -64,6 +67,31 @@
     }
 }
 
+void platform_feed::fetch_configuration()
+{
+    if (fetch_until_ != instant{}) {
+        return;
+    }
+    fetched_after_ = configuration_version();
+    fetch_until_ = context_.timers.now() + fetch_time;
+    log(log_level::warning, log_event::configuration_overdue,
+        {{"version", std::to_string(fetched_after_)}, {"action", "reads it from the platform"}});
+    context_.counters.add("configuration_overdue_total");
+    configuration_follower_->refresh();
+}
+
+void platform_feed::expire()
+{
+    evacuations_.expire();
+    const bool fetching = fetch_until_ != instant{};
+    if (fetching && (configuration_version() > fetched_after_ || context_.timers.now() >= fetch_until_)) {
+        fetch_until_ = {};
+        if (!following_) {
+            configuration_follower_->stop();
+        }
+    }
+}
+
 void platform_feed::refresh()
 {
     if (following_) {
@@ -106,12 +134,12 @@
 {
     for (const auto& it : items) {
         if (it.name == platform::configuration_name && !it.deleted) {
-            apply_configuration(it.value);
+            apply_configuration(it.value, it.value.dump(), "platform");
         }
     }
 }
 
-void platform_feed::apply_configuration(const nlohmann::json& object)
+void platform_feed::apply_configuration(const nlohmann::json& object, std::string text, const std::string& source)
 {
     auto table = platform::read_configuration(object);
     if (!table) {
@@ -122,7 +150,7 @@
         return;
     }
     context_.routes = table.value();
-    state_.configuration = object;
+    state_.configuration = std::move(text);
     state_.configuration_version = context_.routes->version;
     std::map<service_name, warmup_profile> warmups;
     for (const auto& [name, profile] : context_.routes->services) {
@@ -131,7 +159,8 @@
     context_.directory.set_warmups(std::move(warmups));
     log(log_level::info, log_event::configuration_applied,
         {{"version", std::to_string(context_.routes->version)},
-         {"routes", std::to_string(context_.routes->routes.size())}});
+         {"routes", std::to_string(context_.routes->routes.size())},
+         {"source", source}});
     on_configuration_();
 }
 
@@ -221,8 +250,8 @@
 void platform_feed::apply_update(const state_update& value)
 {
     const auto version = configuration_version();
-    if (value.configuration.is_object()) {
-        apply_configuration(value.configuration);
+    if (!value.configuration.empty()) {
+        apply_configuration(parse_bounded_json(value.configuration).value_or(nullptr), value.configuration, "host");
     }
     if (configuration_version() > version && configuration_connected()) {
         // The platform's notification to this host was lost without an error.
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -1,11 +1,13 @@
 #include "node/state_exchange.h"
 
+#include <algorithm>
 #include <charconv>
 #include <tuple>
 
 #include <fmt/format.h>
 
 #include "core/bounded_json.h"
+#include "core/json_slices.h"
 #include "core/log.h"
 #include "fleet/report_exchange.h"
 
@@ -17,6 +19,8 @@
 // has received changes that the platform did not deliver to this host.
 constexpr milliseconds lag_tolerance{250};
 constexpr milliseconds pull_timeout{500};
+// Shortest time between two pulls while the configuration is out of date, whatever the usual interval is.
+constexpr milliseconds configuration_pull_interval{50};
 // Time after a failed pull during which the host follows the platform itself.
 constexpr milliseconds failure_retention{5000};
 // In a large fleet, another host is asked first, because hundreds of hosts that follow the platform would overload it.
@@ -36,6 +40,11 @@
     return out;
 }
 
+std::string milliseconds_between(instant from, instant to)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(to - from).count());
+}
+
 std::vector<std::string> zone_names(const std::set<zone_name>& zones)
 {
     std::vector<std::string> out;
@@ -96,8 +105,7 @@
 
 std::string encode_update(const state_update& value)
 {
-    nlohmann::json out = {{"configuration", value.configuration},
-                          {"upstreams", value.upstreams},
+    nlohmann::json out = {{"upstreams", value.upstreams},
                           {"upstream_revision", value.upstream_revision.packed()},
                           {"whole", value.whole}};
     if (value.evacuations) {
@@ -105,37 +113,52 @@
                               {"held", zone_names(value.evacuations->held)},
                               {"revision", value.evacuations->revision.packed()}};
     }
-    return out.dump();
+    // The configuration is handed out to many hosts at the same time, so its text is not made again for each.
+    const auto rest = out.dump();
+    return "{\"configuration\":" + (value.configuration.empty() ? "null" : value.configuration) + "," + rest.substr(1);
 }
 
 std::optional<state_update> decode_update(const std::string& text)
 {
-    const auto parsed = parse_bounded_json(text);
-    if (!parsed || !parsed->is_object()) {
+    const auto configuration = json_member(text, "configuration");
+    const auto upstreams = split_json_object(json_member(text, "upstreams"));
+    const auto revision = parse_bounded_json(json_member(text, "upstream_revision"));
+    const auto whole = parse_bounded_json(json_member(text, "whole"));
+    const bool valid = revision && revision->is_number_unsigned() && whole && whole->is_boolean();
+    if (configuration.empty() || !upstreams || !valid) {
         return std::nullopt;
     }
-    try {
-        state_update out;
-        out.configuration = parsed->at("configuration");
-        out.upstreams = parsed->at("upstreams").get<std::map<std::string, nlohmann::json>>();
-        out.upstream_revision = store_revision::from_packed(parsed->at("upstream_revision").get<std::uint64_t>());
-        out.whole = parsed->at("whole").get<bool>();
-        if (const auto found = parsed->find("evacuations"); found != parsed->end()) {
-            out.evacuations = {read_zones(found->at("listed")), read_zones(found->at("held")),
-                               store_revision::from_packed(found->at("revision").get<std::uint64_t>())};
-        }
+    state_update out;
+    out.configuration = configuration == "null" ? std::string_view() : configuration;
+    for (const auto& [name, value] : *upstreams) {
+        // An entry that cannot be read describes no upstream, like one that was removed.
+        out.upstreams.emplace(name, parse_bounded_json(value).value_or(nullptr));
+    }
+    out.upstream_revision = store_revision::from_packed(revision->get<std::uint64_t>());
+    out.whole = whole->get<bool>();
+    const auto evacuations = json_member(text, "evacuations");
+    if (evacuations.empty()) {
         return out;
+    }
+    const auto parsed = parse_bounded_json(evacuations);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    try {
+        out.evacuations = {read_zones(parsed->at("listed")), read_zones(parsed->at("held")),
+                           store_revision::from_packed(parsed->at("revision").get<std::uint64_t>())};
     } catch (const nlohmann::json::exception&) {
         // A field is missing or has another type, so another program produced the text.
         return std::nullopt;
     }
+    return out;
 }
 
 state_puller::state_puller(node_context& context, std::shared_ptr<isequence> sequence, hooks callbacks)
     : context_(context), sequence_(std::move(sequence)), hooks_(std::move(callbacks))
 {}
 
-bool state_puller::is_newer(const host_report& report, const state_request& known) const
+bool state_puller::is_newer(const host_report& report, const state_request& known)
 {
     return report.configuration > known.configuration_version || report.directory_revision > known.upstream_revision ||
            report.evacuation_revision > known.evacuation_revision;
@@ -154,7 +177,7 @@
     const bool avoids = failures_ > 0 && context_.timers.now() - failed_at_ < failed_host_retention;
     const host_report* best = nullptr;
     const host_report* avoided = nullptr;
-    bool best_in_zone = false;
+    std::pair<bool, bool> best_rank;
     for (const auto* it : context_.peers.live()) {
         if (!is_newer(*it, known)) {
             continue;
@@ -163,25 +186,49 @@
             avoided = it;
             continue;
         }
-        // Peers of the same zone are preferred: traffic within a zone is free, and the hosts of a zone share the load
-        // of its followers.
-        const bool in_zone = it->availability_zone == context_.settings.availability_zone;
+        // The directory changes all the time, so a peer that is ahead of others there may lack the configuration.
+        // Otherwise, peers of the same zone are preferred: traffic within a zone is free, and the hosts of a zone share
+        // the load of its followers.
+        const std::pair<bool, bool> rank(it->configuration > known.configuration_version,
+                                         it->availability_zone == context_.settings.availability_zone);
         const auto is_ahead = [&] {
             return std::tie(it->evacuation_revision, it->directory_revision) >
                    std::tie(best->evacuation_revision, best->directory_revision);
         };
-        if (best == nullptr || in_zone > best_in_zone || (in_zone == best_in_zone && is_ahead())) {
+        if (best == nullptr || rank > best_rank || (rank == best_rank && is_ahead())) {
             best = it;
-            best_in_zone = in_zone;
+            best_rank = rank;
         }
     }
     return best == nullptr ? avoided : best;
 }
 
+void state_puller::update_configuration_lag()
+{
+    const auto known = hooks_.known_state().configuration_version;
+    const auto& live = context_.peers.live();
+    const bool behind =
+        std::any_of(live.begin(), live.end(), [known](const host_report* it) { return it->configuration > known; });
+    if (!behind) {
+        configuration_behind_since_ = {};
+    } else if (configuration_behind_since_ == instant{}) {
+        configuration_behind_since_ = context_.timers.now();
+    }
+}
+
+bool state_puller::misses_configuration(milliseconds tolerance) const
+{
+    return configuration_behind_since_ != instant{} && context_.timers.now() - configuration_behind_since_ >= tolerance;
+}
+
 void state_puller::pull_if_behind()
 {
     const auto now = context_.timers.now();
-    if (pulling_ || now - last_pull_ < hooks_.pull_interval()) {
+    update_configuration_lag();
+    const bool lacks_configuration = configuration_behind_since_ != instant{};
+    const auto interval =
+        lacks_configuration ? std::min(configuration_pull_interval, hooks_.pull_interval()) : hooks_.pull_interval();
+    if (pulling_ || now - last_pull_ < interval) {
         return;
     }
     const auto* peer = newer_peer();
@@ -198,6 +245,12 @@
     }
 }
 
+std::string state_puller::configuration_lag() const
+{
+    const bool behind = configuration_behind_since_ != instant{};
+    return behind ? milliseconds_between(configuration_behind_since_, context_.timers.now()) : "0";
+}
+
 bool state_puller::failed_recently() const
 {
     const bool large = context_.peers.live_count() + 1 > relay_limits().max_direct_hosts;
@@ -216,26 +269,34 @@
     request.head_timeout = pull_timeout;
     request.idle_timeout = pull_timeout;
     request.reuse_connection = true;
-    context_.host_client.fetch(
-        std::move(request), max_state_bytes, sequence_,
-        [self = shared_from_this(), host = peer.host](const http_call_result& end, const http_response& answer) {
-            self->pulling_ = false;
-            const bool good = end.end == http_call_outcome::complete && answer.status == http_ok;
-            const auto update = good ? decode_update(answer.body) : std::nullopt;
-            if (!update) {
-                ++self->failures_;
-                self->failed_host_ = host;
-                self->failed_at_ = self->context_.timers.now();
-                log(log_level::warning, log_event::message_rejected,
-                    {{"from", host.str()}, {"problem", good ? "invalid state update" : end.detail}});
-                return;
-            }
-            self->failures_ = 0;
-            log(log_level::info, log_event::state_pulled,
-                {{"from", host.str()}, {"upstream_revision", to_string(update->upstream_revision)}});
-            self->hooks_.on_update(*update);
-            self->pull_if_behind();
-        });
+    const auto now = last_pull_;
+    context_.host_client.fetch(std::move(request), max_state_bytes, sequence_,
+                               [self = shared_from_this(), host = peer.host,
+                                started = now](const http_call_result& end, const http_response& answer) {
+                                   self->pulling_ = false;
+                                   const auto took = milliseconds_between(started, self->context_.timers.now());
+                                   const bool good = end.end == http_call_outcome::complete && answer.status == http_ok;
+                                   const auto update = good ? decode_update(answer.body) : std::nullopt;
+                                   if (!update) {
+                                       ++self->failures_;
+                                       self->failed_host_ = host;
+                                       self->failed_at_ = self->context_.timers.now();
+                                       log(log_level::warning, log_event::message_rejected,
+                                           {{"from", host.str()},
+                                            {"problem", good ? "invalid state update" : end.detail},
+                                            {"took_ms", took},
+                                            {"configuration_behind_ms", self->configuration_lag()}});
+                                       return;
+                                   }
+                                   self->failures_ = 0;
+                                   log(log_level::info, log_event::state_pulled,
+                                       {{"from", host.str()},
+                                        {"upstream_revision", to_string(update->upstream_revision)},
+                                        {"took_ms", took},
+                                        {"configuration_behind_ms", self->configuration_lag()}});
+                                   self->hooks_.on_update(*update);
+                                   self->pull_if_behind();
+                               });
 }
 
 } // namespace anvillead
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -90,6 +90,8 @@
     /// Time until an upstream of the service accepts requests again, if all rest or have used up their request rates;
     /// otherwise zero.
     milliseconds time_until_open(const service_name& service) const;
+    /// Another host has a newer configuration, so this one does not know which routes and keys there are.
+    bool knows_newer_configuration() const;
     /// The ready host that performs a duty for the fleet, by rendezvous of the duty's key; empty if there is none.
     host_id responsible_for(const std::string& key);
     /// Takes note of whether an upstream answered on a connection that was started at `started`.
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -40,6 +40,8 @@
     const std::vector<std::string>& endpoints_for(const zone_name& zone);
     bool ready() const;
     void report_readiness();
+    /// Tells the other hosts that this one has a newer configuration.
+    void announce_configuration();
     void detect_suspension();
     bool large_fleet() const;
     bool should_follow_platform();
--- a/src/node/platform_feed.h
+++ b/src/node/platform_feed.h
@@ -32,7 +32,10 @@
     /// Queries the platform again at once, after the process was suspended.
     void refresh();
     /// Called several times a second; ends what is held for some time only.
-    void expire() { evacuations_.expire(); }
+    void expire();
+    /// Reads the configuration from the platform at once, also on a host that does not follow it. For one that knows of
+    /// a newer version and does not get it.
+    void fetch_configuration();
     std::string describe_evacuations() const { return evacuations_.describe(); }
     /// Applies the parts of another host's state that are newer than this host's.
     void apply_update(const state_update& value);
@@ -55,7 +58,8 @@
 
 private:
     void apply_configuration_items(const std::vector<collection_item>& items);
-    void apply_configuration(const nlohmann::json& object);
+    /// `text` is the text of `object`, and `source` where it comes from, for the log.
+    void apply_configuration(const nlohmann::json& object, std::string text, const std::string& source);
     void replace_upstreams(const std::vector<collection_item>& items);
     void update_upstreams(const std::vector<collection_item>& items);
     void apply_upstream(const collection_item& item, store_revision revision);
@@ -73,6 +77,9 @@
     /// Names of the entries that could not be parsed; each is logged once.
     std::set<std::string> rejected_entries_;
     bool following_ = true;
+    /// While the configuration is read once: the version before, and when the reading is given up.
+    config_generation fetched_after_ = 0;
+    instant fetch_until_{};
     std::shared_ptr<collection_follower> configuration_follower_;
     std::shared_ptr<collection_follower> upstream_follower_;
     evacuation_feed evacuations_;
--- a/src/node/state_exchange.h
+++ b/src/node/state_exchange.h
@@ -25,8 +25,8 @@
         store_revision revision;
     };
 
-    /// Null before the first configuration.
-    nlohmann::json configuration;
+    /// The configuration as JSON text, ready to be handed out; empty before the first one.
+    std::string configuration;
     config_generation configuration_version = 0;
     std::map<std::string, upstream_entry> upstreams;
     /// Platform revision of `upstreams`; unset before the first listing.
@@ -45,8 +45,8 @@
 /// The parts of a host's state that are newer than the versions in a state_request.
 struct state_update
 {
-    /// Null when the requesting host has the current one.
-    nlohmann::json configuration;
+    /// JSON text; empty when the requesting host has the current one.
+    std::string configuration;
     /// Changed entries by name; null for removed ones.
     std::map<std::string, nlohmann::json> upstreams;
     store_revision upstream_revision;
@@ -84,21 +84,28 @@
     state_puller(node_context& context, std::shared_ptr<isequence> sequence, hooks callbacks);
     /// Starts a pull when a peer is ahead. Called several times a second.
     void pull_if_behind();
+    /// A peer has had a newer configuration for longer than `tolerance`.
+    bool misses_configuration(milliseconds tolerance) const;
     /// The same for one peer whose report has arrived.
     void on_report(const host_report& report);
     /// Pulls have failed recently, so this host should follow the platform itself.
     bool failed_recently() const;
 
 private:
-    bool is_newer(const host_report& report, const state_request& known) const;
+    static bool is_newer(const host_report& report, const state_request& known);
     const host_report* newer_peer() const;
     void pull(const host_report& peer);
+    void update_configuration_lag();
+    /// For how long a peer has had a newer configuration, in milliseconds for the log.
+    std::string configuration_lag() const;
 
     node_context& context_;
     std::shared_ptr<isequence> sequence_;
     hooks hooks_;
     /// Time since which a peer is ahead; unset while none is.
     instant behind_since_{};
+    /// Time since which a peer has a newer configuration; unset while none has.
+    instant configuration_behind_since_{};
     instant last_pull_{};
     instant failed_at_{};
     /// Consecutive failed pulls, and the host from which the last one failed.
--- a/src/node/tests/state_exchange_test.cpp
+++ b/src/node/tests/state_exchange_test.cpp
@@ -10,7 +10,7 @@
 
     void setup() override
     {
-        state.configuration = {{"version", 7}};
+        state.configuration = R"({"version":7})";
         state.configuration_version = 7;
         state.upstreams["old"] = {{{"service", "s"}}, {1, 10}};
         state.upstreams["new"] = {{{"service", "s"}}, {1, 20}};
@@ -23,7 +23,7 @@
 TEST(state_exchange_test, update_contains_only_newer_parts)
 {
     const auto out = make_update(state, {7, {1, 15}, {}});
-    CHECK(out.configuration.is_null());
+    CHECK(out.configuration.empty());
     LONGS_EQUAL(2, out.upstreams.size());
     CHECK(out.upstreams.at("gone").is_null());
     CHECK(!out.whole);
@@ -33,7 +33,7 @@
 TEST(state_exchange_test, new_host_gets_the_complete_state)
 {
     const auto out = make_update(state, {0, {}, {}});
-    CHECK(out.configuration.is_object());
+    STRCMP_EQUAL(R"({"version":7})", out.configuration.c_str());
     CHECK(out.whole);
     LONGS_EQUAL(3, out.upstreams.size());
 }
@@ -56,11 +56,36 @@
     LONGS_EQUAL(3, out->upstreams.size());
     CHECK(out->whole);
     CHECK(out->upstream_revision == store_revision(1, 25));
+    STRCMP_EQUAL(R"({"version":7})", out->configuration.c_str());
+    CHECK(decode_update(encode_update(make_update(state, {7, {}, {}})))->configuration.empty());
     CHECK(!decode_update("[]").has_value());
     CHECK(!decode_update("{\"configuration\":null}").has_value());
     CHECK(!decode_update("no text").has_value());
 }
 
+// Guards against one entry of another host that cannot be read and that hides all others.
+TEST(state_exchange_test, entry_that_cannot_be_read_leaves_the_others)
+{
+    const auto out = decode_update(R"({"configuration":null,"upstream_revision":4294967320,"whole":true,"upstreams":)"
+                                   R"({"a":{"capacity":1e400},"b":{"zone":"\udcff"},"c":{"service":"s"}}})");
+    CHECK(out.has_value());
+    LONGS_EQUAL(3, out->upstreams.size());
+    CHECK(out->upstreams.at("a").is_null());
+    CHECK(out->upstreams.at("b").is_null());
+    CHECK(out->upstreams.at("c").is_object());
+}
+
+// Guards against a change of the text that the build before reads.
+TEST(state_exchange_test, update_has_the_members_that_earlier_builds_read)
+{
+    const auto parsed = nlohmann::json::parse(encode_update(make_update(state, {0, {}, {}})));
+    LONGS_EQUAL(4, parsed.size());
+    CHECK(parsed.at("configuration").is_object());
+    CHECK(parsed.at("upstreams").is_object());
+    CHECK(parsed.at("upstream_revision").is_number_unsigned());
+    CHECK(parsed.at("whole").is_boolean());
+}
+
 TEST(state_exchange_test, request_round_trip)
 {
     http_request request;
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -169,10 +169,14 @@
                          {"bandwidth-mbps", 2700.0},
                          {"moves", true},
                          {"stride", 1}};
+    auto routes = json::array({route("sheet", "stream", "engines", 1), route("notice", "unsafe", "registry", 1),
+                               route("lookup", "safe", "registry", 2)});
+    for (int i = 1; i <= options_.extra_routes; ++i) {
+        routes.push_back(route(fmt::format("extra-{}", i), "safe", "registry", 2));
+    }
     write("config", "main",
           {{"version", version},
-           {"routes", json::array({route("sheet", "stream", "engines", 1), route("notice", "unsafe", "registry", 1),
-                                   route("lookup", "safe", "registry", 2)})},
+           {"routes", routes},
            {"services", json::array({{{"name", "engines"}, {"max-connections", 200}, {"engine", engine}},
                                      {{"name", "registry"}, {"max-connections", 100}}})},
            {"limits", {{"max-header-bytes", 16'384}, {"max-body-bytes", 1'000'000}}},
@@ -198,6 +202,13 @@
     write("servers", engine, server_entry(engine, service, phase));
 }
 
+void node_fleet::set_slots(const std::string& instance, int slots)
+{
+    auto entry = server_entry(instance, "registry", "ready");
+    entry["capacity"] = slots;
+    write("servers", instance, entry);
+}
+
 void node_fleet::set_evacuated(const std::string& zone, bool value)
 {
     if (value) {
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -32,6 +32,8 @@
         bool orders_by_cost = false;
         /// The operator may evacuate zones; upstreams with even numbers are in "colombo-b".
         bool evacuations = false;
+        /// Routes of the configuration that no test uses.
+        int extra_routes = 0;
     };
 
     explicit node_fleet(const options& value);
@@ -58,6 +60,8 @@
     /// Writes the configuration with this version; `keys` are the API keys of the organisation "galle".
     void configure(int version, const std::vector<std::string>& keys = {"key-galle"});
     void set_phase(const std::string& engine, const std::string& phase);
+    /// Changes the number of slots with which a ready instance is registered.
+    void set_slots(const std::string& instance, int slots);
     /// Evacuates an availability zone, or takes its evacuation back.
     void set_evacuated(const std::string& zone, bool value);
     nlohmann::json control(const std::string& name, const nlohmann::json& value);
