--- a/src/core/internal/bounded_json.cpp
+++ b/src/core/internal/bounded_json.cpp
@@ -15,7 +15,7 @@
 class bounded_parser : public dom_parser
 {
 public:
-    explicit bounded_parser(json& target) : dom_parser(target, false) {}
+    bounded_parser(json& target, int depth_limit) : dom_parser(target, false), depth_limit_(depth_limit) {}
 
     bool start_object(std::size_t size) { return begin_container(size) && dom_parser::start_object(size); }
     bool start_array(std::size_t size) { return begin_container(size) && dom_parser::start_array(size); }
@@ -35,16 +35,17 @@
 private:
     bool begin_container(std::size_t size)
     {
-        return ++depth_ <= json_depth_limit && (size == unknown_size || size <= max_elements);
+        return ++depth_ <= depth_limit_ && (size == unknown_size || size <= max_elements);
     }
 
+    int depth_limit_;
     int depth_ = 0;
 };
 
-std::optional<json> parse(std::string_view data, json::input_format_t format)
+std::optional<json> parse(std::string_view data, json::input_format_t format, int depth_limit)
 {
     json root;
-    bounded_parser parser(root);
+    bounded_parser parser(root, depth_limit);
     try {
         if (!json::sax_parse(data.begin(), data.end(), &parser, format) || parser.is_errored()) {
             return std::nullopt;
@@ -57,14 +58,14 @@
 
 } // namespace
 
-std::optional<json> parse_bounded_json(std::string_view text)
+std::optional<json> parse_bounded_json(std::string_view text, int depth_limit)
 {
-    return parse(text, json::input_format_t::json);
+    return parse(text, json::input_format_t::json, depth_limit);
 }
 
 std::optional<json> parse_bounded_cbor(std::string_view data)
 {
-    return parse(data, json::input_format_t::cbor);
+    return parse(data, json::input_format_t::cbor, json_depth_limit);
 }
 
 } // namespace anvillead
