Believe a refusal only of the request that was sent

Report of another operator: an engine wrote an earlier refusal once more, and callers were told that a request had not run that had (REFUSED), or it ran twice.

Cause: a response with Not-Executed, or status 421, was believed before its Request-Id was compared. Kept connections (other hosts, the store) took bytes that had arrived while they were idle for the answer to the next request.

Change: a refusal that bears another request's id is none. A kept connection that has something to read, or is closed, before the next request is dropped.

Tests: odd_answer_test.refusal_of_another_request_promises_nothing and http_client_test.connection_with_unasked_bytes_is_not_used_again fail at the commit before and pass now.

--- a/src/node/internal/request_forwarder.cpp
+++ b/src/node/internal/request_forwarder.cpp
@@ -137,7 +137,7 @@
     const auto facts = platform::read_upstream_response_head(status, headers, request_.caller.id);
     status_ = status;
     headers_ = headers;
-    refused_ = !facts.stamped && platform::promises_not_run(status);
+    refused_ = !facts.stamped && !facts.foreign && platform::promises_not_run(status);
     const bool good = status >= http_ok && status < http_multiple_choices;
     const auto type = find_header(headers, "Content-Type");
     if (!good || type.substr(0, event_stream_type.size()) != event_stream_type) {
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -55,12 +55,14 @@
     {
         const std::lock_guard lock(mutex_);
         auto& idle = idle_[address];
-        if (idle.empty()) {
-            return nullptr;
+        while (!idle.empty()) {
+            auto socket = std::move(idle.back());
+            idle.pop_back();
+            if (is_silent(*socket)) {
+                return socket;
+            }
         }
-        auto socket = std::move(idle.back());
-        idle.pop_back();
-        return socket;
+        return nullptr;
     }
 
     void release(const std::string& address, socket_ptr socket)
@@ -73,6 +75,17 @@
     }
 
 private:
+    /// Whether the peer has neither closed the connection nor sent anything since the last answer. Bytes that arrive
+    /// before a request belong to no request.
+    static bool is_silent(net::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        boost::system::error_code ec;
+        socket.non_blocking(true, ec);
+        (void)socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek, ec);
+        return ec == net::error::would_block || ec == net::error::try_again;
+    }
+
     static constexpr std::size_t max_idle_per_address = 16;
 
     ranked_mutex mutex_{lock_rank::transport};
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <future>
 #include <string>
 #include <thread>
@@ -75,30 +76,123 @@
     std::thread thread_;
 };
 
+/// Answers each request on a connection that stays open, and sends `unasked` after each answer.
+class keep_alive_server
+{
+public:
+    explicit keep_alive_server(std::string unasked) : unasked_(std::move(unasked))
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in endpoint = {};
+        endpoint.sin_family = AF_INET;
+        endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(endpoint);
+        (void)::bind(listener_, reinterpret_cast<sockaddr*>(&endpoint), size);
+        ::listen(listener_, 8);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&endpoint), &size);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+        acceptor_ = std::thread([this] {
+            for (int socket = ::accept(listener_, nullptr, nullptr); socket >= 0;
+                 socket = ::accept(listener_, nullptr, nullptr)) {
+                ++connections_;
+                threads_.emplace_back([this, socket] { serve(socket); });
+            }
+        });
+    }
+
+    /// The clients must have closed their connections.
+    ~keep_alive_server()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        for (auto& it : threads_) {
+            it.join();
+        }
+        ::close(listener_);
+    }
+    keep_alive_server(const keep_alive_server&) = delete;
+    keep_alive_server& operator=(const keep_alive_server&) = delete;
+
+    const std::string& address() const { return address_; }
+    int connections() const { return connections_; }
+    int unasked_sent() const { return unasked_sent_; }
+
+private:
+    void serve(int socket)
+    {
+        std::array<char, 1024> request = {};
+        while (::recv(socket, request.data(), request.size(), 0) > 0) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nasked";
+            ::send(socket, answer.data(), answer.size(), MSG_NOSIGNAL);
+            if (!unasked_.empty()) {
+                // In a segment of its own, after the client has read the answer.
+                std::this_thread::sleep_for(milliseconds(20));
+                ::send(socket, unasked_.data(), unasked_.size(), MSG_NOSIGNAL);
+                ++unasked_sent_;
+            }
+        }
+        ::close(socket);
+    }
+
+    std::string unasked_;
+    int listener_ = -1;
+    std::string address_;
+    std::atomic<int> connections_{0};
+    std::atomic<int> unasked_sent_{0};
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
 struct fetch_result
 {
     http_call_result call_result;
     http_response response;
 };
 
+fetch_result fetch(worker_pool& pool, ihttp_client& client, const std::string& address, bool reuse)
+{
+    std::promise<fetch_result> completed;
+    http_call_request request;
+    request.address = address;
+    request.reuse_connection = reuse;
+    client.fetch(std::move(request), 1024, pool.make_sequence(),
+                 [&](const http_call_result& call_result, const http_response& response) {
+                     completed.set_value({call_result, response});
+                 });
+    return completed.get_future().get();
+}
+
 fetch_result fetch(const std::string& address)
 {
     worker_pool pool{1};
     const auto client = make_http_client(pool);
     pool.start();
-    std::promise<fetch_result> completed;
-    http_call_request request;
-    request.address = address;
-    client->fetch(std::move(request), 1024, pool.make_sequence(),
-                  [&](const http_call_result& call_result, const http_response& response) {
-                      completed.set_value({call_result, response});
-                  });
-    auto out = completed.get_future().get();
+    auto out = fetch(pool, *client, address, false);
     pool.stop();
     pool.join();
     return out;
 }
 
+/// Makes two calls on kept connections, the second one once the server has sent its unasked bytes, if it sends any.
+/// Returns the second result and the number of connections.
+std::pair<fetch_result, int> fetch_twice(const std::string& unasked)
+{
+    keep_alive_server server(unasked);
+    worker_pool pool{1};
+    auto client = make_http_client(pool);
+    pool.start();
+    fetch(pool, *client, server.address(), true);
+    while (!unasked.empty() && server.unasked_sent() == 0) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    auto out = fetch(pool, *client, server.address(), true);
+    const int connections = server.connections();
+    pool.stop();
+    pool.join();
+    client.reset();
+    return {out, connections};
+}
+
 } // namespace
 
 TEST_GROUP(http_client_test){};
@@ -153,6 +247,31 @@
     CHECK(fetch(endless.address()).call_result.end == http_call_outcome::lost);
 }
 
+// Guards against bytes that a peer sends on an idle connection and that are taken for the answer to the next request: a
+// refusal that is repeated there would promise that a request has not run which the peer runs.
+TEST(http_client_test, connection_with_unasked_bytes_is_not_used_again)
+{
+    const auto [kept, kept_connections] = fetch_twice("");
+    STRCMP_EQUAL("asked", kept.response.body.c_str());
+    LONGS_EQUAL(1, kept_connections);
+    const auto [out, connections] = fetch_twice("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    LONGS_EQUAL(200, out.response.status);
+    STRCMP_EQUAL("asked", out.response.body.c_str());
+    LONGS_EQUAL(2, connections);
+}
+
+// Guards against an answer that counts as whole although its head was cut.
+TEST(http_client_test, answer_that_ends_in_its_head_is_lost)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t i = 1; i < head.size(); ++i) {
+        const scripted_server server(head.substr(0, i), "", 0, "");
+        const auto out = fetch(server.address());
+        CHECK(out.call_result.end == http_call_outcome::lost);
+        LONGS_EQUAL(0, out.response.status);
+    }
+}
+
 // Guards against a limit that rejects heads of the permitted size, and against body bytes that are lost while the head
 // is parsed.
 TEST(http_client_test, a_head_at_the_limit_is_read_with_its_body)
--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -74,6 +74,50 @@
     STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str());
 }
 
+// Guards against a refusal of another request that is taken for an answer: the caller would be told that its call has
+// not run, or a second upstream would run it.
+TEST(odd_answer, refusal_of_another_request_promises_nothing)
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: another\r\nContent-Length: 0\r\n\r\n";
+    scripted_upstream upstream(refusal);
+    start_with("registry", upstream);
+    LONGS_EQUAL(502, fleet->ask(1, "POST", "/notice/1", "r-1").status);
+    fleet.reset();
+    setup();
+    scripted_upstream engine(refusal);
+    start_with("engines", engine);
+    LONGS_EQUAL(502, fleet->generate(1, "r-2", 20).status);
+    LONGS_EQUAL(1, upstream.connections());
+}
+
+// Guards against an answer that reaches the caller as whole although its upstream stopped inside the head.
+TEST(odd_answer, answer_that_ends_in_its_head_is_none)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n";
+    for (const auto* end :
+         {"", "Content-Len", "Content-Length: 0", "Content-Length: 0\r\n", "Content-Length: 0\r\n\r"}) {
+        scripted_upstream upstream(head + end);
+        start_with("registry", upstream);
+        const auto answer = fleet->ask(1, "POST", "/notice/1", "r-1");
+        LONGS_EQUAL_TEXT(502, answer.status, end);
+        scripted_upstream engine(head + end);
+        fleet->write("servers", "scripted-engine",
+                     {{"service", "engines"},
+                      {"address", engine.address()},
+                      {"zone", "zone-a"},
+                      {"capacity", 24},
+                      {"phase", "ready"}});
+        CHECK(eventually([&] {
+            const auto generated = fleet->generate(1, "r-2", 20);
+            CHECK(generated.status != 200);
+            return generated.status == 502;
+        }));
+        fleet.reset();
+        setup();
+    }
+}
+
 // Guards against 50 answers without end that fill the host's memory, in a head, a body, its framing or one event, and
 // against callers that wait for them.
 TEST(odd_answer, answers_without_end_are_cut_within_stated_limits)
