Refuse requests whose end is not certain

Change: 400 and a close for a Transfer-Encoding that is not one "chunked", beside a Content-Length or in HTTP/1.0, and for a repeated Content-Length. All of them get 400, none 501: there is no coding that callers could be told to use instead.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -31,6 +31,20 @@
     return out;
 }
 
+/// Whether it is certain where the body of a request ends (RFC 9112, section 6). The parser takes a request whose
+/// transfer codings it does not know for one without a body.
+bool has_certain_end(const http::request<http::string_body>& head)
+{
+    const auto codings = head.count(http::field::transfer_encoding);
+    if (codings == 0) {
+        // A repeated length is refused, also where the repetitions are equal.
+        return head.count(http::field::content_length) <= 1 &&
+               head[http::field::content_length].find(',') == beast::string_view::npos;
+    }
+    return codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked") &&
+           head.count(http::field::content_length) == 0 && head.version() > http_1_0;
+}
+
 bool is_parse_error(const boost::system::error_code& ec)
 {
     return ec.category() == make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream &&
@@ -153,6 +167,11 @@
         reject(ec);
         return;
     }
+    if (!has_certain_end(parser_->get())) {
+        state_->counters->add("http_rejected_total");
+        reply_error_and_close(make_error(error_kind::invalid_request, "the end of the request body is not certain"));
+        return;
+    }
     if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         start_read_timer(state_->limits.request_timeout);
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -83,6 +83,68 @@
     CHECK(contains(f.send_and_read(head + "1\r\na\r\n0\r\nX: " + filler + "\r\n\r\n"), "\"invalid_request\""));
 }
 
+// Guards against the bytes of a body that are read as a further request, because the server and the client disagree on
+// where the body ends.
+TEST(http_server_test, requests_whose_end_is_not_certain_are_refused)
+{
+    struct framing_case
+    {
+        const char* version;
+        const char* headers;
+        bool certain;
+    };
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string chunks = "5\r\n12345\r\n0\r\n\r\n";
+    for (const auto& it : std::vector<framing_case>{
+             {"1.1", "Transfer-Encoding: chunked\r\n", true},
+             {"1.1", "transfer-encoding:CHUNKED\r\n", true},
+             {"1.1", "Transfer-Encoding:  chunked \r\n", true},
+             {"1.1", "Transfer-Encoding: gzip\r\n", false},
+             {"1.1", "Transfer-Encoding: identity\r\n", false},
+             {"1.1", "Transfer-Encoding: xchunked\r\n", false},
+             {"1.1", "Transfer-Encoding: \r\n", false},
+             {"1.1", "Transfer-Encoding: gzip, chunked\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked, gzip\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked, chunked\r\n", false},
+             {"1.1", "Transfer-Encoding: \"chunked\"\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked;q=1\r\n", false},
+             {"1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", false},
+             {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n", false},
+             {"1.1", "Content-Length: 15\r\nTransfer-Encoding: chunked\r\n", false},
+             {"1.1", "Content-Length: 15\r\nTransfer-Encoding: identity\r\n", false},
+             {"1.1", "Transfer-Encoding : chunked\r\n", false},
+             {"1.1", "Content-Length: 15\r\n", true},
+             {"1.1", "Content-Length: 015\r\n", true},
+             {"1.1", "Content-Length:  15 \r\n", true},
+             {"1.1", "Content-Length: +15\r\n", false},
+             {"1.1", "Content-Length: -1\r\n", false},
+             {"1.1", "Content-Length: 15, 15\r\n", false},
+             {"1.1", "Content-Length: 15\r\nContent-Length: 15\r\n", false},
+             {"1.1", "Content-Length: 15\r\nContent-Length: 3\r\n", false},
+             {"1.1", "Content-Length: 0x0f\r\n", false},
+             {"1.1", "Content-Length: 1 5\r\n", false},
+             {"1.1", "Content-Length: \r\n", false},
+             {"1.1", "Content-Length: 99999999999999999999999\r\n", false},
+             {"1.0", "Transfer-Encoding: chunked\r\n", false},
+         }) {
+        std::atomic<int> smuggled_requests{0};
+        std::atomic<int> requests{0};
+        server_fixture f([&](const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange) {
+            ++requests;
+            smuggled_requests += request.target == "/smuggled" ? 1 : 0;
+            exchange->reply(200, {{"Connection", "close"}}, request.body);
+        });
+        const auto answer =
+            f.send_and_read(std::string("POST / HTTP/") + it.version + "\r\nHost: a\r\nConnection: close\r\n" +
+                            it.headers + "\r\n" + chunks + smuggled);
+        LONGS_EQUAL_TEXT(0, smuggled_requests.load(), it.headers);
+        LONGS_EQUAL_TEXT(it.certain ? 1 : 0, requests.load(), it.headers);
+        CHECK_TEXT(contains(answer, it.certain ? " 200 " : " 400 "), it.headers);
+    }
+}
+
 // Guards against malformed requests that terminate the process or get no response with a known error kind.
 TEST(http_server_test, malformed_requests_get_a_known_error_kind)
 {
