Refuse TRACE requests that have a body

Change: 400 where it arrives.

Test: http_server_test.trace_with_a_body_is_refused fails before (the handler gets the request) and passes now.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -212,6 +212,12 @@
     request.target = std::string(message.target());
     request.headers = copy_headers(message);
     request.body = std::move(message.body());
+    if (message.method() == http::verb::trace && !request.body.empty()) {
+        // RFC 9110, section 9.3.8. It could not be passed on either.
+        state_->counters->add("http_rejected_total");
+        reply_error_and_close(make_error(error_kind::invalid_request, "a TRACE request has no body"));
+        return;
+    }
     boost::system::error_code address_ec;
     request.peer_address = socket_.remote_endpoint(address_ec).address().to_string();
     is_head_request_ = request.method == "HEAD";
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -83,6 +83,15 @@
     CHECK(contains(f.send_and_read(head + "1\r\na\r\n0\r\nX: " + filler + "\r\n\r\n"), "\"invalid_request\""));
 }
 
+// Guards against a request that ends the process where it is passed on, because no client can send it.
+TEST(http_server_test, trace_with_a_body_is_refused)
+{
+    server_fixture f(echo);
+    CHECK(
+        contains(f.send_and_read("TRACE / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"), "\"invalid_request\""));
+    CHECK(contains(f.send_and_read("TRACE / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"), "TRACE "));
+}
+
 // Guards against the bytes of a body that are read as a further request, because the server and the client disagree on
 // where the body ends.
 TEST(http_server_test, requests_whose_end_is_not_certain_are_refused)
