--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+// Guards against requests that end the process of the host: their id breaks a text that it goes into, or their figures
+// overflow a sum.
+TEST(odd_answer, odd_requests_get_clear_answers)
+{
+    scripted_upstream engine(std::string(stream_head) + "id: 1\ndata: a\n\n");
+    start_with("engines", engine);
+    LONGS_EQUAL(400, fleet->generate(1, "r-\xe9", 20).status);
+    LONGS_EQUAL(400,
+                fleet->ask(1, "POST", "/sheet/week", "r-2", {{"Token-Usage", "9223372036854775807,9"}}, "x").status);
+    CHECK(fleet->process_of("node-1").running());
+    CHECK(fleet->generate(1, "r-3", 1).complete());
+}
+
 // Guards against 50 answers without end that fill the host's memory, in a head, a body, its framing or one event, and
 // against callers that wait for them.
 TEST(odd_answer, answers_without_end_are_cut_within_stated_limits)
