Keep the process when a timer or handler throws

Change: worker threads log handler_failed and go on.

Test: http_server_test.timer_that_throws_leaves_the_others ends its program before (terminate called after throwing) and passes now.

--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -156,6 +156,7 @@
         row(e::process_resumed, "process_resumed"),
         row(e::readiness_changed, "readiness_changed"),
         row(e::log_lines_dropped, "log_lines_dropped"),
+        row(e::handler_failed, "handler_failed"),
         row(e::link_opened, "link_opened"),
         row(e::link_closed, "link_closed"),
         row(e::link_rejected, "link_rejected"),
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -21,6 +21,7 @@
     process_resumed = 107,
     readiness_changed = 108,
     log_lines_dropped = 109,
+    handler_failed = 110,
     link_opened = 200,
     link_closed = 201,
     link_rejected = 202,
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -236,7 +236,13 @@
     pool_.on_reload_signal([this] { reload_settings(); });
     context_.timers.every(settings_check_period, [this] { reload_settings(); });
     sequence_->post([this] {
-        reporter_->start();
+        try {
+            reporter_->start();
+        } catch (const std::system_error&) {
+            start_failure_ = std::current_exception();
+            pool_.stop();
+            return;
+        }
         context_.placements->learn();
         context_.quarantine->start();
         context_.rates->start();
@@ -272,6 +278,9 @@
     log(log_level::info, log_event::process_started,
         {{"frontend", settings_.frontend}, {"zone", settings_.availability_zone.str()}});
     pool_.run();
+    if (start_failure_) {
+        std::rethrow_exception(start_failure_);
+    }
     log(log_level::info, log_event::process_stopped, {});
 }
 
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <map>
 #include <memory>
 #include <tuple>
@@ -86,6 +87,8 @@
     /// Since when no host of a large fleet has reached the platform; unset while one does.
     instant unreachable_since_{};
     instant leaving_since_{};
+    /// Why the process cannot run, found out on its worker thread.
+    std::exception_ptr start_failure_;
     /// Connections and requests at the last check of the shutdown, and checks in a row without any.
     std::uint64_t last_arrivals_ = 0;
     int quiet_checks_ = 0;
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -5,6 +5,7 @@
 
 #include <pthread.h>
 
+#include "core/log.h"
 #include "transport/internal/worker_pool_implementation.h"
 
 namespace anvillead {
@@ -132,7 +133,21 @@
 void worker_pool::start()
 {
     for (unsigned i = 0; i < implementation_->threads; ++i) {
-        implementation_->workers.emplace_back([this] { implementation_->context.run(); });
+        implementation_->workers.emplace_back([this] { implementation_->work(); });
+    }
+}
+
+void worker_pool::implementation::work()
+{
+    while (!context.stopped()) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception& problem) {
+            // A defect in one handler must not end the process and with it all other requests. The request that the
+            // handler belongs to ends by its deadline.
+            log(log_level::error, log_event::handler_failed, {{"problem", problem.what()}});
+        }
     }
 }
 
--- a/src/transport/internal/worker_pool_implementation.h
+++ b/src/transport/internal/worker_pool_implementation.h
@@ -61,6 +61,8 @@
     {}
 
     void join();
+    /// Runs handlers until the pool is stopped.
+    void work();
 
     unsigned threads;
     net::io_context context;
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -92,6 +92,19 @@
     CHECK(contains(f.send_and_read("TRACE / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"), "TRACE "));
 }
 
+// Guards against a defect in one timer that ends the process and with it all requests.
+TEST(http_server_test, timer_that_throws_leaves_the_others)
+{
+    worker_pool pool{1};
+    std::atomic<int> calls{0};
+    pool.timers().after(milliseconds(1), [] { throw std::runtime_error("a defect"); });
+    pool.timers().after(milliseconds(5), [&calls] { ++calls; });
+    pool.start();
+    CHECK(eventually([&] { return calls == 1; }));
+    pool.stop();
+    pool.join();
+}
+
 // Guards against the bytes of a body that are read as a further request, because the server and the client disagree on
 // where the body ends.
 TEST(http_server_test, requests_whose_end_is_not_certain_are_refused)
