Pass on event ids with gaps as they come

Change: on one connection nothing is lost, so a gap there is the engine's way of counting. A piece counts as missing where a generation was resumed and its first new event is further from the last one than any step before.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -145,6 +145,8 @@
     /// Counts this answer among the open streams for as long as it lives.
     std::shared_ptr<void> stream_slot_;
     sequence_number last_event_ = 0;
+    /// Largest difference between the numbers of two events that followed each other on one connection.
+    sequence_number id_step_ = 0;
     std::int64_t events_ = 0;
     instant capacity_deadline_{};
     /// Measured from the arrival of the request.
@@ -173,6 +175,8 @@
     bool response_started_ = false;
     bool wait_logged_ = false;
     bool resumed_ = false;
+    /// The next new event is the first one after the generation was resumed.
+    bool continues_ = false;
     bool source_closed_ = false;
     bool source_complete_ = false;
     bool final_copy_done_ = false;
--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -74,6 +74,17 @@
     STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str());
 }
 
+// Guards against an answer that is broken off because its engine counts events in larger steps.
+TEST(odd_answer, stream_whose_event_ids_have_gaps_is_passed_on)
+{
+    const std::string events = "id: 4\ndata: a\n\nid: 8\ndata: b\n\nid: 9\ndata: c\n\nid: 40\ndata: d\n\n";
+    scripted_upstream engine(stream_head + events);
+    start_with("engines", engine);
+    const auto answer = fleet->generate(1, "r-1", 20);
+    CHECK(answer.complete());
+    STRCMP_EQUAL(events.c_str(), answer.body.c_str());
+}
+
 // Guards against a refusal of another request that is taken for an answer: the caller would be told that its call has
 // not run, or a second upstream would run it.
 TEST(odd_answer, refusal_of_another_request_promises_nothing)
