--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -4,6 +4,8 @@
 #include <system_error>
 #include <thread>
 
+#include <fmt/format.h>
+
 #include "transport/ilink.h"
 #include "transport/tests/raw_client.h"
 // CppUTest redefines new, so its header comes after those of the standard library.
@@ -158,9 +160,8 @@
             smuggled_requests += request.target == "/smuggled" ? 1 : 0;
             exchange->reply(200, {{"Connection", "close"}}, request.body);
         });
-        const auto answer =
-            f.send_and_read(std::string("POST / HTTP/") + it.version + "\r\nHost: a\r\nConnection: close\r\n" +
-                            it.headers + "\r\n" + chunks + smuggled);
+        const auto answer = f.send_and_read(fmt::format("POST / HTTP/{}\r\nHost: a\r\nConnection: close\r\n{}\r\n{}{}",
+                                                        it.version, it.headers, chunks, smuggled));
         LONGS_EQUAL_TEXT(0, smuggled_requests.load(), it.headers);
         LONGS_EQUAL_TEXT(it.certain ? 1 : 0, requests.load(), it.headers);
         CHECK_TEXT(contains(answer, it.certain ? " 200 " : " 400 "), it.headers);
--- a/tests/invariants/config_spread_main.cpp
+++ b/tests/invariants/config_spread_main.cpp
@@ -36,7 +36,7 @@
     int minute = 0;
     int second = 0;
     int ms = 0;
-    const auto at = line.find("T", line.find("\"time\":\""));
+    const auto at = line.find('T', line.find("\"time\":\""));
     if (at == std::string::npos || std::sscanf(line.c_str() + at, "T%d:%d:%d.%dZ", &hour, &minute, &second, &ms) != 4) {
         return -1;
     }
--- a/tests/invariants/node_test.cpp
+++ b/tests/invariants/node_test.cpp
@@ -328,8 +328,8 @@
     LONGS_EQUAL(0, code.value_or(-1));
 }
 
-// Guards against streams that are cut although they run at an engine that has started again, because its entry shows the
-// start only later.
+// Guards against streams that are cut although they run at an engine that has started again, because its entry shows
+// the start only later.
 TEST(node, generation_at_a_restarted_engine_outlives_the_news_of_its_start)
 {
     node_fleet it(sized(1, 1));
