Share one budget among the bodies of callers' requests

Cause: bodies had a limit each and no common one, and a host held three copies of each.

Change: bodies beyond 16 KiB each share a quarter of the process's memory limit (8 to 64 MiB). A request without a share gets 503 (not run), before its body is read where the length is stated. A body is held once.

Slow engines and slow readers were not measured.

--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -84,6 +84,8 @@
     out.traits =
         traits_of({out.message.method, out.caller.host, out.message.target, out.organisation, out.message.body},
                   out.caller.prompt_parts);
+    out.body = std::make_shared<const std::string>(std::move(out.message.body));
+    out.message.body.clear();
     out.exchange = exchange;
     out.arrived = context_.timers.now();
     if (out.caller.patience) {
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -117,7 +117,7 @@
     out.address = upstream.address;
     out.method = request_.message.method;
     out.target = request_.message.target;
-    out.body = request_.message.body;
+    out.shared_body = request_.body;
     out.headers = platform::upstream_headers(request_.message.headers, call);
     out.connect_timeout = connect_timeout;
     out.head_timeout = send_timeout();
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -66,6 +66,15 @@
 constexpr int http_not_found = 404;
 constexpr int http_service_unavailable = 503;
 
+/// Bytes that request bodies may take, of those that the process may use; 0 if that is unknown.
+std::size_t body_budget_bytes(std::size_t memory_bytes)
+{
+    constexpr std::size_t memory_divisor = 4;
+    constexpr std::size_t lowest = 8 * 1024 * 1024;
+    constexpr std::size_t highest = 64 * 1024 * 1024;
+    return memory_bytes == 0 ? highest : std::clamp(memory_bytes / memory_divisor, lowest, highest);
+}
+
 std::chrono::nanoseconds read_clock(clockid_t clock)
 {
     timespec value = {};
@@ -291,9 +300,15 @@
         options.address = address;
         return make_http_server(pool_, options, std::move(handler), counters_);
     };
-    frontend_ = listen(settings_.frontend, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-        callers_.handle(std::move(request), exchange);
-    });
+    http_server_options frontend;
+    frontend.address = settings_.frontend;
+    frontend.body_budget = std::make_shared<byte_budget>(body_budget_bytes(settings_.memory_bytes));
+    frontend_ = make_http_server(
+        pool_, frontend,
+        [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+            callers_.handle(std::move(request), exchange);
+        },
+        counters_);
     readiness_ = listen(settings_.readiness, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
         if (platform::is_readiness_probe(request)) {
             answer_readiness(*exchange);
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -269,7 +269,7 @@
     out.address = upstream.address;
     out.method = request_.message.method;
     out.target = request_.message.target;
-    out.body = request_.message.body;
+    out.shared_body = request_.body;
     out.body_budget = context_.answer_buffers;
     out.connect_timeout = connect_timeout;
     out.head_timeout = milliseconds(0);
--- a/src/node/internal/request_forwarder.cpp
+++ b/src/node/internal/request_forwarder.cpp
@@ -96,7 +96,7 @@
     out.address = host.addresses.frontend;
     out.method = request_.message.method;
     out.target = request_.message.target;
-    out.body = request_.message.body;
+    out.shared_body = request_.body;
     out.connect_timeout = connect_timeout;
     out.head_timeout = milliseconds(0);
     out.dead_peer_timeout = dead_host_timeout;
--- a/src/node/types/admitted_request.h
+++ b/src/node/types/admitted_request.h
@@ -13,7 +13,10 @@
 /// A caller's request that passed admission, with the route, service and organisation that it resolved to.
 struct admitted_request
 {
+    /// Without its body.
     http_request message;
+    /// Held once, however often it is sent.
+    std::shared_ptr<const std::string> body;
     caller_request caller;
     std::shared_ptr<ihttp_exchange> exchange;
     /// The configuration under which the request was admitted; owns what `matched_route` points to.
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -38,6 +38,8 @@
     std::string target = "/";
     http_headers headers;
     std::string body;
+    /// Sent instead of `body` if set: a body that others hold, too.
+    std::shared_ptr<const std::string> shared_body;
     milliseconds connect_timeout{1000};
     /// Longest time from sending the request to receiving the response head; zero means no limit.
     milliseconds head_timeout{10000};
--- a/src/transport/ihttp_server.h
+++ b/src/transport/ihttp_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/metrics.h"
 #include "transport/http_types.h"
@@ -61,6 +62,8 @@
 {
     std::string address;
     http_limits limits;
+    /// What the request bodies in memory may take together; null for no limit. Only for a pool of one thread.
+    std::shared_ptr<byte_budget> body_budget = nullptr;
 };
 
 /// Starts listening. Throws std::system_error if the address cannot be bound.
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -217,7 +217,8 @@
         for (const auto& [key, value] : request_.headers) {
             message_.insert(key, value);
         }
-        message_.body() = request_.body;
+        const auto& body = request_.shared_body ? *request_.shared_body : request_.body;
+        message_.body() = {body.data(), body.size()};
         message_.prepare_payload();
         send_started_ = true;
         request_written_ = false;
@@ -389,7 +390,8 @@
     http_call_handlers handlers_;
     net::steady_timer timer_;
     socket_ptr socket_;
-    http::request<http::string_body> message_;
+    /// Its body is that of `request_`.
+    http::request<http::span_body<const char>> message_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
     /// Number of parsed bytes of the response head, including those of interim responses before it.
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -24,6 +24,7 @@
           state_(std::make_shared<http_server_state>())
     {
         state_->limits = options.limits;
+        state_->body_budget = options.body_budget;
         state_->handler = std::move(handler);
         state_->counters = &counters;
         const auto endpoint = parse_endpoint(options.address);
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t max_linger_bytes = 16 * 1024 * 1024;
 constexpr std::size_t linger_read_bytes = 16 * 1024;
 constexpr std::size_t head_read_bytes = 4096;
+// About the time of a call, after which its body's memory is free.
+constexpr milliseconds body_retry_after{1000};
 // Bounds the framing of a body, which is buffered until it can be parsed: the line of a chunk, or all trailers.
 constexpr std::size_t max_unparsed_body_bytes = 64 * 1024;
 static_assert(max_unparsed_body_bytes >= head_read_bytes && max_unparsed_body_bytes >= linger_read_bytes);
@@ -57,7 +59,7 @@
                            std::shared_ptr<http_server_state> state, std::atomic<std::size_t>& connection_count)
     : socket_(std::move(socket)), read_timer_(sequence->strand), write_timer_(sequence->strand),
       sequence_(std::move(sequence)), state_(std::move(state)), connection_count_(connection_count),
-      buffer_(state_->limits.header_bytes + max_unparsed_body_bytes)
+      buffer_(state_->limits.header_bytes + max_unparsed_body_bytes), body_share_(state_->body_budget)
 {
     ++connection_count_;
     ++state_->arrivals;
@@ -172,6 +174,9 @@
         reply_error_and_close(make_error(error_kind::invalid_request, "the end of the request body is not certain"));
         return;
     }
+    if (const auto length = parser_->content_length(); length && !reserve_body(static_cast<std::size_t>(*length))) {
+        return;
+    }
     if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         start_read_timer(state_->limits.request_timeout);
@@ -192,9 +197,42 @@
 void http_session::read_body()
 {
     start_read_timer(state_->limits.request_timeout);
-    http::async_read(
+    if (parser_->is_done()) {
+        net::post(socket_.get_executor(), [self = shared_from_this()] { self->on_body_read({}); });
+        return;
+    }
+    http::async_read_some(
         socket_, buffer_, *parser_,
-        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->on_body_read(ec); });
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->on_body_part(ec); });
+}
+
+void http_session::on_body_part(const boost::system::error_code& ec)
+{
+    if (ec || parser_->is_done()) {
+        on_body_read(ec);
+        return;
+    }
+    // A body in chunks does not say how large it becomes.
+    if (!reserve_body(parser_->get().body().size())) {
+        return;
+    }
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](const boost::system::error_code& read_ec, std::size_t) {
+                              self->on_body_part(read_ec);
+                          });
+}
+
+bool http_session::reserve_body(std::size_t size)
+{
+    if (body_share_.grow_to(size)) {
+        return true;
+    }
+    stop_read_timer();
+    state_->counters->add("http_bodies_refused_total");
+    auto refusal = make_error(error_kind::overloaded, "the large request bodies of others take the memory for bodies");
+    refusal.retry_after = body_retry_after;
+    reply_error_and_close(refusal);
+    return false;
 }
 
 void http_session::on_body_read(const boost::system::error_code& ec)
@@ -420,6 +458,7 @@
 void http_session::finish_exchange()
 {
     in_exchange_ = false;
+    body_share_.release();
     --state_->exchanges;
     on_closed_ = nullptr;
     on_drained_ = nullptr;
@@ -486,6 +525,7 @@
     phase_ = phase::closed;
     --connection_count_;
     set_busy(false);
+    body_share_.release();
     pending_.clear();
     on_drained_ = nullptr;
     stop_read_timer();
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -20,6 +20,7 @@
 {
     http_limits limits;
     http_handler handler;
+    std::shared_ptr<byte_budget> body_budget;
     metrics* counters = nullptr;
     std::atomic<std::size_t> connections{0};
     /// Open connections over the limit, which get an error response and are closed.
@@ -84,6 +85,9 @@
     void set_busy(bool value);
     void on_head_read(const boost::system::error_code& ec);
     void read_body();
+    void on_body_part(const boost::system::error_code& ec);
+    /// Takes the body's share of the budget, or refuses the request; returns whether it has it.
+    bool reserve_body(std::size_t size);
     void on_body_read(const boost::system::error_code& ec);
     void reject(const boost::system::error_code& ec);
     void call_handler(http_request request);
@@ -107,6 +111,8 @@
     std::atomic<std::size_t>& connection_count_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
+    /// Share of the request body in the memory for bodies.
+    budgeted_buffer body_share_;
     /// Number of parsed bytes of the current request head.
     std::size_t head_bytes_ = 0;
     std::function<void()> on_closed_;
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -21,6 +21,22 @@
 // Largest response head that the client accepts.
 constexpr std::size_t max_head_bytes = 8 * 1024;
 
+/// Returns a listening socket on a port chosen by the kernel, and its address.
+int listen_on_loopback(std::string& address)
+{
+    constexpr int backlog = 8;
+    const int out = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in endpoint = {};
+    endpoint.sin_family = AF_INET;
+    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(endpoint);
+    (void)::bind(out, reinterpret_cast<sockaddr*>(&endpoint), size);
+    ::listen(out, backlog);
+    ::getsockname(out, reinterpret_cast<sockaddr*>(&endpoint), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+    return out;
+}
+
 /// Accepts one connection and sends `prefix`, then `repeated` until `bytes` bytes of it are sent, then `suffix`. Pauses
 /// after each part, so that the client reads the parts separately.
 class scripted_server
@@ -34,15 +50,7 @@
             parts.push_back(repeated);
         }
         parts.push_back(suffix);
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in endpoint = {};
-        endpoint.sin_family = AF_INET;
-        endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(endpoint);
-        (void)::bind(listener_, reinterpret_cast<sockaddr*>(&endpoint), size);
-        ::listen(listener_, 1);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&endpoint), &size);
-        address_ = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+        listener_ = listen_on_loopback(address_);
         thread_ = std::thread([this, parts = std::move(parts)] {
             const int socket = ::accept(listener_, nullptr, nullptr);
             // Closing the socket with unread bytes would reset the connection, and the call would fail for that reason.
@@ -82,15 +90,7 @@
 public:
     explicit keep_alive_server(std::string unasked) : unasked_(std::move(unasked))
     {
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in endpoint = {};
-        endpoint.sin_family = AF_INET;
-        endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(endpoint);
-        (void)::bind(listener_, reinterpret_cast<sockaddr*>(&endpoint), size);
-        ::listen(listener_, 8);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&endpoint), &size);
-        address_ = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+        listener_ = listen_on_loopback(address_);
         acceptor_ = std::thread([this] {
             for (int socket = ::accept(listener_, nullptr, nullptr); socket >= 0;
                  socket = ::accept(listener_, nullptr, nullptr)) {
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -85,6 +85,44 @@
     CHECK(contains(f.send_and_read(head + "1\r\na\r\n0\r\nX: " + filler + "\r\n\r\n"), "\"invalid_request\""));
 }
 
+// Guards against bodies that fill the memory of a host together, though each is within its limit.
+TEST(http_server_test, bodies_without_a_share_of_the_memory_are_refused)
+{
+    worker_pool pool{1};
+    metrics counters;
+    http_server_options options;
+    options.address = "127.0.0.1:0";
+    options.body_budget = std::make_shared<byte_budget>(32 * 1024);
+    std::atomic<int> requests{0};
+    const auto server = make_http_server(
+        pool, options,
+        [&requests](const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange) {
+            ++requests;
+            exchange->reply(200, {}, std::to_string(request.body.size()));
+        },
+        counters);
+    pool.start();
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
+    const std::string large(100'000, 'x');
+    const std::string small(40'000, 'x');
+    const auto with_length = [&head](const std::string& body) {
+        return fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body);
+    };
+    const auto in_chunks = [&head](const std::string& body) {
+        return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", head, body.size(), body);
+    };
+    for (int i = 0; i < 3; ++i) {
+        CHECK(contains(send_raw_request(server->address(), with_length(large)), " 503 "));
+        CHECK(contains(send_raw_request(server->address(), in_chunks(large)), " 503 "));
+        // The shares of those before are free again.
+        CHECK(contains(send_raw_request(server->address(), with_length(small)), "40000"));
+        CHECK(contains(send_raw_request(server->address(), in_chunks(small)), "40000"));
+    }
+    LONGS_EQUAL(6, requests.load());
+    pool.stop();
+    pool.join();
+}
+
 // Guards against a request that ends the process where it is passed on, because no client can send it.
 TEST(http_server_test, trace_with_a_body_is_refused)
 {
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -106,7 +106,7 @@
         {"ip", fmt::format("127.0.0.{}", number)},
         {"upstream-source-address",
          upstream_sources_.count(number) != 0 ? upstream_sources_.at(number) : upstream_source(number)},
-        {"limits", {{"bandwidth-mbps", number == options_.fast ? 200 : 10}}},
+        {"limits", {{"bandwidth-mbps", number == options_.fast ? 200 : 10}, {"memory-mb", options_.memory_mb}}},
         {"internal-ports", {port_of(name + "/report"), port_of(name + "/report")}},
         {"seed-nodes", json::array({addresses_.at("node-1/control")})},
         {"listen-addrs",
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -32,6 +32,8 @@
         bool orders_by_cost = false;
         /// The operator may evacuate zones; upstreams with even numbers are in "colombo-b".
         bool evacuations = false;
+        /// Memory that each host may use; 0 for no statement.
+        int memory_mb = 0;
         /// Routes of the configuration that no test uses.
         int extra_routes = 0;
     };
