--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -34,6 +34,8 @@
         bool evacuations = false;
         /// Memory that each host may use; 0 for no statement.
         int memory_mb = 0;
+        /// Descriptors that each host may use; 0 for no statement.
+        int max_descriptors = 0;
         /// Routes of the configuration that no test uses.
         int extra_routes = 0;
     };
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -4,7 +4,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <regex>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <system_error>
@@ -34,6 +36,53 @@
     return out.str();
 }
 
+/// Inodes of the sockets among a process's descriptors.
+std::set<std::string> socket_inodes(pid_t pid)
+{
+    static const std::string prefix = "socket:[";
+    std::set<std::string> out;
+    std::error_code ec;
+    for (const auto& it : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", pid), ec)) {
+        const auto target = std::filesystem::read_symlink(it.path(), ec).string();
+        if (!ec && target.rfind(prefix, 0) == 0) {
+            out.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
+        }
+    }
+    return out;
+}
+
+/// One row of /proc/net/tcp.
+struct socket_row
+{
+    std::string local;
+    std::string state;
+    std::size_t queued_bytes = 0;
+    std::string inode;
+};
+
+std::vector<socket_row> read_sockets()
+{
+    std::vector<socket_row> out;
+    std::ifstream in("/proc/net/tcp");
+    std::string line;
+    std::getline(in, line);
+    while (std::getline(in, line)) {
+        std::istringstream row(line);
+        socket_row it;
+        std::string number;
+        std::string remote;
+        std::string queues;
+        std::string skipped;
+        row >> number >> it.local >> remote >> it.state >> queues >> skipped >> skipped >> skipped >> skipped >>
+            it.inode;
+        const auto colon = queues.find(':');
+        it.queued_bytes =
+            std::stoul(queues.substr(0, colon), nullptr, 16) + std::stoul(queues.substr(colon + 1), nullptr, 16);
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
 } // namespace
 
 bool eventually(const std::function<bool()>& condition, milliseconds bound)
@@ -152,6 +201,44 @@
     return (resident - shared) * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::size_t process::held_bytes() const
+{
+    static const std::string listening = "0A";
+    static const std::string not_accepted = "0";
+    std::size_t out = 0;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; status >> word;) {
+        if (word == "VmRSS:") {
+            status >> out;
+            out *= 1024;
+            break;
+        }
+    }
+    const auto inodes = socket_inodes(pid_);
+    const auto sockets = read_sockets();
+    std::set<std::string> servers;
+    for (const auto& it : sockets) {
+        if (it.state == listening && inodes.count(it.inode) != 0) {
+            servers.insert(it.local);
+        }
+    }
+    for (const auto& it : sockets) {
+        const bool own = inodes.count(it.inode) != 0 || (it.inode == not_accepted && servers.count(it.local) != 0);
+        // The queue of a listening socket counts connections.
+        if (own && it.state != listening) {
+            out += it.queued_bytes;
+        }
+    }
+    return out;
+}
+
+std::size_t process::open_descriptors() const
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator entries(fmt::format("/proc/{}/fd", pid_), ec);
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::string process::output() const
 {
     return read_file(log_file_);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -57,6 +57,10 @@
     pid_t pid() const { return pid_; }
     /// Memory of the process that is in use, without what it has in common with other processes.
     std::size_t resident_bytes() const;
+    /// Memory of the process (VmRSS) and what the kernel holds for its sockets: bytes that were received and not read,
+    /// also on connections that it has not accepted, or sent and not acknowledged.
+    std::size_t held_bytes() const;
+    std::size_t open_descriptors() const;
     /// Returns all output of the process, including that of earlier processes with the same log file.
     std::string output() const;
     /// Returns the first group of `pattern` in the output of this process; empty if there is no match within `bound`.
