Count all that connections and requests hold in one account

Cause: the budget counted sizes beyond 16 KiB a body. The first 16 KiB of each, the capacity of growing strings, read buffers and heads (their parsed form takes up to twenty times their bytes) were counted by nobody, a share was given back before its memory was freed, and a full budget refused the next caller instead of those who held it.

Change: client_budget with a share for each connection and each complete request. Capacity is charged before it is allocated; the share of a body lives as long as its request. When it is full, the connections that have waited longest for the rest of their request, or have not read for a second, are closed. Bodies are parsed without an operation for each chunk, idle connections have no buffer. An answer that no memory is left for is given up at once, and a connection closed for others leaves no unread answer in the kernel. http_session is split into two files, the parsing into http_request_reader; the servers of the node have a file of their own.

Changed test: http_server_test.bodies_without_a_share_of_the_memory_are_refused counts capacity now, so that its budget is 128 KiB instead of 32; it also checks that everything is given back. byte_budget: 4 KiB of an answer are free, not 16.

--- a/src/core/byte_budget.h
+++ b/src/core/byte_budget.h
@@ -24,7 +24,7 @@
 class budgeted_buffer
 {
 public:
-    static constexpr std::size_t free_bytes = 16 * 1024;
+    static constexpr std::size_t free_bytes = 4 * 1024;
 
     explicit budgeted_buffer(std::shared_ptr<byte_budget> budget) : budget_(std::move(budget)) {}
     ~budgeted_buffer() { release(); }
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -26,6 +26,7 @@
     link_closed = 201,
     link_rejected = 202,
     message_rejected = 203,
+    connection_evicted = 204,
     configuration_applied = 300,
     configuration_accepted = 301,
     configuration_rejected = 302,
--- /dev/null
+++ b/src/node/client_limits.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "node/types/node_settings.h"
+#include "transport/ihttp_server.h"
+
+namespace anvillead {
+
+/// What the clients of all ports may take of the process; docs/design/memory.md has the account.
+client_usage client_limit(const node_settings& settings);
+/// Limits of the server on the frontend, without address and handlers.
+http_server_options frontend_options(std::shared_ptr<client_budget> budget);
+
+} // namespace anvillead
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -8,14 +8,11 @@
 #include "node/crash_detector.h"
 #include "node/path_prober.h"
 #include "node/placement_service.h"
-#include "node/quarantine_endpoint.h"
 #include "node/quarantine_service.h"
 #include "node/rate_service.h"
 #include "platform/configuration_reader.h"
-#include "platform/entry_calls.h"
 #include "platform/object_client.h"
 #include "platform/upstream_reader.h"
-#include "routing/endpoint_selection.h"
 
 namespace anvillead {
 
@@ -23,12 +20,8 @@
 
 // Collection of the store in which the hosts register themselves.
 constexpr const char* host_collection = "anvillead-hosts";
-// Callers that cache an answer for longer may connect to a host that has left; a shorter time to live causes more
-// discovery requests.
-constexpr milliseconds endpoint_time_to_live{500};
 // Some callers cache an answer for up to this many times its time to live.
 constexpr int endpoint_overrun_factor = 3;
-constexpr std::size_t max_endpoints = 64;
 // Changes of the directory that a host of a large fleet fetches at once. Engines leave with notice of more than a
 // second and are announced without the directory.
 constexpr milliseconds pull_interval{250};
@@ -44,8 +37,6 @@
 constexpr milliseconds discovery_time{1000};
 // Time after its start in which a host has heard from all others.
 constexpr milliseconds fleet_discovery_time{3000};
-// With fewer hosts than this in its zone, a caller also gets hosts of other zones, so that it has an alternative.
-constexpr std::size_t min_zone_endpoints = 2;
 constexpr milliseconds housekeeping_period{50};
 // A host that lacks a newer configuration of another host for this long reads it from the platform.
 constexpr milliseconds configuration_tolerance{700};
@@ -62,19 +53,6 @@
 // scheduling delays.
 constexpr milliseconds min_suspension{500};
 
-constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
-constexpr int http_service_unavailable = 503;
-
-/// Bytes that request bodies may take, of those that the process may use; 0 if that is unknown.
-std::size_t body_budget_bytes(std::size_t memory_bytes)
-{
-    constexpr std::size_t memory_divisor = 4;
-    constexpr std::size_t lowest = 8 * 1024 * 1024;
-    constexpr std::size_t highest = 64 * 1024 * 1024;
-    return memory_bytes == 0 ? highest : std::clamp(memory_bytes / memory_divisor, lowest, highest);
-}
-
 std::chrono::nanoseconds read_clock(clockid_t clock)
 {
     timespec value = {};
@@ -94,7 +72,7 @@
                          std::function<result<node_settings>()> read_settings)
     : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
       sequence_(pool.make_sequence()), client_(make_http_client(pool)),
-      upstream_client_(make_http_client(pool, [this] { return settings_.upstream_source; })),
+      upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }})),
       context_{settings_,
                pool,
                pool.timers(),
@@ -293,109 +271,6 @@
     log(log_level::info, log_event::process_stopped, {});
 }
 
-void node_daemon::start_servers()
-{
-    const auto listen = [this](const std::string& address, http_handler handler) {
-        http_server_options options;
-        options.address = address;
-        return make_http_server(pool_, options, std::move(handler), counters_);
-    };
-    http_server_options frontend;
-    frontend.address = settings_.frontend;
-    frontend.body_budget = std::make_shared<byte_budget>(body_budget_bytes(settings_.memory_bytes));
-    frontend_ = make_http_server(
-        pool_, frontend,
-        [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-            callers_.handle(std::move(request), exchange);
-        },
-        counters_);
-    readiness_ = listen(settings_.readiness, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-        if (platform::is_readiness_probe(request)) {
-            answer_readiness(*exchange);
-        } else {
-            exchange->reply(http_not_found, {}, {});
-        }
-    });
-    discovery_ = listen(settings_.directory, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-        answer_endpoint_request(request, *exchange);
-    });
-    if (!settings_.metrics.empty()) {
-        metrics_ = listen(settings_.metrics, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-            answer_control(request, *exchange);
-        });
-    }
-    control_ = listen(settings_.control, [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
-        answer_control(request, *exchange);
-    });
-}
-
-void node_daemon::answer_endpoint_request(const http_request& request, ihttp_exchange& exchange)
-{
-    const auto query = platform::parse_resolve_request(request);
-    if (!query) {
-        exchange.reply(http_not_found, {}, {});
-        return;
-    }
-    const auto& addresses = endpoints_for(query->availability_zone);
-    if (addresses.empty()) {
-        exchange.reply(http_service_unavailable, {}, {});
-        return;
-    }
-    const auto time_to_live = std::min(endpoint_time_to_live, settings_.max_endpoint_age);
-    exchange.reply(http_ok, {{"Content-Type", "application/json"}},
-                   platform::resolve_response_body(addresses, time_to_live));
-}
-
-std::vector<member> node_daemon::hosts_for_callers(const host_report& self) const
-{
-    auto hosts = context_.peers.live();
-    hosts.push_back(&self);
-    const auto serves = [](const host_report* it) { return it->ready && !it->leaving && !it->without_path; };
-    // If no host reaches the upstreams, all are named: callers get a refusal rather than no address.
-    const bool any_serves = std::any_of(hosts.begin(), hosts.end(), serves);
-    std::vector<member> out;
-    for (const auto* it : hosts) {
-        if (!any_serves || serves(it)) {
-            out.push_back(to_member(*it));
-        }
-    }
-    return out;
-}
-
-const std::vector<std::string>& node_daemon::endpoints_for(const zone_name& zone)
-{
-    const bool without_path = context_.paths.any_lost();
-    const std::tuple<std::uint64_t, bool, bool, bool> version{context_.peers.version(), ready(), context_.leaving,
-                                                              without_path};
-    if (std::exchange(endpoints_version_, version) != version) {
-        endpoints_.clear();
-    }
-    const auto [cached, missing] = endpoints_.try_emplace(zone);
-    auto& out = cached->second;
-    if (!missing) {
-        return out;
-    }
-    host_report self;
-    self.host = settings_.host;
-    self.availability_zone = settings_.availability_zone;
-    self.addresses.frontend = settings_.frontend;
-    self.ready = ready();
-    self.leaving = context_.leaving;
-    self.without_path = without_path;
-    const auto members = hosts_for_callers(self);
-    endpoint_query query;
-    query.availability_zone = zone;
-    query.most = max_endpoints;
-    const auto selected = select_endpoints(members, query);
-    const auto in_zone = static_cast<std::size_t>(std::count_if(
-        selected.begin(), selected.end(), [&zone](const endpoint& it) { return it.availability_zone == zone; }));
-    const auto count = in_zone >= min_zone_endpoints ? in_zone : selected.size();
-    for (std::size_t i = 0; i < count; ++i) {
-        out.push_back(selected[i].address);
-    }
-    return out;
-}
-
 bool node_daemon::ready() const
 {
     return feed_.complete() && !context_.leaving;
@@ -420,27 +295,6 @@
     reporter_->schedule_summary();
 }
 
-void node_daemon::answer_readiness(ihttp_exchange& exchange)
-{
-    exchange.reply(ready() ? http_ok : http_service_unavailable, {}, {});
-}
-
-void node_daemon::answer_control(const http_request& request, ihttp_exchange& exchange)
-{
-    if (const auto query = parse_state_request(request)) {
-        exchange.reply(http_ok, {{"Content-Type", "application/json"}},
-                       encode_update(make_update(feed_.state(), *query)));
-    } else if (const auto answer = answer_quarantine_request(*context_.quarantine, request)) {
-        exchange.reply(answer->status, {{"Content-Type", "application/json"}}, answer->body);
-    } else if (request.method == "GET" && request.path() == "/evacuations") {
-        exchange.reply(http_ok, {{"Content-Type", "application/json"}}, feed_.describe_evacuations());
-    } else if (request.path() == "/metrics") {
-        exchange.reply(http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.text());
-    } else {
-        exchange.reply(http_not_found, {}, {});
-    }
-}
-
 void node_daemon::detect_suspension()
 {
     const auto suspended = suspended_time();
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -31,6 +31,10 @@
     void run();
 
 private:
+    /// For which callers may keep an answer of the discovery endpoint. Those that keep it for longer may connect to a
+    /// host that has left; a shorter time causes more discovery requests.
+    static constexpr milliseconds endpoint_time_to_live{500};
+
     void connect_hooks();
     void start_servers();
     void answer_endpoint_request(const http_request& request, ihttp_exchange& exchange);
--- a/src/transport/http_types.h
+++ b/src/transport/http_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -9,6 +10,8 @@
 
 namespace anvillead {
 
+class request_share;
+
 using http_headers = std::vector<std::pair<std::string, std::string>>;
 
 /// Returns the value of the first header with this name (case-insensitive), or an empty view if there is none.
@@ -22,6 +25,8 @@
     http_headers headers;
     std::string body;
     std::string peer_address;
+    /// Its part of what clients may take of the process; null in a request that no server has read.
+    std::shared_ptr<request_share> share = nullptr;
 
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
     /// The target without its query string.
@@ -36,6 +41,8 @@
     std::size_t header_bytes = 16 * 1024;
     std::size_t body_bytes = 4 * 1024 * 1024;
     std::size_t connections = 4096;
+    /// Connections over the limit that get an error response at the same time; further ones are closed without one.
+    std::size_t refused_connections = 64;
     /// Size of each connection's kernel send buffer (SO_SNDBUF); if unset, it grows to several megabytes.
     std::size_t send_buffer_bytes = 256 * 1024;
     /// Time limit for receiving the request head, and again for receiving the body.
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -96,8 +96,12 @@
           std::function<void(const http_call_result& call_result, const http_response& response)> callback);
 };
 
-/// `source_address` returns the local IP address of a new connection; without it, or if it is empty, the system
-/// chooses.
-std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, std::function<std::string()> source_address = {});
+struct http_client_options
+{
+    /// Returns the local IP address of a new connection; without it, or if it is empty, the system chooses.
+    std::function<std::string()> source_address = {};
+};
+
+std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, http_client_options options = {});
 
 } // namespace anvillead
--- a/src/transport/ihttp_server.h
+++ b/src/transport/ihttp_server.h
@@ -4,9 +4,9 @@
 #include <memory>
 #include <string>
 
-#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/metrics.h"
+#include "transport/client_budget.h"
 #include "transport/http_types.h"
 #include "transport/worker_pool.h"
 
@@ -62,8 +62,10 @@
 {
     std::string address;
     http_limits limits;
-    /// What the request bodies in memory may take together; null for no limit. Only for a pool of one thread.
-    std::shared_ptr<byte_budget> body_budget = nullptr;
+    /// What clients may take; null for no limit. Only for a pool of one thread.
+    std::shared_ptr<client_budget> budget = nullptr;
+    /// What each complete request takes, beside its head and body.
+    client_usage request_usage = {};
 };
 
 /// Starts listening. Throws std::system_error if the address cannot be bound.
--- /dev/null
+++ b/src/transport/internal/client_budget.cpp
@@ -0,0 +1,183 @@
+#include "transport/client_budget.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace anvillead {
+
+namespace {
+
+// A share of more than this is a large one.
+constexpr std::size_t small_share_bytes = 64 * 1024;
+// Part of the memory that large shares leave to others.
+constexpr std::size_t reserved_part = 8;
+// A client that has read nothing for this long may lose its connection to others.
+constexpr milliseconds reader_patience{1000};
+constexpr client_usage one_connection = {1, 1, 0};
+
+} // namespace
+
+bool client_budget::fits(const client_usage& more, bool large) const
+{
+    const auto reserved = large ? limit_.bytes / reserved_part : 0;
+    return used_.connections + more.connections <= limit_.connections &&
+           used_.descriptors + more.descriptors <= limit_.descriptors &&
+           (more.bytes == 0 || used_.bytes + more.bytes + reserved <= limit_.bytes);
+}
+
+connection_share* client_budget::victim(bool for_bytes, const connection_share* requester) const
+{
+    connection_share* out = nullptr;
+    const auto consider = [&](wait_kind kind) {
+        const auto& list = waiting_[static_cast<std::size_t>(kind)];
+        const auto it =
+            std::find_if(list.begin(), list.end(), [requester](const auto* other) { return other != requester; });
+        if (it != list.end() && (out == nullptr || (*it)->since_ < out->since_)) {
+            out = *it;
+        }
+    };
+    if (!for_bytes) {
+        consider(wait_kind::request);
+    }
+    consider(wait_kind::rest_of_request);
+    auto* const other = out;
+    consider(wait_kind::reader);
+    if (out != other && std::chrono::steady_clock::now() - out->since_ < reader_patience) {
+        return other;
+    }
+    return out;
+}
+
+bool client_budget::reserve(const client_usage& more, bool large, const connection_share* requester)
+{
+    while (!fits(more, large)) {
+        const bool for_bytes = fits({more.connections, more.descriptors, 0}, false);
+        auto* const it = victim(for_bytes, requester);
+        if (it == nullptr) {
+            return false;
+        }
+        ++evictions_;
+        it->evict_();
+        // Does nothing if the connection has given everything back, as it must.
+        it->close();
+    }
+    used_.connections += more.connections;
+    used_.descriptors += more.descriptors;
+    used_.bytes += more.bytes;
+    return true;
+}
+
+bool client_budget::make_room_for_connection()
+{
+    if (!reserve(one_connection, false, nullptr)) {
+        return false;
+    }
+    release(one_connection);
+    return true;
+}
+
+void client_budget::release(const client_usage& less)
+{
+    used_.connections -= less.connections;
+    used_.descriptors -= less.descriptors;
+    used_.bytes -= less.bytes;
+}
+
+connection_share::connection_share(std::shared_ptr<client_budget> budget, std::function<void()> evict)
+    : budget_(std::move(budget)), evict_(std::move(evict)), position_{this}, node_(position_.begin())
+{}
+
+connection_share::~connection_share()
+{
+    close();
+}
+
+void connection_share::open()
+{
+    if (budget_ && budget_->reserve(one_connection, false, this)) {
+        usage_ = one_connection;
+    }
+}
+
+bool connection_share::set_bytes(std::size_t bytes)
+{
+    const auto needed = bytes - std::min(bytes, free_bytes);
+    if (!budget_ || usage_.connections == 0 || needed == usage_.bytes) {
+        return true;
+    }
+    if (needed < usage_.bytes) {
+        budget_->release({0, 0, usage_.bytes - needed});
+    } else if (!budget_->reserve({0, 0, needed - usage_.bytes}, needed > small_share_bytes, this)) {
+        return false;
+    }
+    usage_.bytes = needed;
+    if (waiting_ && kind_ != client_budget::wait_kind::reader && kind_ != request_kind()) {
+        wait(request_kind(), since_);
+    }
+    return true;
+}
+
+client_budget::wait_kind connection_share::request_kind() const
+{
+    return usage_.bytes == 0 ? client_budget::wait_kind::request : client_budget::wait_kind::rest_of_request;
+}
+
+void connection_share::wait_for_request(instant since)
+{
+    wait(request_kind(), since);
+}
+
+void connection_share::wait_for_reader(instant since)
+{
+    wait(client_budget::wait_kind::reader, since);
+}
+
+void connection_share::wait(client_budget::wait_kind kind, instant since)
+{
+    stop_waiting();
+    if (!budget_ || usage_.connections == 0) {
+        return;
+    }
+    since_ = since;
+    kind_ = kind;
+    auto& list = budget_->list_of(kind);
+    list.splice(list.end(), position_);
+    waiting_ = true;
+}
+
+void connection_share::stop_waiting()
+{
+    if (!std::exchange(waiting_, false)) {
+        return;
+    }
+    auto& list = budget_->list_of(kind_);
+    position_.splice(position_.end(), list, node_);
+}
+
+void connection_share::close()
+{
+    stop_waiting();
+    if (budget_) {
+        budget_->release(usage_);
+    }
+    usage_ = {};
+}
+
+request_share::~request_share()
+{
+    if (budget_) {
+        budget_->release(usage_);
+    }
+}
+
+bool request_share::take(const client_usage& usage)
+{
+    if (budget_ && !budget_->reserve(usage, usage.bytes > small_share_bytes, nullptr)) {
+        return false;
+    }
+    usage_ = usage;
+    return true;
+}
+
+} // namespace anvillead
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -248,7 +248,7 @@
 
     void parse_head()
     {
-        const auto ec = parse_head_part(*parser_, buffer_, head_bytes_, max_head_bytes);
+        const auto ec = parse_head_part(*parser_, buffer_, {head_bytes_, head_lines_}, max_head_bytes);
         if (ec != http::error::need_more) {
             on_head_read(ec);
             return;
@@ -396,6 +396,7 @@
     beast::flat_buffer buffer_{max_unparsed_bytes};
     /// Number of parsed bytes of the response head, including those of interim responses before it.
     std::size_t head_bytes_ = 0;
+    std::size_t head_lines_ = 0;
     std::array<char, body_read_bytes> body_buffer_ = {};
     std::uint64_t timer_wait_number_ = 0;
     /// Number of the current connection; completion handlers of earlier ones are ignored.
@@ -413,14 +414,15 @@
 class http_client : public ihttp_client
 {
 public:
-    http_client(worker_pool& pool, std::function<std::string()> source_address)
-        : context_(pool.internals().context), source_address_(std::move(source_address))
+    http_client(worker_pool& pool, http_client_options options)
+        : context_(pool.internals().context), options_(std::move(options))
     {}
 
     std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
                                       std::shared_ptr<isequence> sequence) override
     {
-        auto call = std::make_shared<http_call>(context_, pool_, source_address_ ? source_address_() : std::string(),
+        auto call = std::make_shared<http_call>(context_, pool_,
+                                                options_.source_address ? options_.source_address() : std::string(),
                                                 sequence, std::move(request), std::move(handlers));
         sequence->post([call] { call->start_call(); });
         return call;
@@ -428,7 +430,7 @@
 
 private:
     net::io_context& context_;
-    std::function<std::string()> source_address_;
+    http_client_options options_;
     std::shared_ptr<idle_connection_pool> pool_ = std::make_shared<idle_connection_pool>();
 };
 
@@ -476,9 +478,9 @@
     return call;
 }
 
-std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, std::function<std::string()> source_address)
+std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, http_client_options options)
 {
-    return std::make_unique<http_client>(pool, std::move(source_address));
+    return std::make_unique<http_client>(pool, std::move(options));
 }
 
 } // namespace anvillead
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Number of connections over the limit that get an error response at the same time; further ones are closed without
-// one.
-constexpr std::size_t max_refused_connections = 64;
 constexpr milliseconds refusal_retry_after{1000};
 // Delay after a failed accept; without it, running out of file descriptors would cause a busy loop.
 constexpr milliseconds accept_retry_delay{50};
@@ -24,7 +21,8 @@
           state_(std::make_shared<http_server_state>())
     {
         state_->limits = options.limits;
-        state_->body_budget = options.body_budget;
+        state_->budget = options.budget;
+        state_->request_usage = options.request_usage;
         state_->handler = std::move(handler);
         state_->counters = &counters;
         const auto endpoint = parse_endpoint(options.address);
@@ -90,13 +88,16 @@
 
     void admit(net::ip::tcp::socket socket, const std::shared_ptr<asio_sequence>& sequence)
     {
-        if (state_->connections < state_->limits.connections) {
+        const bool has_room = state_->connections < state_->limits.connections &&
+                              (!state_->budget || state_->budget->make_room_for_connection());
+        if (has_room) {
             auto session = std::make_shared<http_session>(std::move(socket), sequence, state_, state_->connections);
+            session->take_share();
             net::post(sequence->strand, [session] { session->start(); });
             return;
         }
         state_->counters->add("http_connections_refused_total");
-        if (state_->refused_connections >= max_refused_connections) {
+        if (state_->refused_connections >= state_->limits.refused_connections) {
             return;
         }
         auto session = std::make_shared<http_session>(std::move(socket), sequence, state_, state_->refused_connections);
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -1,8 +1,10 @@
 #include "transport/internal/http_session.h"
 
+#include <sys/ioctl.h>
+
 #include <fmt/format.h>
 
-#include "transport/internal/http_head.h"
+#include "core/log.h"
 
 namespace anvillead {
 
@@ -12,45 +14,14 @@
 // unread data resets the connection, and the client could lose the response.
 constexpr milliseconds max_linger_time{1000};
 constexpr std::size_t max_linger_bytes = 16 * 1024 * 1024;
-constexpr std::size_t linger_read_bytes = 16 * 1024;
-constexpr std::size_t head_read_bytes = 4096;
-// About the time of a call, after which its body's memory is free.
-constexpr milliseconds body_retry_after{1000};
-// Bounds the framing of a body, which is buffered until it can be parsed: the line of a chunk, or all trailers.
-constexpr std::size_t max_unparsed_body_bytes = 64 * 1024;
-static_assert(max_unparsed_body_bytes >= head_read_bytes && max_unparsed_body_bytes >= linger_read_bytes);
-
 constexpr int http_no_content = 204;
 constexpr int http_not_modified = 304;
 constexpr unsigned http_1_0 = 10;
 
-http_headers copy_headers(const http::fields& fields)
-{
-    http_headers out;
-    for (const auto& it : fields) {
-        out.emplace_back(std::string(it.name_string()), std::string(it.value()));
-    }
-    return out;
-}
-
-/// Whether it is certain where the body of a request ends (RFC 9112, section 6). The parser takes a request whose
-/// transfer codings it does not know for one without a body.
-bool has_certain_end(const http::request<http::string_body>& head)
-{
-    const auto codings = head.count(http::field::transfer_encoding);
-    if (codings == 0) {
-        // A repeated length is refused, also where the repetitions are equal.
-        return head.count(http::field::content_length) <= 1 &&
-               head[http::field::content_length].find(',') == beast::string_view::npos;
-    }
-    return codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked") &&
-           head.count(http::field::content_length) == 0 && head.version() > http_1_0;
-}
-
-bool is_parse_error(const boost::system::error_code& ec)
+/// Empties the string and frees its memory, which an assignment would keep.
+void free_string(std::string& value)
 {
-    return ec.category() == make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream &&
-           ec != http::error::partial_message;
+    std::string().swap(value);
 }
 
 } // namespace
@@ -59,7 +30,7 @@
                            std::shared_ptr<http_server_state> state, std::atomic<std::size_t>& connection_count)
     : socket_(std::move(socket)), read_timer_(sequence->strand), write_timer_(sequence->strand),
       sequence_(std::move(sequence)), state_(std::move(state)), connection_count_(connection_count),
-      buffer_(state_->limits.header_bytes + max_unparsed_body_bytes), body_share_(state_->body_budget)
+      reader_(state_->limits), share_(state_->budget, [this] { evict(); })
 {
     ++connection_count_;
     ++state_->arrivals;
@@ -76,13 +47,21 @@
     set_busy(false);
 }
 
+void http_session::take_share()
+{
+    share_.open();
+}
+
 void http_session::start()
 {
+    if (phase_ == phase::closed) {
+        return;
+    }
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
     socket_.set_option(net::ip::tcp::no_delay(true), ec);
     socket_.set_option(net::socket_base::send_buffer_size(static_cast<int>(state_->limits.send_buffer_bytes)), ec);
-    read_head();
+    read_request();
 }
 
 void http_session::set_busy(bool value)
@@ -103,172 +82,15 @@
     set_busy(true);
     keep_alive_ = false;
     linger_on_close_ = true;
+    reader_.clear();
+    share_.stop_waiting();
+    update_share();
     phase_ = phase::handling;
     in_exchange_ = true;
     ++state_->exchanges;
     reply_error(*this, reason);
 }
 
-void http_session::wait_for_request()
-{
-    phase_ = phase::idle;
-    if (buffer_.size() > 0) {
-        read_head();
-        return;
-    }
-    set_busy(false);
-    // The idle time is limited by keep_alive; the shorter limit for the head applies from its first byte on.
-    start_read_timer(state_->limits.keep_alive);
-    socket_.async_read_some(buffer_.prepare(head_read_bytes),
-                            [self = shared_from_this()](const boost::system::error_code& ec, std::size_t count) {
-                                self->stop_read_timer();
-                                if (ec) {
-                                    self->close();
-                                    return;
-                                }
-                                self->buffer_.commit(count);
-                                self->set_busy(true);
-                                self->read_head();
-                            });
-}
-
-void http_session::read_head()
-{
-    phase_ = phase::idle;
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(state_->limits.header_bytes));
-    parser_->body_limit(state_->limits.body_bytes);
-    head_bytes_ = 0;
-    start_read_timer(state_->limits.request_timeout);
-    parse_head();
-}
-
-void http_session::parse_head()
-{
-    const auto ec = parse_head_part(*parser_, buffer_, head_bytes_, state_->limits.header_bytes);
-    if (ec != http::error::need_more) {
-        on_head_read(ec);
-        return;
-    }
-    socket_.async_read_some(buffer_.prepare(head_read_bytes),
-                            [self = shared_from_this()](const boost::system::error_code& read_ec, std::size_t count) {
-                                if (read_ec) {
-                                    self->on_head_read(read_ec);
-                                    return;
-                                }
-                                self->buffer_.commit(count);
-                                self->set_busy(true);
-                                self->parse_head();
-                            });
-}
-
-void http_session::on_head_read(const boost::system::error_code& ec)
-{
-    stop_read_timer();
-    if (ec) {
-        reject(ec);
-        return;
-    }
-    if (!has_certain_end(parser_->get())) {
-        state_->counters->add("http_rejected_total");
-        reply_error_and_close(make_error(error_kind::invalid_request, "the end of the request body is not certain"));
-        return;
-    }
-    if (const auto length = parser_->content_length(); length && !reserve_body(static_cast<std::size_t>(*length))) {
-        return;
-    }
-    if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-        start_read_timer(state_->limits.request_timeout);
-        net::async_write(socket_, net::buffer(continue_response),
-                         [self = shared_from_this()](const boost::system::error_code& write_ec, std::size_t) {
-                             self->stop_read_timer();
-                             if (write_ec) {
-                                 self->close();
-                                 return;
-                             }
-                             self->read_body();
-                         });
-        return;
-    }
-    read_body();
-}
-
-void http_session::read_body()
-{
-    start_read_timer(state_->limits.request_timeout);
-    if (parser_->is_done()) {
-        net::post(socket_.get_executor(), [self = shared_from_this()] { self->on_body_read({}); });
-        return;
-    }
-    http::async_read_some(
-        socket_, buffer_, *parser_,
-        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) { self->on_body_part(ec); });
-}
-
-void http_session::on_body_part(const boost::system::error_code& ec)
-{
-    if (ec || parser_->is_done()) {
-        on_body_read(ec);
-        return;
-    }
-    // A body in chunks does not say how large it becomes.
-    if (!reserve_body(parser_->get().body().size())) {
-        return;
-    }
-    http::async_read_some(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](const boost::system::error_code& read_ec, std::size_t) {
-                              self->on_body_part(read_ec);
-                          });
-}
-
-bool http_session::reserve_body(std::size_t size)
-{
-    if (body_share_.grow_to(size)) {
-        return true;
-    }
-    stop_read_timer();
-    state_->counters->add("http_bodies_refused_total");
-    auto refusal = make_error(error_kind::overloaded, "the large request bodies of others take the memory for bodies");
-    refusal.retry_after = body_retry_after;
-    reply_error_and_close(refusal);
-    return false;
-}
-
-void http_session::on_body_read(const boost::system::error_code& ec)
-{
-    stop_read_timer();
-    if (ec) {
-        reject(ec);
-        return;
-    }
-    auto message = parser_->release();
-    keep_alive_ = message.keep_alive();
-    is_http_1_0_ = message.version() <= http_1_0;
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.headers = copy_headers(message);
-    request.body = std::move(message.body());
-    if (message.method() == http::verb::trace && !request.body.empty()) {
-        // RFC 9110, section 9.3.8. It could not be passed on either.
-        state_->counters->add("http_rejected_total");
-        reply_error_and_close(make_error(error_kind::invalid_request, "a TRACE request has no body"));
-        return;
-    }
-    boost::system::error_code address_ec;
-    request.peer_address = socket_.remote_endpoint(address_ec).address().to_string();
-    is_head_request_ = request.method == "HEAD";
-    phase_ = phase::handling;
-    in_exchange_ = true;
-    ++exchange_number_;
-    ++state_->exchanges;
-    on_closed_ = nullptr;
-    on_drained_ = nullptr;
-    watch_for_disconnect();
-    call_handler(std::move(request));
-}
-
 void http_session::call_handler(http_request request)
 {
     try {
@@ -284,28 +106,6 @@
     }
 }
 
-void http_session::reject(const boost::system::error_code& ec)
-{
-    std::optional<error> rejection;
-    if (read_timed_out_ && (buffer_.size() > 0 || (parser_ && parser_->got_some()))) {
-        rejection = make_error(error_kind::request_timeout, "the request did not arrive in time");
-    } else if (ec == http::error::header_limit) {
-        rejection = make_error(error_kind::headers_too_large, "the request head exceeds the size limit");
-    } else if (ec == http::error::body_limit) {
-        rejection = make_error(error_kind::body_too_large, "the request body exceeds the size limit");
-    } else if (ec == http::error::buffer_overflow) {
-        rejection = make_error(error_kind::invalid_request, "the framing of the request body exceeds the size limit");
-    } else if (is_parse_error(ec)) {
-        rejection = make_error(error_kind::invalid_request, "the request is not valid HTTP/1.1: " + ec.message());
-    }
-    if (!rejection || !socket_.is_open()) {
-        close();
-        return;
-    }
-    state_->counters->add("http_rejected_total");
-    reply_error_and_close(*rejection);
-}
-
 void http_session::watch_for_disconnect()
 {
     // A readable socket without data was closed by the peer. Pipelined data is left for the next request.
@@ -412,7 +212,14 @@
 
 void http_session::flush()
 {
-    if (write_active_ || phase_ == phase::closed) {
+    if (phase_ == phase::closed || phase_ == phase::dropped) {
+        return;
+    }
+    if (!update_share()) {
+        drop_answer();
+        return;
+    }
+    if (write_active_) {
         return;
     }
     if (written_ == writing_.size()) {
@@ -428,6 +235,7 @@
     }
     write_active_ = true;
     write_started_at_ = std::chrono::steady_clock::now();
+    share_.wait_for_reader(write_started_at_);
     start_write_timer();
     // Single partial writes instead of a composed one: the timeout then applies to each of them, so that a slow client
     // that keeps reading is not disconnected, however large the response is.
@@ -440,7 +248,7 @@
 void http_session::on_written(const boost::system::error_code& ec, std::size_t count)
 {
     write_active_ = false;
-    if (phase_ == phase::closed) {
+    if (phase_ == phase::closed || phase_ == phase::dropped) {
         return;
     }
     if (ec) {
@@ -448,6 +256,7 @@
         return;
     }
     written_ += count;
+    share_.stop_waiting();
     if (unsent_bytes() == 0 && phase_ == phase::streaming && on_drained_) {
         const auto callback = on_drained_;
         callback();
@@ -455,10 +264,38 @@
     flush();
 }
 
+void http_session::drop_answer()
+{
+    state_->counters->add("http_answers_dropped_total");
+    phase_ = phase::dropped;
+    free_string(pending_);
+    if (!write_active_) {
+        free_string(writing_);
+        written_ = 0;
+    }
+    // Posted, because the caller of this function is not prepared for the end of its exchange.
+    net::post(sequence_->strand, [self = shared_from_this()] {
+        self->discard_unacknowledged_bytes();
+        self->on_peer_disconnected();
+    });
+}
+
+std::size_t http_session::held_bytes() const
+{
+    return reader_.held_bytes() + pending_.capacity() + writing_.capacity();
+}
+
+bool http_session::update_share()
+{
+    return share_.set_bytes(held_bytes());
+}
+
 void http_session::finish_exchange()
 {
     in_exchange_ = false;
-    body_share_.release();
+    free_string(pending_);
+    free_string(writing_);
+    written_ = 0;
     --state_->exchanges;
     on_closed_ = nullptr;
     on_drained_ = nullptr;
@@ -478,7 +315,9 @@
     phase_ = phase::lingering;
     boost::system::error_code ec;
     socket_.shutdown(net::ip::tcp::socket::shutdown_send, ec);
-    buffer_.clear();
+    reader_.clear();
+    share_.wait_for_request(std::chrono::steady_clock::now());
+    update_share();
     linger_bytes_left_ = max_linger_bytes;
     start_read_timer(max_linger_time);
     struct discard_reader
@@ -487,7 +326,10 @@
 
         void operator()(const boost::system::error_code& read_ec, std::size_t count) const
         {
-            if (read_ec || count >= self->linger_bytes_left_) {
+            if (read_ec || count >= self->linger_bytes_left_ || self->phase_ == phase::closed) {
+                if (self->phase_ != phase::closed && self->has_unacknowledged_bytes()) {
+                    self->discard_unacknowledged_bytes();
+                }
                 self->close();
                 return;
             }
@@ -495,7 +337,7 @@
             next();
         }
 
-        void next() const { self->socket_.async_read_some(self->buffer_.prepare(linger_read_bytes), *this); }
+        void next() const { self->socket_.async_read_some(self->reader_.prepare(), *this); }
     };
     discard_reader{shared_from_this()}.next();
 }
@@ -511,6 +353,18 @@
     }
 }
 
+bool http_session::has_unacknowledged_bytes()
+{
+    int count = 0;
+    return ::ioctl(socket_.native_handle(), TIOCOUTQ, &count) == 0 && count > 0;
+}
+
+void http_session::discard_unacknowledged_bytes()
+{
+    boost::system::error_code ec;
+    socket_.set_option(net::socket_base::linger(true, 0), ec);
+}
+
 void http_session::abort()
 {
     on_closed_ = nullptr;
@@ -525,8 +379,7 @@
     phase_ = phase::closed;
     --connection_count_;
     set_busy(false);
-    body_share_.release();
-    pending_.clear();
+    // Pending operations own the session for a while, but use no buffer after the socket is closed.
     on_drained_ = nullptr;
     stop_read_timer();
     write_timer_.cancel();
@@ -536,6 +389,42 @@
     boost::system::error_code ec;
     socket_.shutdown(net::ip::tcp::socket::shutdown_send, ec);
     socket_.close(ec);
+    reader_.clear();
+    free_string(pending_);
+    free_string(writing_);
+    written_ = 0;
+    share_.close();
+}
+
+void http_session::evict()
+{
+    state_->counters->add("http_connections_evicted_total");
+    boost::system::error_code ec;
+    const auto peer = socket_.remote_endpoint(ec).address().to_string();
+    log(log_level::warning, log_event::connection_evicted,
+        {{"peer", ec ? std::string() : peer},
+         {"reason", in_exchange_          ? "its client does not read"
+                    : reader_.has_begun() ? "incomplete request"
+                                          : "idle"},
+         {"bytes", std::to_string(held_bytes())}});
+    share_.close();
+    if (has_unacknowledged_bytes()) {
+        discard_unacknowledged_bytes();
+    } else if (phase_ == phase::idle && reader_.has_begun()) {
+        auto refusal = make_error(error_kind::overloaded, "the request did not arrive before others needed its room");
+        refusal.retry_after = memory_retry_after;
+        // Written without waiting, as far as the socket takes it: the room is needed now.
+        phase_ = phase::handling;
+        keep_alive_ = false;
+        write_active_ = true;
+        reply_error(*this, refusal);
+        socket_.write_some(net::buffer(pending_), ec);
+    }
+    auto callback = std::exchange(on_closed_, nullptr);
+    close();
+    if (callback) {
+        net::post(sequence_->strand, std::move(callback));
+    }
 }
 
 void http_session::start_read_timer(milliseconds timeout)
@@ -575,6 +464,7 @@
         }
         if (std::chrono::steady_clock::now() - self->write_started_at_ >= self->state_->limits.write_timeout) {
             self->state_->counters->add("http_write_timeouts_total");
+            self->discard_unacknowledged_bytes();
             self->on_peer_disconnected();
             return;
         }
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -8,19 +8,18 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/ihttp_server.h"
+#include "transport/internal/http_request_reader.h"
 #include "transport/internal/worker_pool_implementation.h"
 
 namespace anvillead {
 
-namespace http = boost::beast::http;
-namespace beast = boost::beast;
-
 /// Limits, handler and counters shared by a server and its sessions.
 struct http_server_state
 {
     http_limits limits;
     http_handler handler;
-    std::shared_ptr<byte_budget> body_budget;
+    std::shared_ptr<client_budget> budget;
+    client_usage request_usage;
     metrics* counters = nullptr;
     std::atomic<std::size_t> connections{0};
     /// Open connections over the limit, which get an error response and are closed.
@@ -44,6 +43,8 @@
     http_session(const http_session&) = delete;
     http_session& operator=(const http_session&) = delete;
 
+    /// Takes the connection's share of the budget, for which there must be room.
+    void take_share();
     void start();
     /// Sends `reason` as the response without a complete request, then closes the connection.
     void reply_error_and_close(const error& reason);
@@ -65,6 +66,8 @@
         handling,
         streaming,
         finishing,
+        /// The answer was given up for lack of memory; the connection is about to be closed.
+        dropped,
         lingering,
         closed
     };
@@ -78,27 +81,41 @@
         until_close
     };
 
+    /// After which the memory that a request lacks is usually free again.
+    static constexpr milliseconds memory_retry_after{1000};
     void wait_for_request();
-    void read_head();
+    /// Receives some bytes of a request, then calls `next`.
+    void receive(std::function<void()> next);
+    void read_request();
     void parse_head();
     /// Counts the connection as busy from the first byte of a request until it waits for the next one.
     void set_busy(bool value);
     void on_head_read(const boost::system::error_code& ec);
-    void read_body();
-    void on_body_part(const boost::system::error_code& ec);
-    /// Takes the body's share of the budget, or refuses the request; returns whether it has it.
-    bool reserve_body(std::size_t size);
+    void parse_body();
     void on_body_read(const boost::system::error_code& ec);
+    /// Memory that this connection holds, without the request that is handled.
+    std::size_t held_bytes() const;
+    /// Returns false if more is held than is available.
+    bool update_share();
+    void refuse_for_memory();
+    /// Closes the connection, which waits for its client, in favour of others.
+    void evict();
     void reject(const boost::system::error_code& ec);
     void call_handler(http_request request);
     void watch_for_disconnect();
     void append_head(int status, const http_headers& headers);
     void flush();
     void on_written(const boost::system::error_code& ec, std::size_t count);
+    /// Frees an answer for which there is no memory, and closes the connection soon.
+    void drop_answer();
     void finish_exchange();
     void linger();
     void on_peer_disconnected();
     void close();
+    /// Whether the kernel holds bytes that the client has not acknowledged.
+    bool has_unacknowledged_bytes();
+    /// Lets the kernel discard these when the socket is closed, instead of keeping them for minutes.
+    void discard_unacknowledged_bytes();
     void start_read_timer(milliseconds timeout);
     void stop_read_timer();
     void start_write_timer();
@@ -109,12 +126,8 @@
     std::shared_ptr<asio_sequence> sequence_;
     std::shared_ptr<http_server_state> state_;
     std::atomic<std::size_t>& connection_count_;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    /// Share of the request body in the memory for bodies.
-    budgeted_buffer body_share_;
-    /// Number of parsed bytes of the current request head.
-    std::size_t head_bytes_ = 0;
+    http_request_reader reader_;
+    connection_share share_;
     std::function<void()> on_closed_;
     std::function<void()> on_drained_;
     std::string pending_;
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -69,6 +69,59 @@
     exchange->reply(200, {}, request.method + " " + request.body);
 }
 
+/// A server whose clients share a budget.
+struct budget_fixture
+{
+    worker_pool pool{1};
+    metrics counters;
+    std::shared_ptr<client_budget> budget;
+    std::unique_ptr<ihttp_server> server;
+    std::atomic<int> requests{0};
+    /// Handled requests that are not answered yet.
+    std::vector<std::pair<http_request, std::shared_ptr<ihttp_exchange>>> held;
+    bool holds = false;
+
+    explicit budget_fixture(const client_usage& limit, http_server_options options = {})
+        : budget(std::make_shared<client_budget>(limit))
+    {
+        options.address = "127.0.0.1:0";
+        options.budget = budget;
+        server = make_http_server(
+            pool, options,
+            [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
+                ++requests;
+                if (holds) {
+                    held.emplace_back(std::move(request), std::move(exchange));
+                    return;
+                }
+                exchange->reply(200, {}, std::to_string(request.body.size()));
+            },
+            counters);
+        pool.start();
+    }
+
+    ~budget_fixture()
+    {
+        pool.stop();
+        pool.join();
+        held.clear();
+    }
+    budget_fixture(const budget_fixture&) = delete;
+    budget_fixture& operator=(const budget_fixture&) = delete;
+};
+
+const std::string body_head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
+
+std::string with_length(const std::string& body)
+{
+    return fmt::format("{}Content-Length: {}\r\n\r\n{}", body_head, body.size(), body);
+}
+
+std::string in_chunks(const std::string& body)
+{
+    return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", body_head, body.size(), body);
+}
+
 } // namespace
 
 TEST_GROUP(http_server_test){};
@@ -88,39 +141,58 @@
 // Guards against bodies that fill the memory of a host together, though each is within its limit.
 TEST(http_server_test, bodies_without_a_share_of_the_memory_are_refused)
 {
-    worker_pool pool{1};
-    metrics counters;
-    http_server_options options;
-    options.address = "127.0.0.1:0";
-    options.body_budget = std::make_shared<byte_budget>(32 * 1024);
-    std::atomic<int> requests{0};
-    const auto server = make_http_server(
-        pool, options,
-        [&requests](const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange) {
-            ++requests;
-            exchange->reply(200, {}, std::to_string(request.body.size()));
-        },
-        counters);
-    pool.start();
-    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
+    budget_fixture f({8, 16, 128 * 1024});
     const std::string large(100'000, 'x');
     const std::string small(40'000, 'x');
-    const auto with_length = [&head](const std::string& body) {
-        return fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body);
-    };
-    const auto in_chunks = [&head](const std::string& body) {
-        return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", head, body.size(), body);
-    };
     for (int i = 0; i < 3; ++i) {
-        CHECK(contains(send_raw_request(server->address(), with_length(large)), " 503 "));
-        CHECK(contains(send_raw_request(server->address(), in_chunks(large)), " 503 "));
+        CHECK(contains(send_raw_request(f.server->address(), with_length(large)), " 503 "));
+        CHECK(contains(send_raw_request(f.server->address(), in_chunks(large)), " 503 "));
         // The shares of those before are free again.
-        CHECK(contains(send_raw_request(server->address(), with_length(small)), "40000"));
-        CHECK(contains(send_raw_request(server->address(), in_chunks(small)), "40000"));
+        CHECK(contains(send_raw_request(f.server->address(), with_length(small)), "40000"));
+        CHECK(contains(send_raw_request(f.server->address(), in_chunks(small)), "40000"));
     }
-    LONGS_EQUAL(6, requests.load());
-    pool.stop();
-    pool.join();
+    LONGS_EQUAL(6, f.requests.load());
+    CHECK(eventually([&f] { return f.budget->used().connections == 0; }));
+    LONGS_EQUAL(0, f.budget->used().bytes);
+    LONGS_EQUAL(0, f.budget->used().descriptors);
+}
+
+// Guards against a share that is given back while the request still holds the memory.
+TEST(http_server_test, share_of_a_body_lasts_as_long_as_its_request)
+{
+    constexpr std::size_t body = 40'000;
+    budget_fixture f({8, 16, 128 * 1024});
+    f.holds = true;
+    raw_client client(f.server->address());
+    client.send(with_length(std::string(body, 'x')));
+    CHECK(eventually([&f] { return f.requests == 1; }));
+    client.close();
+    CHECK(eventually([&f] { return f.budget->used().connections == 0; }));
+    CHECK(f.budget->used().bytes >= body);
+    f.pool.stop();
+    f.pool.join();
+    f.held.clear();
+    LONGS_EQUAL(0, f.budget->used().bytes);
+}
+
+// Guards against clients that stop short and keep others out until their time is over.
+TEST(http_server_test, connection_that_waits_longest_makes_room)
+{
+    budget_fixture f({3, 3, 128 * 1024});
+    const std::string incomplete = body_head + "Content-Length: 100\r\n\r\nx";
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(std::make_unique<raw_client>(f.server->address()));
+        clients.back()->send(incomplete);
+    }
+    CHECK(eventually([&f] { return f.budget->used().connections == 3; }));
+    CHECK(contains(send_raw_request(f.server->address(), with_length("abc")), "\r\n\r\n3"));
+    // The first one is told that its request did not run; the others may go on.
+    CHECK(contains(clients[0]->read_all(), " 503 "));
+    const std::string rest(99, 'x');
+    CHECK(clients[2]->send(rest));
+    CHECK(contains(clients[2]->read_all(), "\r\n\r\n100"));
+    CHECK(f.budget->evictions() >= 1);
 }
 
 // Guards against a request that ends the process where it is passed on, because no client can send it.
--- a/tests/support/client_crowd.h
+++ b/tests/support/client_crowd.h
@@ -22,7 +22,7 @@
     /// Sends until each client has sent its text, was closed, or can send nothing more for `quiet_time`. Calls
     /// `sample` repeatedly meanwhile. Received bytes stay unread.
     void send_all(const std::function<void()>& sample);
-    /// Connections that the peer has not closed.
+    /// Connections that the peer has not reset.
     std::size_t open() const;
     std::size_t bytes_sent() const { return bytes_sent_; }
 
