Bound what the kernel holds for connections

Cause: no size was set for receive buffers, so that each may grow to megabytes; answers that are not read take 256 KiB a connection, and 4,096 connections a port wait to be accepted.

Change: fixed socket buffers for clients (4 and 8 KiB, doubled by the kernel) as part of the fixed share of a connection, larger ones (64 KiB) for a connection with a large body or answer if the account has room, 512 connections to accept at most, 8 KiB for connections to upstreams, whose buffer fills while a caller does not read.

Ruled out: one large size for all (their sum exceeds the memory), one small size for all (a large body on a link with a long round trip would not arrive in time).

--- a/src/node/internal/client_limits.cpp
+++ b/src/node/internal/client_limits.cpp
@@ -15,19 +15,27 @@
 constexpr std::size_t assumed_memory = 512 * mib;
 constexpr std::size_t max_connections = 4096;
 
+// The kernel doubles the sizes of socket buffers that it is told.
+constexpr std::size_t receive_buffer_bytes = 4 * kib;
+constexpr std::size_t send_buffer_bytes = 8 * kib;
+constexpr std::size_t large_socket_buffer_bytes = 64 * kib;
 // Session, first buffer and pending operations.
 constexpr std::size_t session_bytes = 8 * kib;
-constexpr std::size_t connection_bytes = session_bytes;
+constexpr std::size_t connection_bytes = 2 * (receive_buffer_bytes + send_buffer_bytes) + session_bytes;
 // The call to an upstream with its buffers, and the start of its answer.
 constexpr std::size_t request_bytes = 32 * kib;
 // On each port, beside the budget.
 constexpr std::size_t refused_connections = 8;
+constexpr int frontend_backlog = 512;
 
 http_server_options with_budget(std::shared_ptr<client_budget> budget)
 {
     http_server_options out;
     out.budget = std::move(budget);
     out.limits.refused_connections = refused_connections;
+    out.limits.receive_buffer_bytes = receive_buffer_bytes;
+    out.limits.send_buffer_bytes = send_buffer_bytes;
+    out.limits.large_socket_buffer_bytes = large_socket_buffer_bytes;
     return out;
 }
 
@@ -51,6 +59,7 @@
 http_server_options frontend_options(std::shared_ptr<client_budget> budget)
 {
     auto out = with_budget(std::move(budget));
+    out.limits.backlog = frontend_backlog;
     out.request_usage = {0, 1, request_bytes};
     return out;
 }
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -53,6 +53,9 @@
 // scheduling delays.
 constexpr milliseconds min_suspension{500};
 
+// Size of the receive buffer of a connection to an upstream, which fills while the caller does not read.
+constexpr std::size_t upstream_receive_bytes = 8 * 1024;
+
 std::chrono::nanoseconds read_clock(clockid_t clock)
 {
     timespec value = {};
@@ -72,7 +75,7 @@
                          std::function<result<node_settings>()> read_settings)
     : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
       sequence_(pool.make_sequence()), client_(make_http_client(pool)),
-      upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }})),
+      upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }, upstream_receive_bytes})),
       context_{settings_,
                pool,
                pool.timers(),
--- a/src/node/tests/client_limits_test.cpp
+++ b/src/node/tests/client_limits_test.cpp
@@ -25,7 +25,9 @@
 {
     for (const auto& host : {host_with(32), host_with(88), host_with(110), host_with(512)}) {
         const auto limit = client_limit(host);
-        CHECK(limit.bytes <= host.memory_bytes / 2);
+        const auto& sockets = frontend_options(nullptr).limits;
+        const auto connection = 2 * (sockets.receive_buffer_bytes + sockets.send_buffer_bytes);
+        CHECK(limit.connections * connection + limit.bytes <= host.memory_bytes / 2);
         CHECK(limit.bytes >= host.memory_bytes / 4);
     }
 }
--- a/src/transport/http_types.h
+++ b/src/transport/http_types.h
@@ -45,6 +45,12 @@
     std::size_t refused_connections = 64;
     /// Size of each connection's kernel send buffer (SO_SNDBUF); if unset, it grows to several megabytes.
     std::size_t send_buffer_bytes = 256 * 1024;
+    /// Size of each connection's kernel receive buffer (SO_RCVBUF); 0 lets it grow to several megabytes.
+    std::size_t receive_buffer_bytes = 0;
+    /// Size of the buffer of a connection with a larger body or answer; 0 for no change.
+    std::size_t large_socket_buffer_bytes = 0;
+    /// Connections that the kernel accepts before the process does.
+    int backlog = 4096;
     /// Time limit for receiving the request head, and again for receiving the body.
     milliseconds request_timeout{10000};
     /// Longest time that a write to the client may make no progress.
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -100,6 +100,8 @@
 {
     /// Returns the local IP address of a new connection; without it, or if it is empty, the system chooses.
     std::function<std::string()> source_address = {};
+    /// Size of each connection's kernel receive buffer (SO_RCVBUF); 0 lets it grow to several megabytes.
+    std::size_t receive_buffer_bytes = 0;
 };
 
 std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, http_client_options options = {});
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -96,10 +96,11 @@
 {
 public:
     http_call(net::io_context& context, std::shared_ptr<idle_connection_pool> pool, std::string source_address,
-              std::shared_ptr<isequence> sequence, http_call_request request, http_call_handlers handlers)
+              std::size_t receive_buffer_bytes, std::shared_ptr<isequence> sequence, http_call_request request,
+              http_call_handlers handlers)
         : context_(context), pool_(std::move(pool)), source_address_(std::move(source_address)),
-          sequence_(std::static_pointer_cast<asio_sequence>(sequence)), request_(std::move(request)),
-          handlers_(std::move(handlers)), timer_(context)
+          receive_buffer_bytes_(receive_buffer_bytes), sequence_(std::static_pointer_cast<asio_sequence>(sequence)),
+          request_(std::move(request)), handlers_(std::move(handlers)), timer_(context)
     {}
 
     void start_call()
@@ -162,7 +163,7 @@
         reused_ = false;
         ++connection_number_;
         socket_ = std::make_unique<net::ip::tcp::socket>(context_);
-        if (const auto ec = bind_source_address()) {
+        if (const auto ec = prepare_socket()) {
             finish(http_call_outcome::connect_failed, ec.message());
             return;
         }
@@ -182,16 +183,20 @@
             }));
     }
 
-    boost::system::error_code bind_source_address()
+    boost::system::error_code prepare_socket()
     {
         boost::system::error_code ec;
-        if (source_address_.empty()) {
+        socket_->open(parse_endpoint(request_.address).protocol(), ec);
+        if (!ec && receive_buffer_bytes_ > 0) {
+            // Before the connection, which fixes the scale of the window.
+            boost::system::error_code unsupported;
+            socket_->set_option(net::socket_base::receive_buffer_size(static_cast<int>(receive_buffer_bytes_)),
+                                unsupported);
+        }
+        if (ec || source_address_.empty()) {
             return ec;
         }
         const auto address = net::ip::make_address(source_address_, ec);
-        if (!ec) {
-            socket_->open(address.is_v4() ? net::ip::tcp::v4() : net::ip::tcp::v6(), ec);
-        }
         if (!ec) {
             // The port is chosen at the connect, so that connections to different peers may share one.
             using bind_without_port = net::detail::socket_option::integer<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
@@ -374,7 +379,7 @@
         }
     }
 
-    static constexpr std::size_t body_read_bytes = 16 * 1024;
+    static constexpr std::size_t body_read_bytes = 8 * 1024;
     static constexpr std::size_t head_read_bytes = 4096;
     // Equals Beast's default limit, which applies to the unparsed part of a head only.
     static constexpr std::size_t max_head_bytes = 8 * 1024;
@@ -385,6 +390,7 @@
     net::io_context& context_;
     std::shared_ptr<idle_connection_pool> pool_;
     std::string source_address_;
+    std::size_t receive_buffer_bytes_;
     std::shared_ptr<asio_sequence> sequence_;
     http_call_request request_;
     http_call_handlers handlers_;
@@ -421,9 +427,9 @@
     std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
                                       std::shared_ptr<isequence> sequence) override
     {
-        auto call = std::make_shared<http_call>(context_, pool_,
-                                                options_.source_address ? options_.source_address() : std::string(),
-                                                sequence, std::move(request), std::move(handlers));
+        auto call = std::make_shared<http_call>(
+            context_, pool_, options_.source_address ? options_.source_address() : std::string(),
+            options_.receive_buffer_bytes, sequence, std::move(request), std::move(handlers));
         sequence->post([call] { call->start_call(); });
         return call;
     }
--- a/src/transport/internal/http_request_reader.cpp
+++ b/src/transport/internal/http_request_reader.cpp
@@ -92,6 +92,12 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+bool http_request_reader::expects_more_than(std::size_t bytes) const
+{
+    const auto length = content_length();
+    return length ? *length > body_bytes() + bytes : body_bytes() > bytes;
+}
+
 std::size_t http_request_reader::head_memory() const
 {
     return head_bytes_ + head_lines_ * field_bytes;
--- a/src/transport/internal/http_request_reader.h
+++ b/src/transport/internal/http_request_reader.h
@@ -76,6 +76,8 @@
     const message_type& message() const { return parser_->get(); }
     std::optional<std::uint64_t> content_length() const;
     bool body_done() const { return parser_->is_done(); }
+    /// Whether more than `bytes` of the body are missing; if its length is unknown, whether as many have arrived.
+    bool expects_more_than(std::size_t bytes) const;
     std::size_t body_bytes() const { return parser_ ? parser_->get().body().size() : 0; }
     /// What the head takes in memory at present.
     std::size_t head_memory() const;
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -28,10 +28,15 @@
         const auto endpoint = parse_endpoint(options.address);
         acceptor_.open(endpoint.protocol());
         acceptor_.set_option(net::socket_base::reuse_address(true));
+        if (options.limits.receive_buffer_bytes > 0) {
+            // Connections inherit it, also before they are accepted.
+            acceptor_.set_option(
+                net::socket_base::receive_buffer_size(static_cast<int>(options.limits.receive_buffer_bytes)));
+        }
         boost::system::error_code ec;
         acceptor_.bind(endpoint, ec);
         check_listening(ec, options.address);
-        acceptor_.listen(net::socket_base::max_listen_connections, ec);
+        acceptor_.listen(options.limits.backlog, ec);
         check_listening(ec, options.address);
         address_ =
             fmt::format("{}:{}", acceptor_.local_endpoint().address().to_string(), acceptor_.local_endpoint().port());
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -233,6 +233,11 @@
         }
         return;
     }
+    if (unsent_bytes() > large_answer_bytes && reserve_large_buffer(extra_send_bytes_)) {
+        const auto size = static_cast<int>(state_->limits.large_socket_buffer_bytes);
+        boost::system::error_code ec;
+        socket_.set_option(net::socket_base::send_buffer_size(size), ec);
+    }
     write_active_ = true;
     write_started_at_ = std::chrono::steady_clock::now();
     share_.wait_for_reader(write_started_at_);
@@ -282,7 +287,7 @@
 
 std::size_t http_session::held_bytes() const
 {
-    return reader_.held_bytes() + pending_.capacity() + writing_.capacity();
+    return reader_.held_bytes() + pending_.capacity() + writing_.capacity() + extra_receive_bytes_ + extra_send_bytes_;
 }
 
 bool http_session::update_share()
@@ -290,16 +295,47 @@
     return share_.set_bytes(held_bytes());
 }
 
+bool http_session::reserve_large_buffer(std::size_t& extra_bytes)
+{
+    // The kernel doubles the size.
+    const auto size = 2 * state_->limits.large_socket_buffer_bytes;
+    if (size == 0 || extra_bytes > 0 || !share_.set_bytes(held_bytes() + size)) {
+        return false;
+    }
+    extra_bytes = size;
+    return true;
+}
+
+void http_session::widen_receive_buffer()
+{
+    if (reserve_large_buffer(extra_receive_bytes_)) {
+        // Without the larger buffer the body arrives more slowly.
+        boost::system::error_code ec;
+        socket_.set_option(
+            net::socket_base::receive_buffer_size(static_cast<int>(state_->limits.large_socket_buffer_bytes)), ec);
+    }
+}
+
+void http_session::restore_receive_buffer()
+{
+    if (std::exchange(extra_receive_bytes_, 0) > 0) {
+        boost::system::error_code ec;
+        socket_.set_option(net::socket_base::receive_buffer_size(static_cast<int>(state_->limits.receive_buffer_bytes)),
+                           ec);
+    }
+}
+
 void http_session::finish_exchange()
 {
     in_exchange_ = false;
+    restore_receive_buffer();
     free_string(pending_);
     free_string(writing_);
     written_ = 0;
     --state_->exchanges;
     on_closed_ = nullptr;
     on_drained_ = nullptr;
-    if (linger_on_close_) {
+    if (linger_on_close_ || (!keep_alive_ && extra_send_bytes_ > 0)) {
         linger();
         return;
     }
@@ -319,7 +355,8 @@
     share_.wait_for_request(std::chrono::steady_clock::now());
     update_share();
     linger_bytes_left_ = max_linger_bytes;
-    start_read_timer(max_linger_time);
+    // A large answer may take a slow client longer.
+    start_read_timer(extra_send_bytes_ > 0 ? state_->limits.write_timeout : max_linger_time);
     struct discard_reader
     {
         std::shared_ptr<http_session> self;
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -83,6 +83,9 @@
 
     /// After which the memory that a request lacks is usually free again.
     static constexpr milliseconds memory_retry_after{1000};
+    /// An answer of more than this gets a larger socket buffer, if there is room for it.
+    static constexpr std::size_t large_answer_bytes = 16 * 1024;
+
     void wait_for_request();
     /// Receives some bytes of a request, then calls `next`.
     void receive(std::function<void()> next);
@@ -93,6 +96,12 @@
     void on_head_read(const boost::system::error_code& ec);
     void parse_body();
     void on_body_read(const boost::system::error_code& ec);
+    /// Takes the memory of a larger socket buffer, unless `extra_bytes` shows that this was done; returns whether the
+    /// buffer may grow.
+    bool reserve_large_buffer(std::size_t& extra_bytes);
+    void widen_receive_buffer();
+    /// Gives the larger receive buffer back when a request and its answer are complete.
+    void restore_receive_buffer();
     /// Memory that this connection holds, without the request that is handled.
     std::size_t held_bytes() const;
     /// Returns false if more is held than is available.
@@ -134,6 +143,9 @@
     std::string writing_;
     std::size_t written_ = 0;
     std::size_t linger_bytes_left_ = 0;
+    /// What the kernel may hold beyond the usual size of the socket's buffers.
+    std::size_t extra_receive_bytes_ = 0;
+    std::size_t extra_send_bytes_ = 0;
     instant write_started_at_{};
     phase phase_ = phase::idle;
     framing framing_ = framing::chunked;
--- a/src/transport/internal/http_session_receive.cpp
+++ b/src/transport/internal/http_session_receive.cpp
@@ -146,6 +146,9 @@
         on_body_read(ec);
         return;
     }
+    if (reader_.expects_more_than(state_->limits.receive_buffer_bytes)) {
+        widen_receive_buffer();
+    }
     receive([this] { parse_body(); });
 }
 
