Take no bodies on the ports without requests

Cause: these servers had the frontend's limits (4 MiB bodies, 4,096 connections each) and no budget.

Change: no body is taken there (413 by the head), and all ports share one account, so that a crowd on one port loses its connections to callers of the others.

Failed before, hostile_client_test: bodies_on_the_port_of_the_directory (190,943,232 bytes held, bound 48,000,000), bodies_on_the_port_of_readiness (190,947,328), bodies_on_the_control_port (190,939,136), answers_that_are_not_read (262,927,360).

--- a/src/node/client_limits.h
+++ b/src/node/client_limits.h
@@ -9,5 +9,7 @@
 client_usage client_limit(const node_settings& settings);
 /// Limits of the server on the frontend, without address and handlers.
 http_server_options frontend_options(std::shared_ptr<client_budget> budget);
+/// Limits of a server whose requests have no body.
+http_server_options service_port_options(std::shared_ptr<client_budget> budget);
 
 } // namespace anvillead
--- a/src/node/internal/client_limits.cpp
+++ b/src/node/internal/client_limits.cpp
@@ -27,6 +27,7 @@
 // On each port, beside the budget.
 constexpr std::size_t refused_connections = 8;
 constexpr int frontend_backlog = 512;
+constexpr int service_backlog = 128;
 
 http_server_options with_budget(std::shared_ptr<client_budget> budget)
 {
@@ -64,4 +65,12 @@
     return out;
 }
 
+http_server_options service_port_options(std::shared_ptr<client_budget> budget)
+{
+    auto out = with_budget(std::move(budget));
+    out.limits.backlog = service_backlog;
+    out.limits.body_bytes = 0;
+    return out;
+}
+
 } // namespace anvillead
--- a/src/node/internal/node_daemon_servers.cpp
+++ b/src/node/internal/node_daemon_servers.cpp
@@ -24,8 +24,8 @@
 void node_daemon::start_servers()
 {
     const auto budget = std::make_shared<client_budget>(client_limit(settings_));
-    const auto listen = [this](const std::string& address, http_handler handler) {
-        http_server_options options;
+    const auto listen = [this, &budget](const std::string& address, http_handler handler) {
+        auto options = service_port_options(budget);
         options.address = address;
         return make_http_server(pool_, options, std::move(handler), counters_);
     };
--- a/src/node/tests/client_limits_test.cpp
+++ b/src/node/tests/client_limits_test.cpp
@@ -43,3 +43,8 @@
     // A statement is missing: as on a large machine.
     CHECK(client_limit({}).connections > 1000);
 }
+
+TEST(client_limits, ports_without_requests_take_no_bodies)
+{
+    LONGS_EQUAL(0, service_port_options(nullptr).limits.body_bytes);
+}
