Leave descriptors to the host itself

Callers saw refused connections and, once connected, requests that reached no upstream: with max-fds 500, 600 clients took all descriptors of a host.

Cause: limits.max-fds was not read. Five servers with 4,096 connections each shared 4,100 descriptors with upstreams, the store and other hosts; idle connections for reuse were bounded for each address only.

Change: descriptors are part of the account. 200 are for files, 256 (or a third of the rest) for the host itself, a connection takes one and a complete request one more for its upstream. Idle connections have a common bound; the oldest is closed.

Ruled out: a bound for each port (a crowd on one port would still be served before ordinary callers of it).

Failed before: hostile_client_test.more_connections_than_descriptors (619 descriptors open, bound 300).

--- a/src/node/internal/client_limits.cpp
+++ b/src/node/internal/client_limits.cpp
@@ -1,7 +1,6 @@
 #include "node/client_limits.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace anvillead {
 
@@ -13,6 +12,12 @@
 // Part of the process's memory that its clients may take: half of that by connections, half by what they hold.
 constexpr std::size_t client_part_of_memory = 2;
 constexpr std::size_t assumed_memory = 512 * mib;
+// Of the descriptors, those that the platform reserves for files.
+constexpr std::size_t file_descriptors = 200;
+// Of the others, those of the host itself: the store, other hosts, copies of generations, idle connections.
+constexpr std::size_t own_descriptors = 256;
+constexpr std::size_t own_part_of_descriptors = 3;
+constexpr std::size_t assumed_descriptors = 8192;
 constexpr std::size_t max_connections = 4096;
 
 // The kernel doubles the sizes of socket buffers that it is told.
@@ -40,6 +45,13 @@
     return out;
 }
 
+std::size_t own_descriptor_part(const node_settings& settings)
+{
+    const auto most = settings.max_descriptors == 0 ? assumed_descriptors : settings.max_descriptors;
+    const auto usable = most - std::min(most, file_descriptors);
+    return std::min(own_descriptors, usable / own_part_of_descriptors);
+}
+
 } // namespace
 
 client_usage client_limit(const node_settings& settings)
@@ -47,9 +59,10 @@
     const auto memory = settings.client_memory_bytes > 0 ? settings.client_memory_bytes
                         : settings.memory_bytes > 0      ? settings.memory_bytes / client_part_of_memory
                                                          : assumed_memory / client_part_of_memory;
+    const auto most = settings.max_descriptors == 0 ? assumed_descriptors : settings.max_descriptors;
     client_usage out;
-    out.descriptors = std::numeric_limits<std::size_t>::max();
-    out.connections = std::min(memory / 2 / connection_bytes, max_connections);
+    out.descriptors = most - std::min(most, file_descriptors + own_descriptor_part(settings));
+    out.connections = std::min({memory / 2 / connection_bytes, max_connections, out.descriptors});
     if (settings.client_connections > 0) {
         out.connections = std::min(out.connections, settings.client_connections);
     }
@@ -57,6 +70,11 @@
     return out;
 }
 
+std::size_t idle_connection_limit(const node_settings& settings)
+{
+    return own_descriptor_part(settings) / 2;
+}
+
 http_server_options frontend_options(std::shared_ptr<client_budget> budget)
 {
     auto out = with_budget(std::move(budget));
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include "core/log.h"
 #include "dispatch/responsibility.h"
+#include "node/client_limits.h"
 #include "node/crash_detector.h"
 #include "node/path_prober.h"
 #include "node/placement_service.h"
@@ -74,8 +75,9 @@
 node_daemon::node_daemon(worker_pool& pool, node_settings settings,
                          std::function<result<node_settings>()> read_settings)
     : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
-      sequence_(pool.make_sequence()), client_(make_http_client(pool)),
-      upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }, upstream_receive_bytes})),
+      sequence_(pool.make_sequence()), client_(make_http_client(pool, {{}, 0, idle_connection_limit(settings_) / 2})),
+      upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }, upstream_receive_bytes,
+                                               idle_connection_limit(settings_) / 2})),
       context_{settings_,
                pool,
                pool.timers(),
--- a/src/node/types/node_settings.h
+++ b/src/node/types/node_settings.h
@@ -38,6 +38,8 @@
     int link_mbps = 0;
     /// Memory of the host; 0 if unknown.
     std::size_t memory_bytes = 0;
+    /// Descriptors that the process may use, with those for files; 0 if unknown.
+    std::size_t max_descriptors = 0;
     /// Part of the memory that clients may take; 0 for the half of it.
     std::size_t client_memory_bytes = 0;
     /// Connections of clients on all ports; 0 for what memory and descriptors allow.
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -102,6 +102,8 @@
     std::function<std::string()> source_address = {};
     /// Size of each connection's kernel receive buffer (SO_RCVBUF); 0 lets it grow to several megabytes.
     std::size_t receive_buffer_bytes = 0;
+    /// Idle connections that are kept for reuse.
+    std::size_t idle_connections = 4096;
 };
 
 std::unique_ptr<ihttp_client> make_http_client(worker_pool& pool, http_client_options options = {});
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <deque>
 #include <limits>
+#include <list>
 #include <map>
 #include <optional>
 
@@ -51,18 +52,26 @@
 class idle_connection_pool
 {
 public:
+    /// `limit` is the number of idle connections to all addresses.
+    explicit idle_connection_pool(std::size_t limit) : limit_(limit) {}
+
     socket_ptr acquire(const std::string& address)
     {
         const std::lock_guard lock(mutex_);
-        auto& idle = idle_[address];
-        while (!idle.empty()) {
-            auto socket = std::move(idle.back());
-            idle.pop_back();
-            if (is_silent(*socket)) {
-                return socket;
+        const auto found = idle_.find(address);
+        socket_ptr out;
+        while (found != idle_.end() && !found->second.empty() && !out) {
+            const auto entry = found->second.back();
+            found->second.pop_back();
+            if (is_silent(*entry->socket)) {
+                out = std::move(entry->socket);
             }
+            by_age_.erase(entry);
+        }
+        if (found != idle_.end() && found->second.empty()) {
+            idle_.erase(found);
         }
-        return nullptr;
+        return out;
     }
 
     void release(const std::string& address, socket_ptr socket)
@@ -70,11 +79,31 @@
         const std::lock_guard lock(mutex_);
         auto& idle = idle_[address];
         if (idle.size() < max_idle_per_address) {
-            idle.push_back(std::move(socket));
+            idle.push_back(by_age_.insert(by_age_.end(), {address, std::move(socket)}));
+        }
+        if (by_age_.size() > limit_) {
+            remove_oldest();
         }
     }
 
 private:
+    struct entry
+    {
+        std::string address;
+        socket_ptr socket;
+    };
+
+    void remove_oldest()
+    {
+        const auto found = idle_.find(by_age_.front().address);
+        // The oldest one of all is the oldest one of its address.
+        found->second.pop_front();
+        if (found->second.empty()) {
+            idle_.erase(found);
+        }
+        by_age_.pop_front();
+    }
+
     /// Whether the peer has neither closed the connection nor sent anything since the last answer. Bytes that arrive
     /// before a request belong to no request.
     static bool is_silent(net::ip::tcp::socket& socket)
@@ -89,7 +118,9 @@
     static constexpr std::size_t max_idle_per_address = 16;
 
     ranked_mutex mutex_{lock_rank::transport};
-    std::map<std::string, std::deque<socket_ptr>> idle_;
+    std::size_t limit_;
+    std::list<entry> by_age_;
+    std::map<std::string, std::deque<std::list<entry>::iterator>> idle_;
 };
 
 class http_call : public ihttp_call, public std::enable_shared_from_this<http_call>
@@ -421,7 +452,8 @@
 {
 public:
     http_client(worker_pool& pool, http_client_options options)
-        : context_(pool.internals().context), options_(std::move(options))
+        : context_(pool.internals().context), options_(std::move(options)),
+          pool_(std::make_shared<idle_connection_pool>(options_.idle_connections))
     {}
 
     std::shared_ptr<ihttp_call> start(http_call_request request, http_call_handlers handlers,
@@ -437,7 +469,7 @@
 private:
     net::io_context& context_;
     http_client_options options_;
-    std::shared_ptr<idle_connection_pool> pool_ = std::make_shared<idle_connection_pool>();
+    std::shared_ptr<idle_connection_pool> pool_;
 };
 
 } // namespace
