Refuse by the head what cannot be served

Callers without a known key or route could have a host keep their body, and learned of the refusal only after they had sent it; with a body that lacks its end they held it for ten seconds.

Cause: route and key were looked up when the request was complete.

Change: when the body has not arrived with the head, the head is checked first. Unknown routes and keys, and what a leaving host cannot end, are refused at once and the connection closes after the usual lingering, so that the refusal arrives. Requests that arrive whole are looked up once, as before; those of other hosts and the quarantine, which needs the body, are not part of the check.

Failed before: hostile_client_test.body_without_a_known_key and http_server_test.request_is_refused_by_its_head are new; without the change no answer comes before the time for the request is over.

--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -19,6 +19,9 @@
 
     void handle(http_request message, const std::shared_ptr<ihttp_exchange>& exchange);
 
+    /// The answer to a request that its head shows cannot be served, or null.
+    std::function<void(ihttp_exchange&)> check_head(const http_request& head) const;
+
     void on_upstream_leaving(const upstream_id& upstream);
     /// Called when prompts were put under quarantine.
     void on_requests_quarantined();
@@ -32,6 +35,8 @@
     /// Takes out of a request that another host has passed on what that host has added; returns why it is not served.
     std::optional<error> admit_forwarded(http_request& message, admitted_request& out) const;
     result<admitted_request> admit(http_request message, const std::shared_ptr<ihttp_exchange>& exchange) const;
+    /// Finds what the head of a request refers to; returns why it is not served.
+    std::optional<error> resolve(const http_request& message, admitted_request& out) const;
     /// The error for a route or key that the configuration of this host does not have.
     error refuse_unknown(error_kind kind, std::string message) const;
     /// Whether the process might exit before the request has ended.
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -43,6 +43,21 @@
     start_plain_call(std::move(request));
 }
 
+std::function<void(ihttp_exchange&)> caller_handler::check_head(const http_request& head) const
+{
+    admitted_request request;
+    request.table = context_.routes;
+    if (!request.table || !head.header(forwarded_by_header).empty()) {
+        return nullptr;
+    }
+    auto refusal = resolve(head, request);
+    if (!refusal) {
+        return nullptr;
+    }
+    const auto id = request_id(std::string(platform::caller_request_id(head)));
+    return [id, reason = std::move(*refusal)](ihttp_exchange& exchange) { send_error_response(exchange, id, reason); };
+}
+
 result<admitted_request> caller_handler::admit(http_request message,
                                                const std::shared_ptr<ihttp_exchange>& exchange) const
 {
@@ -56,6 +71,21 @@
     if (auto refusal = admit_forwarded(message, out)) {
         return *refusal;
     }
+    if (auto refusal = resolve(message, out)) {
+        return *refusal;
+    }
+    out.message = std::move(message);
+    out.traits =
+        traits_of({out.message.method, out.caller.host, out.message.target, out.organisation, out.message.body},
+                  out.caller.prompt_parts);
+    out.body = std::make_shared<const std::string>(std::move(out.message.body));
+    out.message.body.clear();
+    out.exchange = exchange;
+    return out;
+}
+
+std::optional<error> caller_handler::resolve(const http_request& message, admitted_request& out) const
+{
     auto caller = platform::read_caller_request(message);
     if (!caller) {
         return caller.error();
@@ -80,13 +110,6 @@
         reason.retry_after = retry_after_start;
         return reason;
     }
-    out.message = std::move(message);
-    out.traits =
-        traits_of({out.message.method, out.caller.host, out.message.target, out.organisation, out.message.body},
-                  out.caller.prompt_parts);
-    out.body = std::make_shared<const std::string>(std::move(out.message.body));
-    out.message.body.clear();
-    out.exchange = exchange;
     out.arrived = context_.timers.now();
     if (out.caller.patience) {
         out.deadline = out.arrived + *out.caller.patience;
@@ -99,7 +122,7 @@
         reason.retry_after = retry_after_leaving;
         return reason;
     }
-    return out;
+    return std::nullopt;
 }
 
 error caller_handler::refuse_unknown(error_kind kind, std::string message) const
--- a/src/node/internal/node_daemon_servers.cpp
+++ b/src/node/internal/node_daemon_servers.cpp
@@ -31,6 +31,7 @@
     };
     auto frontend = frontend_options(budget);
     frontend.address = settings_.frontend;
+    frontend.check_head = [this](const http_request& request) { return callers_.check_head(request); };
     frontend_ = make_http_server(
         pool_, frontend,
         [this](http_request request, std::shared_ptr<ihttp_exchange> exchange) {
--- a/src/transport/ihttp_server.h
+++ b/src/transport/ihttp_server.h
@@ -37,6 +37,9 @@
     virtual void on_drained(std::function<void()> callback) = 0;
 };
 
+/// Called with the head of a request whose body has not arrived yet. Returns what answers the request if the head shows
+/// that it cannot be served, otherwise null.
+using http_head_check = std::function<std::function<void(ihttp_exchange&)>(const http_request&)>;
 using http_handler = std::function<void(http_request, std::shared_ptr<ihttp_exchange>)>;
 
 class ihttp_server
@@ -66,6 +69,7 @@
     std::shared_ptr<client_budget> budget = nullptr;
     /// What each complete request takes, beside its head and body.
     client_usage request_usage = {};
+    http_head_check check_head = {};
 };
 
 /// Starts listening. Throws std::system_error if the address cannot be bound.
--- a/src/transport/internal/http_server.cpp
+++ b/src/transport/internal/http_server.cpp
@@ -23,6 +23,7 @@
         state_->limits = options.limits;
         state_->budget = options.budget;
         state_->request_usage = options.request_usage;
+        state_->check_head = options.check_head;
         state_->handler = std::move(handler);
         state_->counters = &counters;
         const auto endpoint = parse_endpoint(options.address);
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -78,6 +78,11 @@
 }
 
 void http_session::reply_error_and_close(const error& reason)
+{
+    reply_and_close([&reason](ihttp_exchange& it) { reply_error(it, reason); });
+}
+
+void http_session::reply_and_close(const std::function<void(ihttp_exchange&)>& answer)
 {
     set_busy(true);
     keep_alive_ = false;
@@ -88,7 +93,7 @@
     phase_ = phase::handling;
     in_exchange_ = true;
     ++state_->exchanges;
-    reply_error(*this, reason);
+    answer(*this);
 }
 
 void http_session::call_handler(http_request request)
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -18,6 +18,7 @@
 {
     http_limits limits;
     http_handler handler;
+    http_head_check check_head;
     std::shared_ptr<client_budget> budget;
     client_usage request_usage;
     metrics* counters = nullptr;
@@ -48,6 +49,8 @@
     void start();
     /// Sends `reason` as the response without a complete request, then closes the connection.
     void reply_error_and_close(const error& reason);
+    /// The same with what `answer` replies.
+    void reply_and_close(const std::function<void(ihttp_exchange&)>& answer);
 
     std::shared_ptr<isequence> sequence() override { return sequence_; }
     void reply(int status, http_headers headers, std::string body) override;
@@ -94,6 +97,8 @@
     /// Counts the connection as busy from the first byte of a request until it waits for the next one.
     void set_busy(bool value);
     void on_head_read(const boost::system::error_code& ec);
+    /// Refuses a request whose head alone tells that it cannot be served; returns whether it did.
+    bool refuse_early();
     void parse_body();
     void on_body_read(const boost::system::error_code& ec);
     /// Takes the memory of a larger socket buffer, unless `extra_bytes` shows that this was done; returns whether the
@@ -160,6 +165,7 @@
     bool is_head_request_ = false;
     bool in_exchange_ = false;
     bool busy_ = false;
+    bool head_checked_ = false;
     std::uint64_t read_wait_number_ = 0;
     std::uint64_t exchange_number_ = 0;
 };
--- a/src/transport/internal/http_session_receive.cpp
+++ b/src/transport/internal/http_session_receive.cpp
@@ -77,6 +77,7 @@
 {
     phase_ = phase::idle;
     reader_.begin();
+    head_checked_ = false;
     share_.wait_for_request(std::chrono::steady_clock::now());
     start_read_timer(state_->limits.request_timeout);
     parse_head();
@@ -109,7 +110,7 @@
         return;
     }
     start_read_timer(state_->limits.request_timeout);
-    if (beast::iequals(reader_.message()[http::field::expect], "100-continue")) {
+    if (beast::iequals(reader_.message()[http::field::expect], "100-continue") && !refuse_early()) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         net::async_write(socket_, net::buffer(continue_response),
                          [self = shared_from_this()](const boost::system::error_code& write_ec, std::size_t) {
@@ -124,7 +125,24 @@
                          });
         return;
     }
-    parse_body();
+    if (phase_ == phase::idle) {
+        parse_body();
+    }
+}
+
+bool http_session::refuse_early()
+{
+    if (!state_->check_head || std::exchange(head_checked_, true)) {
+        return false;
+    }
+    const auto refuse = state_->check_head(reader_.request_head());
+    if (!refuse) {
+        return false;
+    }
+    stop_read_timer();
+    state_->counters->add("http_requests_refused_early_total");
+    reply_and_close(refuse);
+    return true;
 }
 
 void http_session::parse_body()
@@ -146,6 +164,9 @@
         on_body_read(ec);
         return;
     }
+    if (refuse_early()) {
+        return;
+    }
     if (reader_.expects_more_than(state_->limits.receive_buffer_bytes)) {
         widen_receive_buffer();
     }
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -195,6 +195,25 @@
     CHECK(f.budget->evictions() >= 1);
 }
 
+// Guards against a client that is refused only after it has sent a body that nobody needs.
+TEST(http_server_test, request_is_refused_by_its_head)
+{
+    http_server_options options;
+    options.check_head = [](const http_request& head) -> std::function<void(ihttp_exchange&)> {
+        if (head.path() != "/unknown") {
+            return nullptr;
+        }
+        return [](ihttp_exchange& it) { it.reply(404, {}, "unknown"); };
+    };
+    budget_fixture f({8, 16, 128 * 1024}, options);
+    const std::string rest = " HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx";
+    CHECK(contains(send_raw_request(f.server->address(), "POST /unknown" + rest), " 404 "));
+    raw_client client(f.server->address());
+    client.send("POST /known" + rest);
+    CHECK(client.send(std::string(99, 'x')));
+    CHECK(contains(client.read_until("100"), " 200 "));
+}
+
 // Guards against a request that ends the process where it is passed on, because no client can send it.
 TEST(http_server_test, trace_with_a_body_is_refused)
 {
--- a/tests/invariants/hostile_client_test.cpp
+++ b/tests/invariants/hostile_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include "tests/support/client_crowd.h"
 #include "tests/support/node_fleet.h"
+#include "transport/tests/raw_client.h"
 
 using namespace testing;
 
@@ -264,6 +265,23 @@
     check_other_port("/control");
 }
 
+// Guards against a client that needs no key to have its body kept.
+TEST(hostile_client, body_without_a_known_key)
+{
+    small_host it;
+    const auto refused = [&](const std::string& path, const std::string& key) {
+        anvillead::raw_client client(it.fleet.address("node-1"));
+        client.send(
+            fmt::format("POST {} HTTP/1.1\r\nHost: roster.example\r\nRequest-Id: r\r\nAuthorization: Token {}\r\n"
+                        "Content-Length: 900000\r\n\r\nx",
+                        path, key));
+        return client.read_until("\r\n\r\n");
+    };
+    CHECK(refused("/notice/a", "unknown").find(" 401 ") != std::string::npos);
+    CHECK(refused("/unknown/a", "key-galle").find(" 404 ") != std::string::npos);
+    it.check();
+}
+
 // Guards against answers that pile up for clients that read none of them.
 TEST(hostile_client, answers_that_are_not_read)
 {
