Keep a large answer for a client that ends only its own side

A client that got a large answer with "Connection: close" and ended its own side of the connection lost what it had not read yet: 58,013 of 60,000 bytes in the test.

Failed before: http_server_test.client_that_ends_its_side_still_gets_a_large_answer (1,987 bytes instead of 60,000, three of three runs; three of three pass now).

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -369,7 +369,8 @@
         void operator()(const boost::system::error_code& read_ec, std::size_t count) const
         {
             if (read_ec || count >= self->linger_bytes_left_ || self->phase_ == phase::closed) {
-                if (self->phase_ != phase::closed && self->has_unacknowledged_bytes()) {
+                // A client that only ends its own side may still read.
+                if (self->read_timed_out_ && self->has_unacknowledged_bytes()) {
                     self->discard_unacknowledged_bytes();
                 }
                 self->close();
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -195,6 +195,29 @@
     CHECK(f.budget->evictions() >= 1);
 }
 
+// Guards against the end of a connection that discards what its client is still reading.
+TEST(http_server_test, client_that_ends_its_side_still_gets_a_large_answer)
+{
+    constexpr std::size_t size = 60'000;
+    constexpr int small_buffer = 2048;
+    http_server_options options;
+    options.limits.send_buffer_bytes = 8192;
+    options.limits.large_socket_buffer_bytes = 64 * 1024;
+    budget_fixture f({8, 16, 1024 * 1024}, options);
+    f.holds = true;
+    raw_client client(f.server->address(), small_buffer);
+    client.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(eventually([&f] { return f.requests == 1; }));
+    const auto exchange = f.held.back().second;
+    exchange->sequence()->post([&] { exchange->reply(200, {}, std::string(size, 'a')); });
+    // The whole answer is in the kernel.
+    CHECK(eventually([&f] { return f.server->open_exchanges() == 0; }));
+    client.end_sending();
+    CHECK(eventually([&f] { return f.budget->used().connections == 0; }));
+    const auto answer = client.read_all();
+    LONGS_EQUAL(size, answer.size() - answer.find("\r\n\r\n") - 4);
+}
+
 // Guards against a client that is refused only after it has sent a body that nobody needs.
 TEST(http_server_test, request_is_refused_by_its_head)
 {
--- a/src/transport/tests/raw_client.cpp
+++ b/src/transport/tests/raw_client.cpp
@@ -65,6 +65,11 @@
     return std::move(received_);
 }
 
+void raw_client::end_sending()
+{
+    ::shutdown(socket_, SHUT_WR);
+}
+
 void raw_client::close()
 {
     if (socket_ >= 0) {
--- a/src/transport/tests/raw_client.h
+++ b/src/transport/tests/raw_client.h
@@ -22,6 +22,8 @@
     /// Returns the data received until it contains `marker`, the peer closes the connection or the timeout expires.
     std::string read_until(std::string_view marker, milliseconds timeout = milliseconds(5000));
     std::string read_all(milliseconds timeout = milliseconds(5000)) { return read_until({}, timeout); }
+    /// Tells the peer that nothing more will be sent; reading goes on.
+    void end_sending();
     void close();
 
 private:
