Time out clients that send without a pause

A client that sends bytes without a pause could hold a request, or a connection that had already been refused, for longer than the time for it: in the test 8.1 s instead of 0.2.

Cause: a timeout cancels the pending read. If bytes have arrived, that read is complete and waits for its handler, which then started the next read without a timer.

The new test shows the cause each time.

Change: the handler of a read looks at whether the time is over.

Failed before: http_server_test.client_that_sends_without_a_pause_is_timed_out (of three runs none closed the connection within 5 s; 8,108, 8,123 and 8,191 ms until it was closed). Now 213, 212 and 211 ms.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -368,7 +368,8 @@
 
         void operator()(const boost::system::error_code& read_ec, std::size_t count) const
         {
-            if (read_ec || count >= self->linger_bytes_left_ || self->phase_ == phase::closed) {
+            if (read_ec || self->read_timed_out_ || count >= self->linger_bytes_left_ ||
+                self->phase_ == phase::closed) {
                 // A client that only ends its own side may still read.
                 if (self->read_timed_out_ && self->has_unacknowledged_bytes()) {
                     self->discard_unacknowledged_bytes();
--- a/src/transport/internal/http_session_receive.cpp
+++ b/src/transport/internal/http_session_receive.cpp
@@ -62,7 +62,8 @@
         if (self->phase_ != phase::idle) {
             return;
         }
-        if (ec) {
+        // A timeout cannot cancel a read that has received something already.
+        if (ec || self->read_timed_out_) {
             self->stop_read_timer();
             self->reject(ec);
             return;
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -195,6 +195,24 @@
     CHECK(f.budget->evictions() >= 1);
 }
 
+// Guards against a client that never pauses: the timeout finds no read to cancel when bytes have arrived already.
+TEST(http_server_test, client_that_sends_without_a_pause_is_timed_out)
+{
+    http_server_options options;
+    options.limits.request_timeout = milliseconds(200);
+    budget_fixture f({8, 16, 1024 * 1024}, options);
+    raw_client client(f.server->address());
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "1;x=" + std::string(8000, 'a') + "\r\na\r\n";
+    const auto end = std::chrono::steady_clock::now() + seconds(5);
+    bool closed = false;
+    while (!closed && std::chrono::steady_clock::now() < end) {
+        closed = !client.send(chunk);
+    }
+    CHECK(closed);
+    LONGS_EQUAL(0, f.requests.load());
+}
+
 // Guards against the end of a connection that discards what its client is still reading.
 TEST(http_server_test, client_that_ends_its_side_still_gets_a_large_answer)
 {
