--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -177,6 +177,7 @@
         self.first, self.gap, self.events, self.event_bytes, self.work, self.body_bytes = 0.5, 0.035, 80, 270, 0.06, 800
         self.ran, self.memory_tokens = [], 26884
         self.born = int(time.time() * 1000)
+        self.limit, self.records, self.times = None, True, []
         self.__dict__.update(options)
 
     async def start(self):
@@ -226,13 +227,18 @@
             return
         common = [("Request-Id", request), ("Response-Stamp", f"{self.name}.{len(self.ran)}.{random.getrandbits(32):x}")]
         self.ran.append(request)
-        self.record(f"engine {self.name}: runs {request} {method} {target}")
+        self.times.append((now(), request))
+        if self.limit:
+            common.append(("Server-Limit", f"{self.limit:g}"))
+        if self.records:
+            self.record(f"engine {self.name}: runs {request} {method} {target}")
         if "token-usage" not in headers:
             await asyncio.sleep(self.work)
             text = (request + ":" + "y" * self.body_bytes).encode()[:self.body_bytes]
             writer.write(message("HTTP/1.1 200 OK", common + [("Content-Length", len(text))], text))
             await writer.drain()
-            self.record(f"engine {self.name}: has answered {request} in full")
+            if self.records:
+                self.record(f"engine {self.name}: has answered {request} in full")
             return
         await asyncio.sleep(self.first)
         writer.write(message("HTTP/1.1 200 OK", common + [("Content-Type", "text/event-stream"),
@@ -290,7 +296,8 @@
         self.log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         environment["ANVILLEAD_BOOT"] = path
-        self.process = subprocess.Popen(NODE_COMMAND, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
+        command = [getattr(self, "program", NODE_COMMAND[0])] + NODE_COMMAND[1:]
+        self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
 
     def send_signal(self, value):
         self.process.send_signal(value)
@@ -364,7 +371,7 @@
         self.keep = os.environ.get("KEEP")
         self.engines, self.nodes = [], []
 
-    async def start(self, nodes=2, engines=2, app=2, **engine_options):
+    async def start(self, nodes=2, engines=2, app=2, program=NODE_COMMAND[0], **engine_options):
         self.store = Store()
         await self.store.start()
         for i in range(engines + app):
@@ -381,6 +388,7 @@
                 node.seeds = [node.control]
             # The first internal port carries the reports, and is the same on all machines.
             node.internal = self.nodes[0].internal if self.nodes else node.internal
+            node.program = program
             self.nodes.append(node)
         for node in self.nodes:
             node.start()
