--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,8 +6,9 @@
 import fleet  # noqa: E402
 
 EVENTS = 12
-STREAMS = 400
-EACH = 34  # of a faulty engine's answers, one in so many is broken off: under .03; one engine of two is faulty
+STREAMS = 800
+ENGINES = 3  # of each service; one of them is faulty: .333
+EACH = 51  # of a faulty engine's answers, one in so many is broken off: under .02
 BROKEN_AFTER = 7  # whole events, then half of one
 
 
@@ -24,7 +25,7 @@
             return await super().answer(start, headers, body, writer)
         request = headers["request-id"]
         self.ran.append(request)
-        breaks = self.breaks and len(self.ran) % EACH == EACH // 2
+        breaks = self.breaks and len(self.ran) % EACH == 0
         self.record(f"engine {self.name}: runs {request} {start}")
         await asyncio.sleep(0.02)
         writer.write(fleet.message("HTTP/1.1 200 OK", [("Request-Id", request),
@@ -77,7 +78,7 @@
     await deployment.start(nodes=2, engines=0, app=0)
     engines = []
     for service, name in (("engines", "anvil"), ("app", "web")):
-        for i in range(2):
+        for i in range(ENGINES):
             it = StreamingEngine(f"{name}-{i}", deployment.record, breaks=deployment.trouble and i == 0)
             await it.start()
             engines.append(it)
