Keep an answer until its client has read it

Cause: http_session took "in the socket's buffer" for "with the client". linger() gave such a connection one second, then discarded what was not acknowledged; an answer that had ended before the signal did not keep the process at all; and a write that is blocked counted as no progress, although a socket takes more only after a large part of its buffer was read.

Ruled out: the deadline, the grace time (3 s were left), and connections that stay open, which lost nothing.

Change: delivery_progress follows what the client has acknowledged. linger(), the write timeout and the check of the shutdown ask it: a client that goes on reading is waited for, one that has read nothing for the write timeout is reset. A draining connection lingers whoever asked for its close. The budget's connections tell whether an answer is on its way.

--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -447,7 +447,8 @@
     const auto now = context_.timers.now();
     const bool endpoint_answers_expired = now - leaving_since_ >= endpoint_time_to_live * endpoint_overrun_factor;
     const auto arrivals = frontend_->arrivals();
-    const bool quiet = frontend_->busy_connections() == 0 && arrivals == std::exchange(last_arrivals_, arrivals);
+    const bool quiet = frontend_->busy_connections() == 0 && arrivals == std::exchange(last_arrivals_, arrivals) &&
+                       !client_budget_->awaits_readers();
     quiet_checks_ = quiet ? quiet_checks_ + 1 : 0;
     if (endpoint_answers_expired && quiet_checks_ >= quiet_checks) {
         pool_.stop();
--- a/src/node/internal/node_daemon_servers.cpp
+++ b/src/node/internal/node_daemon_servers.cpp
@@ -23,13 +23,13 @@
 
 void node_daemon::start_servers()
 {
-    const auto budget = std::make_shared<client_budget>(client_limit(settings_));
-    const auto listen = [this, &budget](const std::string& address, http_handler handler) {
-        auto options = service_port_options(budget);
+    client_budget_ = std::make_shared<client_budget>(client_limit(settings_));
+    const auto listen = [this](const std::string& address, http_handler handler) {
+        auto options = service_port_options(client_budget_);
         options.address = address;
         return make_http_server(pool_, options, std::move(handler), counters_);
     };
-    auto frontend = frontend_options(budget);
+    auto frontend = frontend_options(client_budget_);
     frontend.address = settings_.frontend;
     frontend.check_head = [this](const http_request& request) { return callers_.check_head(request); };
     frontend_ = make_http_server(
--- a/src/node/node_daemon.h
+++ b/src/node/node_daemon.h
@@ -78,6 +78,7 @@
     std::shared_ptr<state_puller> puller_;
     std::shared_ptr<engine_poller> poller_;
     std::shared_ptr<path_prober> prober_;
+    std::shared_ptr<client_budget> client_budget_;
     std::unique_ptr<ihttp_server> frontend_;
     std::unique_ptr<ihttp_server> readiness_;
     std::unique_ptr<ihttp_server> discovery_;
--- a/src/transport/client_budget.h
+++ b/src/transport/client_budget.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 #include "core/types/units.h"
 
@@ -32,6 +33,8 @@
 
     /// Closes a waiting connection if that is needed for a new one. Returns false if there is none to close.
     bool make_room_for_connection();
+    /// Whether a connection waits whose client has yet to read the end of an answer.
+    bool awaits_readers() const;
     const client_usage& used() const { return used_; }
     std::size_t evictions() const { return evictions_; }
 
@@ -67,6 +70,15 @@
     std::size_t evictions_ = 0;
 };
 
+/// How a budget reaches the connections that take a part of it.
+struct connection_hooks
+{
+    /// Must close the connection and give back its share; not called while the connection is worked on.
+    std::function<void()> evict;
+    /// Returns for how long the client has read nothing of what it is sent, or nothing if it has all. May be null.
+    std::function<std::optional<milliseconds>()> delivery_stalled_for = nullptr;
+};
+
 /// The part of a budget that one client connection takes, until it is closed or destroyed.
 class connection_share
 {
@@ -74,9 +86,8 @@
     /// What each connection may hold without taking a part of the memory.
     static constexpr std::size_t free_bytes = 4096;
 
-    /// `evict` must close the connection and give back its share; it is not called while the connection is worked on.
     /// A null budget has no limit.
-    connection_share(std::shared_ptr<client_budget> budget, std::function<void()> evict);
+    connection_share(std::shared_ptr<client_budget> budget, connection_hooks hooks);
     ~connection_share();
     connection_share(const connection_share&) = delete;
     connection_share& operator=(const connection_share&) = delete;
@@ -100,9 +111,10 @@
 
     void wait(client_budget::wait_kind kind, instant since);
     client_budget::wait_kind request_kind() const;
+    std::optional<milliseconds> delivery_stalled_for() const;
 
     std::shared_ptr<client_budget> budget_;
-    std::function<void()> evict_;
+    connection_hooks hooks_;
     client_usage usage_;
     instant since_{};
     client_budget::wait_kind kind_ = client_budget::wait_kind::request;
--- a/src/transport/internal/client_budget.cpp
+++ b/src/transport/internal/client_budget.cpp
@@ -58,7 +58,7 @@
             return false;
         }
         ++evictions_;
-        it->evict_();
+        it->hooks_.evict();
         // Does nothing if the connection has given everything back, as it must.
         it->close();
     }
@@ -77,6 +77,14 @@
     return true;
 }
 
+bool client_budget::awaits_readers() const
+{
+    return std::any_of(waiting_.begin(), waiting_.end(), [](const waiting_list& list) {
+        return std::any_of(list.begin(), list.end(),
+                           [](const auto* it) { return it->delivery_stalled_for().has_value(); });
+    });
+}
+
 void client_budget::release(const client_usage& less)
 {
     used_.connections -= less.connections;
@@ -84,8 +92,8 @@
     used_.bytes -= less.bytes;
 }
 
-connection_share::connection_share(std::shared_ptr<client_budget> budget, std::function<void()> evict)
-    : budget_(std::move(budget)), evict_(std::move(evict)), position_{this}, node_(position_.begin())
+connection_share::connection_share(std::shared_ptr<client_budget> budget, connection_hooks hooks)
+    : budget_(std::move(budget)), hooks_(std::move(hooks)), position_{this}, node_(position_.begin())
 {}
 
 connection_share::~connection_share()
@@ -123,6 +131,11 @@
     return usage_.bytes == 0 ? client_budget::wait_kind::request : client_budget::wait_kind::rest_of_request;
 }
 
+std::optional<milliseconds> connection_share::delivery_stalled_for() const
+{
+    return hooks_.delivery_stalled_for ? hooks_.delivery_stalled_for() : std::nullopt;
+}
+
 void connection_share::wait_for_request(instant since)
 {
     wait(request_kind(), since);
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -1,19 +1,22 @@
 #include "transport/internal/http_session.h"
 
-#include <sys/ioctl.h>
-
 #include <fmt/format.h>
 
 #include "core/log.h"
+#include "transport/internal/socket_state.h"
 
 namespace anvillead {
 
 namespace {
 
 // After an early response the rest of the request is read and discarded, within these limits: closing a socket with
-// unread data resets the connection, and the client could lose the response.
+// unread data resets the connection, and the client could lose the response. The time counts once it has all of that.
 constexpr milliseconds max_linger_time{1000};
 constexpr std::size_t max_linger_bytes = 16 * 1024 * 1024;
+// Interval at which the delivery of a response is checked after that.
+constexpr milliseconds delivery_check_period{100};
+// Checks of a blocked write within the time that it may make no progress.
+constexpr int checks_per_write_timeout = 4;
 constexpr int http_no_content = 204;
 constexpr int http_not_modified = 304;
 constexpr unsigned http_1_0 = 10;
@@ -30,7 +33,7 @@
                            std::shared_ptr<http_server_state> state, std::atomic<std::size_t>& connection_count)
     : socket_(std::move(socket)), read_timer_(sequence->strand), write_timer_(sequence->strand),
       sequence_(std::move(sequence)), state_(std::move(state)), connection_count_(connection_count),
-      reader_(state_->limits), share_(state_->budget, [this] { evict(); })
+      reader_(state_->limits), share_(state_->budget, {[this] { evict(); }, [this] { return delivery_stalled_for(); }})
 {
     ++connection_count_;
     ++state_->arrivals;
@@ -266,6 +269,7 @@
         return;
     }
     written_ += count;
+    delivery_.add_written(count);
     share_.stop_waiting();
     if (unsent_bytes() == 0 && phase_ == phase::streaming && on_drained_) {
         const auto callback = on_drained_;
@@ -340,7 +344,7 @@
     --state_->exchanges;
     on_closed_ = nullptr;
     on_drained_ = nullptr;
-    if (linger_on_close_ || (!keep_alive_ && extra_send_bytes_ > 0)) {
+    if (linger_on_close_ || (!keep_alive_ && (extra_send_bytes_ > 0 || state_->draining))) {
         linger();
         return;
     }
@@ -357,33 +361,65 @@
     boost::system::error_code ec;
     socket_.shutdown(net::ip::tcp::socket::shutdown_send, ec);
     reader_.clear();
-    share_.wait_for_request(std::chrono::steady_clock::now());
+    linger_began_at_ = std::chrono::steady_clock::now();
+    share_.wait_for_request(linger_began_at_);
     update_share();
     linger_bytes_left_ = max_linger_bytes;
-    // A large answer may take a slow client longer.
-    start_read_timer(extra_send_bytes_ > 0 ? state_->limits.write_timeout : max_linger_time);
-    struct discard_reader
-    {
-        std::shared_ptr<http_session> self;
-
-        void operator()(const boost::system::error_code& read_ec, std::size_t count) const
-        {
-            if (read_ec || self->read_timed_out_ || count >= self->linger_bytes_left_ ||
-                self->phase_ == phase::closed) {
-                // A client that only ends its own side may still read.
-                if (self->read_timed_out_ && self->has_unacknowledged_bytes()) {
-                    self->discard_unacknowledged_bytes();
-                }
-                self->close();
-                return;
-            }
-            self->linger_bytes_left_ -= count;
-            next();
+    start_linger_timer(max_linger_time);
+    discard_input();
+}
+
+void http_session::discard_input()
+{
+    socket_.async_read_some(reader_.prepare(),
+                            [self = shared_from_this()](const boost::system::error_code& ec, std::size_t count) {
+                                if (self->phase_ != phase::lingering) {
+                                    return;
+                                }
+                                if (!ec && count < self->linger_bytes_left_) {
+                                    self->linger_bytes_left_ -= count;
+                                    self->discard_input();
+                                    return;
+                                }
+                                if (ec != net::error::eof || !self->state_->draining) {
+                                    self->close();
+                                    return;
+                                }
+                                // A client that only ends its own side may still read, and the process is about to end.
+                                self->input_ended_ = true;
+                                self->check_delivery();
+                            });
+}
+
+void http_session::start_linger_timer(milliseconds delay)
+{
+    write_timer_.expires_after(delay);
+    write_timer_.async_wait([weak_self = weak_from_this()](const boost::system::error_code& ec) {
+        if (const auto self = weak_self.lock(); self && !ec && self->phase_ == phase::lingering) {
+            self->check_delivery();
         }
+    });
+}
 
-        void next() const { self->socket_.async_read_some(self->reader_.prepare(), *this); }
-    };
-    discard_reader{shared_from_this()}.next();
+void http_session::check_delivery()
+{
+    if (input_ended_ && take_socket_error(socket_.native_handle())) {
+        // No read is pending that would report it.
+        close();
+        return;
+    }
+    const auto stalled = delivery_stalled_for();
+    const auto lingered = std::chrono::steady_clock::now() - linger_began_at_;
+    const bool delivered = !stalled && (input_ended_ || lingered >= max_linger_time);
+    if (delivered || (stalled && *stalled >= state_->limits.write_timeout)) {
+        if (stalled) {
+            state_->counters->add("http_write_timeouts_total");
+            discard_unacknowledged_bytes();
+        }
+        close();
+        return;
+    }
+    start_linger_timer(delivery_check_period);
 }
 
 void http_session::on_peer_disconnected()
@@ -397,10 +433,10 @@
     }
 }
 
-bool http_session::has_unacknowledged_bytes()
+std::optional<milliseconds> http_session::delivery_stalled_for()
 {
-    int count = 0;
-    return ::ioctl(socket_.native_handle(), TIOCOUTQ, &count) == 0 && count > 0;
+    return delivery_.stalled_for(std::chrono::steady_clock::now(), unacknowledged_bytes(socket_.native_handle()),
+                                 unsent_bytes());
 }
 
 void http_session::discard_unacknowledged_bytes()
@@ -452,7 +488,7 @@
                                           : "idle"},
          {"bytes", std::to_string(held_bytes())}});
     share_.close();
-    if (has_unacknowledged_bytes()) {
+    if (delivery_stalled_for()) {
         discard_unacknowledged_bytes();
     } else if (phase_ == phase::idle && reader_.has_begun()) {
         auto refusal = make_error(error_kind::overloaded, "the request did not arrive before others needed its room");
@@ -496,7 +532,7 @@
     if (std::exchange(write_timer_active_, true)) {
         return;
     }
-    write_timer_.expires_at(write_started_at_ + state_->limits.write_timeout);
+    write_timer_.expires_after(state_->limits.write_timeout / checks_per_write_timeout);
     write_timer_.async_wait([weak_self = weak_from_this()](const boost::system::error_code& ec) {
         const auto self = weak_self.lock();
         if (!self || ec || self->phase_ == phase::closed) {
@@ -506,7 +542,10 @@
         if (!self->write_active_) {
             return;
         }
-        if (std::chrono::steady_clock::now() - self->write_started_at_ >= self->state_->limits.write_timeout) {
+        // The socket takes more only after a large part of its buffer has been read, so a blocked write alone does not
+        // show that the client has stopped reading.
+        const auto stalled = self->delivery_stalled_for();
+        if (stalled && *stalled >= self->state_->limits.write_timeout) {
             self->state_->counters->add("http_write_timeouts_total");
             self->discard_unacknowledged_bytes();
             self->on_peer_disconnected();
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/ihttp_server.h"
+#include "transport/internal/delivery_progress.h"
 #include "transport/internal/http_request_reader.h"
 #include "transport/internal/worker_pool_implementation.h"
 
@@ -123,11 +124,15 @@
     /// Frees an answer for which there is no memory, and closes the connection soon.
     void drop_answer();
     void finish_exchange();
+    /// Waits until the client has the answer, for as long as it goes on reading, and discards what it still sends.
     void linger();
+    void discard_input();
+    void start_linger_timer(milliseconds delay);
+    void check_delivery();
     void on_peer_disconnected();
     void close();
-    /// Whether the kernel holds bytes that the client has not acknowledged.
-    bool has_unacknowledged_bytes();
+    /// For how long the client has read nothing of what it is sent; nothing if it has all.
+    std::optional<milliseconds> delivery_stalled_for();
     /// Lets the kernel discard these when the socket is closed, instead of keeping them for minutes.
     void discard_unacknowledged_bytes();
     void start_read_timer(milliseconds timeout);
@@ -142,6 +147,7 @@
     std::atomic<std::size_t>& connection_count_;
     http_request_reader reader_;
     connection_share share_;
+    delivery_progress delivery_;
     std::function<void()> on_closed_;
     std::function<void()> on_drained_;
     std::string pending_;
@@ -152,6 +158,7 @@
     std::size_t extra_receive_bytes_ = 0;
     std::size_t extra_send_bytes_ = 0;
     instant write_started_at_{};
+    instant linger_began_at_{};
     phase phase_ = phase::idle;
     framing framing_ = framing::chunked;
     bool write_active_ = false;
@@ -159,6 +166,8 @@
     bool read_timed_out_ = false;
     bool keep_alive_ = true;
     bool linger_on_close_ = false;
+    /// The client sends nothing more on this connection, which is about to be closed.
+    bool input_ended_ = false;
     bool is_http_1_0_ = false;
     /// The response has no body, because of a HEAD request or the status code.
     bool omit_body_ = false;
--- a/src/transport/tests/client_budget_test.cpp
+++ b/src/transport/tests/client_budget_test.cpp
@@ -15,10 +15,10 @@
 struct connection
 {
     explicit connection(const std::shared_ptr<client_budget>& budget)
-        : share(budget, [this] {
-              ++evictions;
-              share.close();
-          })
+        : share(budget, {[this] {
+                    ++evictions;
+                    share.close();
+                }})
     {
         share.open();
     }
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -20,15 +20,16 @@
     return text.find(part) != std::string::npos;
 }
 
-bool eventually(const std::function<bool()>& condition)
+bool eventually(const std::function<bool()>& condition, milliseconds bound = milliseconds(2000))
 {
-    for (int i = 0; i < 400; ++i) {
-        if (condition()) {
-            return true;
+    const auto deadline = std::chrono::steady_clock::now() + bound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return false;
         }
         std::this_thread::sleep_for(milliseconds(5));
     }
-    return false;
+    return true;
 }
 
 void ignore_request(const http_request&, const std::shared_ptr<ihttp_exchange>&) {}
@@ -110,6 +111,55 @@
     budget_fixture& operator=(const budget_fixture&) = delete;
 };
 
+constexpr int small_receive_buffer = 2048;
+// More than the receive buffer of the client, less than the send buffer of the server.
+constexpr std::size_t slow_answer_bytes = 14'000;
+
+/// A server whose answers fit into the buffers of its sockets, but not into those of its clients.
+struct slow_reader_fixture
+{
+    static constexpr milliseconds write_timeout{2000};
+
+    worker_pool pool{1};
+    metrics counters;
+    std::unique_ptr<ihttp_server> server;
+
+    explicit slow_reader_fixture(std::shared_ptr<client_budget> budget = nullptr)
+    {
+        http_server_options options;
+        options.address = "127.0.0.1:0";
+        options.limits.send_buffer_bytes = 8192;
+        options.limits.write_timeout = write_timeout;
+        options.budget = std::move(budget);
+        server = make_http_server(
+            pool, options,
+            [](const http_request&, const std::shared_ptr<ihttp_exchange>& exchange) {
+                exchange->reply(200, {}, std::string(slow_answer_bytes, 'a'));
+            },
+            counters);
+        pool.start();
+    }
+
+    ~slow_reader_fixture()
+    {
+        pool.stop();
+        pool.join();
+    }
+    slow_reader_fixture(const slow_reader_fixture&) = delete;
+    slow_reader_fixture& operator=(const slow_reader_fixture&) = delete;
+};
+
+/// Reads at most 7 KB a second until the connection ends.
+std::string read_slowly(raw_client& client)
+{
+    std::string out;
+    for (auto part = client.read_some(256); !part.empty(); part = client.read_some(256)) {
+        out += part;
+        std::this_thread::sleep_for(milliseconds(35));
+    }
+    return out;
+}
+
 const std::string body_head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
 
 std::string with_length(const std::string& body)
@@ -458,6 +508,33 @@
     CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\n\r\n"), "Connection: close"));
 }
 
+// Guards against an answer that is cut while the server drains, because its client reads slowly: the end of the answer
+// was in the socket's buffer for longer than a second.
+TEST(http_server_test, slow_reader_gets_its_whole_answer_while_draining)
+{
+    slow_reader_fixture f;
+    f.server->drain();
+    raw_client client(f.server->address(), small_receive_buffer);
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    const auto answer = read_slowly(client);
+    CHECK(contains(answer, "Connection: close"));
+    LONGS_EQUAL(slow_answer_bytes, answer.size() - answer.find("\r\n\r\n") - 4);
+    CHECK(eventually([&] { return f.server->busy_connections() == 0; }));
+}
+
+// Guards against a client that stops reading and keeps a draining server from its end.
+TEST(http_server_test, client_that_stops_reading_is_disconnected_while_draining)
+{
+    slow_reader_fixture f;
+    f.server->drain();
+    raw_client client(f.server->address(), small_receive_buffer);
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.read_some(1);
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(eventually([&] { return f.server->busy_connections() == 0; }, slow_reader_fixture::write_timeout * 3));
+    CHECK(std::chrono::steady_clock::now() - began >= slow_reader_fixture::write_timeout);
+}
+
 // Guards against stale readiness of a socket that is mistaken for a disconnect, so that the response is never sent.
 TEST(http_server_test, waiting_clients_are_not_treated_as_disconnected)
 {
--- a/src/transport/tests/raw_client.cpp
+++ b/src/transport/tests/raw_client.cpp
@@ -65,6 +65,15 @@
     return std::move(received_);
 }
 
+std::string raw_client::read_some(std::size_t most, milliseconds timeout)
+{
+    std::string out(most, '\0');
+    pollfd event = {socket_, POLLIN, 0};
+    const auto n = ::poll(&event, 1, static_cast<int>(timeout.count())) > 0 ? ::recv(socket_, out.data(), most, 0) : 0;
+    out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return out;
+}
+
 void raw_client::end_sending()
 {
     ::shutdown(socket_, SHUT_WR);
--- a/src/transport/tests/raw_client.h
+++ b/src/transport/tests/raw_client.h
@@ -21,6 +21,9 @@
     bool send(std::string_view data);
     /// Returns the data received until it contains `marker`, the peer closes the connection or the timeout expires.
     std::string read_until(std::string_view marker, milliseconds timeout = milliseconds(5000));
+    /// Returns at most `most` bytes, at once if some have arrived; empty when the connection has ended or the timeout
+    /// expires.
+    std::string read_some(std::size_t most, milliseconds timeout = milliseconds(5000));
     std::string read_all(milliseconds timeout = milliseconds(5000)) { return read_until({}, timeout); }
     /// Tells the peer that nothing more will be sent; reading goes on.
     void end_sending();
--- a/tests/invariants/node_shutdown_test.cpp
+++ b/tests/invariants/node_shutdown_test.cpp
@@ -115,6 +115,45 @@
     std::vector<std::thread> threads_;
 };
 
+/// A caller that asks for a stream and reads 2.5 KB of it a second. Its events repeat its long id.
+class slow_reader
+{
+public:
+    slow_reader(const std::string& address, int events) : events_(events), connection_(address, receive_buffer_bytes)
+    {
+        connection_.send(fmt::format("POST /sheet/week HTTP/1.1\r\nHost: roster.example\r\nRequest-Id: {}\r\n"
+                                     "Authorization: Token key-galle\r\nToken-Usage: 100,{}\r\nDeadline-Ms: 9000\r\n"
+                                     "Content-Length: 5\r\n\r\nsheet",
+                                     id(), events));
+    }
+
+    static std::string id() { return std::string(id_bytes, 's'); }
+
+    /// Reads until the answer or the connection ends, and returns whether all events came.
+    bool gets_whole_answer()
+    {
+        std::string out;
+        while (out.find("\r\n0\r\n\r\n") == std::string::npos) {
+            const auto part = connection_.read_some(bytes_per_read);
+            if (part.empty()) {
+                break;
+            }
+            out += part;
+            std::this_thread::sleep_for(read_pause);
+        }
+        return out.find(fmt::format("data: {}:{}\n\n", id(), events_)) != std::string::npos;
+    }
+
+private:
+    static constexpr std::size_t id_bytes = 240;
+    static constexpr int receive_buffer_bytes = 2048;
+    static constexpr std::size_t bytes_per_read = 256;
+    static constexpr milliseconds read_pause{100};
+
+    int events_;
+    raw_client connection_;
+};
+
 } // namespace
 
 // A host that is shut down while callers keep using their connections to it.
@@ -238,3 +277,30 @@
         CHECK_TEXT(it.status != 0 || executed.count(it.id) == 0, it.id.c_str());
     }
 }
+
+// Guards against an answer that is cut because its caller reads slowly: the host took the last byte in the socket's
+// buffer for the end of the answer.
+TEST(node_shutdown, slow_reader_gets_its_whole_answer)
+{
+    start(12);
+    fleet->control("engine-1", {{"event_ms", 20}});
+    stop();
+    CHECK(eventually([&] { return lines_of("shutdown_began") == 1; }));
+    slow_reader caller(fleet->address("node-1"), 40);
+    CHECK(caller.gets_whole_answer());
+    CHECK(fleet->process_of("node-1").wait_exit().has_value());
+}
+
+// Guards against an exit while a caller has yet to read an answer that had ended before the signal.
+TEST(node_shutdown, unread_answer_keeps_the_host)
+{
+    start(12);
+    fleet->control("engine-1", {{"event_ms", 2}});
+    slow_reader caller(fleet->address("node-1"), 30);
+    CHECK(eventually([&] { return lines_of("\"outcome\":\"answered\"") == 1; }));
+    stop();
+    std::this_thread::sleep_for(after_drain);
+    CHECK(fleet->process_of("node-1").running());
+    CHECK(caller.gets_whole_answer());
+    CHECK(fleet->process_of("node-1").wait_exit().has_value());
+}
