Confirm the end of an answer that has no framing

Cause: http_client took the end of file of an answer without framing as its end, since a failed write would fail the read. The kernel reports a reset once; a pending write takes it, and its error was dropped.

Ruled out: answers with a length or chunks, whose early end is an error of the parser.

Change: such an answer is complete only when the whole request has been written and acknowledged without an error, checked every 5 ms until the time-outs of the call. An engine that ends its own side and reads on is still served whole (test).

--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/internal/http_head.h"
+#include "transport/internal/socket_state.h"
 #include "transport/internal/worker_pool_implementation.h"
 
 namespace anvillead {
@@ -131,7 +132,7 @@
               http_call_handlers handlers)
         : context_(context), pool_(std::move(pool)), source_address_(std::move(source_address)),
           receive_buffer_bytes_(receive_buffer_bytes), sequence_(std::static_pointer_cast<asio_sequence>(sequence)),
-          request_(std::move(request)), handlers_(std::move(handlers)), timer_(context)
+          request_(std::move(request)), handlers_(std::move(handlers)), timer_(context), end_timer_(context)
     {}
 
     void start_call()
@@ -258,17 +259,19 @@
         message_.prepare_payload();
         send_started_ = true;
         request_written_ = false;
+        write_error_ = {};
         head_bytes_ = 0;
         start_timer(request_.head_timeout);
         http::async_write(*socket_, message_,
                           bind_to_strand([self = shared_from_this(), n = connection_number_](
                                              const boost::system::error_code& write_ec, std::size_t) {
-                              if (n == self->connection_number_ && !write_ec) {
-                                  self->request_written_ = true;
+                              if (n == self->connection_number_) {
+                                  self->request_written_ = !write_ec;
+                                  self->write_error_ = write_ec;
                               }
                           }));
         // The read starts before the write completes: a peer may respond before it has received the whole body and then
-        // stop reading. A failed write also fails the read, after the response received so far.
+        // stop reading. The kernel reports a reset once: where the write takes it, the read sees an ordinary end.
         read_head();
     }
 
@@ -346,7 +349,11 @@
             return;
         }
         if (parser_->is_done()) {
-            complete();
+            if (parser_->need_eof()) {
+                confirm_end();
+            } else {
+                complete();
+            }
             return;
         }
         if (paused_) {
@@ -384,6 +391,30 @@
         read_some();
     }
 
+    /// An answer without framing ends with its connection, in an orderly way only if the peer also takes the request to
+    /// its end: a peer that has reset the connection, or that is gone, does not.
+    void confirm_end()
+    {
+        if (done_) {
+            return;
+        }
+        const auto ec = write_error_ ? write_error_ : take_socket_error(socket_->native_handle());
+        if (ec) {
+            finish(http_call_outcome::lost, "the connection was lost before the request was sent: " + ec.message());
+            return;
+        }
+        if (request_written_ && unacknowledged_bytes(socket_->native_handle()) == 0) {
+            complete();
+            return;
+        }
+        end_timer_.expires_after(end_check_period);
+        end_timer_.async_wait(bind_to_strand([self = shared_from_this()](const boost::system::error_code& wait_ec) {
+            if (!wait_ec) {
+                self->confirm_end();
+            }
+        }));
+    }
+
     void complete()
     {
         if (request_.reuse_connection && request_written_ && parser_->get().keep_alive() && buffer_.size() == 0) {
@@ -399,6 +430,7 @@
         }
         ++timer_wait_number_;
         timer_.cancel();
+        end_timer_.cancel();
         if (socket_) {
             boost::system::error_code ec;
             socket_->close(ec);
@@ -410,6 +442,8 @@
         }
     }
 
+    /// Interval at which the rest of a request is checked whose answer has ended.
+    static constexpr milliseconds end_check_period{5};
     static constexpr std::size_t body_read_bytes = 8 * 1024;
     static constexpr std::size_t head_read_bytes = 4096;
     // Equals Beast's default limit, which applies to the unparsed part of a head only.
@@ -426,6 +460,7 @@
     http_call_request request_;
     http_call_handlers handlers_;
     net::steady_timer timer_;
+    net::steady_timer end_timer_;
     socket_ptr socket_;
     /// Its body is that of `request_`.
     http::request<http::span_body<const char>> message_;
@@ -440,6 +475,7 @@
     std::uint64_t connection_number_ = 0;
     /// The whole request has been written to the socket.
     bool request_written_ = false;
+    boost::system::error_code write_error_;
     bool reused_ = false;
     bool send_started_ = false;
     bool connection_refused_ = false;
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -29,9 +29,30 @@
     return ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0 || errno == EAGAIN;
 }
 
-scripted_upstream::scripted_upstream(handler serve) : serve_(std::move(serve))
+void scripted_upstream::connection::end_sending_and_read_on()
+{
+    ::shutdown(socket_, SHUT_WR);
+    std::array<char, 4096> buf = {};
+    for (auto n = ::recv(socket_, buf.data(), buf.size(), 0); n > 0; n = ::recv(socket_, buf.data(), buf.size(), 0)) {
+    }
+}
+
+void scripted_upstream::connection::reset()
+{
+    const linger value{1, 0};
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+}
+
+scripted_upstream::scripted_upstream(handler serve) : scripted_upstream(std::move(serve), options()) {}
+
+scripted_upstream::scripted_upstream(handler serve, const options& value) : serve_(std::move(serve)), options_(value)
 {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (options_.receive_buffer_bytes > 0) {
+        // Connections inherit it.
+        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &options_.receive_buffer_bytes,
+                     sizeof(options_.receive_buffer_bytes));
+    }
     sockaddr_in endpoint = {};
     endpoint.sin_family = AF_INET;
     endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -62,6 +83,11 @@
     ::close(listener_);
 }
 
+void scripted_upstream::stop_listening()
+{
+    ::shutdown(listener_, SHUT_RDWR);
+}
+
 void scripted_upstream::accept_connections()
 {
     while (!stopped_) {
@@ -86,6 +112,9 @@
     while (!stopped_) {
         const auto head = received.find(end_of_head);
         if (head != std::string::npos) {
+            if (options_.answers_early) {
+                return true;
+            }
             const auto length = std::strtoul(header_of(received, "Content-Length").c_str(), nullptr, 10);
             if (received.size() >= head + std::char_traits<char>::length(end_of_head) + length) {
                 return true;
