Serve streams as such whichever service they go to

Cause: caller_handler asked the service, not the route, whether the answer is a stream. plain_call holds an answer to its end, knows no events and gives it a length.

Change: generation_relay serves each request of such a route. Without engines it is placed like a plain call: on the instance with the least load, within its request rate and slots (granted_slot, shared with plain_call); no scheduler is asked, nothing is moved, no priority is sent.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -7,6 +7,7 @@
 #include "dispatch/generation_move.h"
 #include "dispatch/types/placement.h"
 #include "dispatch/types/upstream_call.h"
+#include "node/granted_slot.h"
 #include "node/node_context.h"
 #include "node/placement_service.h"
 #include "node/request_forwarder.h"
@@ -18,8 +19,9 @@
 
 namespace anvillead {
 
-/// Serves one generation: places it on an engine and forwards its events to the caller as they arrive. Moves it to
-/// another engine when its engine is leaving, and resumes it from a copy of its memory when its engine is lost.
+/// Serves one request whose answer is a stream: places it on an upstream and forwards its events to the caller as they
+/// arrive. A generation is moved to another engine when its engine is leaving, and resumed from a copy of its memory
+/// when its engine is lost; streams of a service without engines stay where they are.
 class generation_relay : public std::enable_shared_from_this<generation_relay>
 {
 public:
@@ -64,8 +66,11 @@
     /// The engine has survived this request as a whole.
     void report_sound_request();
     void place();
+    /// Whether the service consists of model engines.
+    bool has_engines() const;
     /// Chooses an engine on this host when no scheduler answered.
     void place_locally();
+    void place_on_instance();
     /// Sends the generation to the engine if its request rate allows, otherwise places it anew.
     void request_rate(const upstream_record& chosen, const host_id& chosen_by);
     void send_placed(const upstream_record& chosen, const host_id& chosen_by);
@@ -121,6 +126,7 @@
     node_context& context_;
     admitted_request request_;
     scoped_work work_;
+    granted_slot slot_;
     /// Slot and memory on the engine that receives the copy.
     scoped_work target_work_;
     generation_move move_;
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -35,8 +35,7 @@
         return;
     }
     auto& request = admitted.value();
-    const auto* service = request.table->service(request.service);
-    if (request.matched_route->event_stream && service->engine) {
+    if (request.matched_route->event_stream) {
         start_generation(std::move(request));
         return;
     }
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 generation_relay::generation_relay(node_context& context, admitted_request request)
-    : context_(context), request_(std::move(request)), work_(context), target_work_(context),
+    : context_(context), request_(std::move(request)), work_(context), slot_(context), target_work_(context),
       error_buffer_(context.answer_buffers),
       splitter_([this](std::string_view bytes, std::optional<sequence_number> number) { on_event(bytes, number); }),
       planned_output_(planned_output(request_.caller)), stream_slot_(context.count_stream())
@@ -108,7 +108,9 @@
     upstream_call call;
     call.expected = upstream.id;
     call.organisation = request_.organisation;
-    call.priority = request_.priority;
+    if (has_engines()) {
+        call.priority = request_.priority;
+    }
     call.resume = resume;
     if (request_.deadline != instant::max()) {
         call.deadline = std::max(remaining_time(), milliseconds(1));
@@ -168,6 +170,7 @@
     context_.record_path(sent_at_, engine_, true);
     context_.rates->on_answer(engine_.id, head_);
     if (head_.refused) {
+        slot_.release(true);
         // Counts as a failure: an engine that refuses requests looks idle and would attract all further ones.
         // After a rest that it has asked for, it is used again at once.
         context_.loads.record_outcome(context_.timers.now(), engine_.id, !head_.rest);
@@ -238,7 +241,7 @@
         longest_pause_ = now - last_event_at_;
         longest_pause_after_ = last_event_;
     }
-    if (events_ > 0 && context_.loads.states_pace()) {
+    if (events_ > 0 && has_engines() && context_.loads.states_pace()) {
         observe_gap(now, now - last_event_at_);
     }
     if (events_ > 0 && now - first_event_at_ >= crash_delay_of_request) {
@@ -274,6 +277,7 @@
 void generation_relay::on_end(const http_call_result& end)
 {
     const auto now = context_.timers.now();
+    slot_.release(false);
     if (phase_ == phase::streaming || phase_ == phase::switching_over) {
         stream_ended(end);
         return;
@@ -470,6 +474,7 @@
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(step_timer_);
     end_trial();
+    slot_.release(false);
     if (call_) {
         call_->cancel();
     }
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -199,6 +199,10 @@
         refuse_for_capacity();
         return;
     }
+    if (!has_engines()) {
+        place_on_instance();
+        return;
+    }
     auto question = make_question();
     question.patience = longest_useful_wait();
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
@@ -249,6 +253,22 @@
     return std::max(std::chrono::duration_cast<milliseconds>(until - context_.timers.now()), milliseconds(0));
 }
 
+bool generation_relay::has_engines() const
+{
+    return request_.table->service(request_.service)->engine.has_value();
+}
+
+void generation_relay::place_on_instance()
+{
+    const auto chosen =
+        select_instance(context_.selection(excluded_), request_.service, placement_hash(request_.caller.id.str()));
+    if (chosen) {
+        request_rate(*chosen, context_.settings.host);
+    } else {
+        refuse_for_capacity();
+    }
+}
+
 void generation_relay::place_locally()
 {
     const auto* service = request_.table->service(request_.service);
@@ -264,13 +284,19 @@
 {
     // The callback owns the request while it waits, because no call is in progress that would keep it alive.
     context_.rates->request(chosen.id, [self = shared_from_this(), chosen, chosen_by](bool granted) {
+        if (granted && !self->has_engines()) {
+            self->slot_.take(chosen.id);
+        }
         if (self->done_) {
+            self->slot_.release(false);
             return;
         }
         if (granted) {
             self->send_placed(chosen, chosen_by);
-        } else {
+        } else if (self->has_engines()) {
             self->place_locally();
+        } else {
+            self->place_on_instance();
         }
     });
 }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 plain_call::plain_call(node_context& context, admitted_request request)
-    : context_(context), request_(std::move(request)), work_(context)
+    : context_(context), request_(std::move(request)), work_(context), slot_(context)
 {}
 
 void plain_call::start()
@@ -234,21 +234,14 @@
     }
 }
 
-void plain_call::release_slot(bool refused)
-{
-    if (const auto upstream = std::exchange(slot_, std::nullopt)) {
-        context_.rates->release(*upstream, refused);
-    }
-}
-
 void plain_call::request_rate(const upstream_record& chosen)
 {
     context_.rates->request(chosen.id, [self = shared_from_this(), chosen](bool granted) {
-        if (granted && self->context_.rates->counts_requests(chosen.id)) {
-            self->slot_ = chosen.id;
+        if (granted) {
+            self->slot_.take(chosen.id);
         }
         if (self->done_) {
-            self->release_slot(false);
+            self->slot_.release(false);
             return;
         }
         if (granted) {
@@ -306,7 +299,7 @@
     const auto now = context_.timers.now();
     if (end.end == http_call_outcome::connect_failed) {
         end_trial();
-        release_slot(false);
+        slot_.release(false);
         ++unreachable_;
         context_.record_path(sent_at_, upstream, false);
         context_.loads.record_outcome(now, upstream.id, true);
@@ -324,7 +317,7 @@
     }
     const auto facts = platform::read_upstream_response_head(answer.status, answer.headers, request_.caller.id);
     context_.rates->on_answer(upstream.id, facts);
-    release_slot(end.end == http_call_outcome::complete && facts.refused);
+    slot_.release(end.end == http_call_outcome::complete && facts.refused);
     if (end.end == http_call_outcome::complete && facts.refused) {
         end_trial();
         // After a rest that it has asked for, the upstream is used again at once.
@@ -463,7 +456,7 @@
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(step_timer_);
     end_trial();
-    release_slot(false);
+    slot_.release(false);
     work_.release();
     if (call_) {
         call_->cancel();
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 
+#include "node/granted_slot.h"
 #include "node/node_context.h"
 #include "node/request_forwarder.h"
 #include "node/scoped_work.h"
@@ -11,8 +12,8 @@
 
 namespace anvillead {
 
-/// Serves one request to a service without streaming: sends it to an upstream, retries on another one where allowed,
-/// and forwards the complete response.
+/// Serves one request to a service whose answer is not a stream: sends it to an upstream, retries on another one where
+/// allowed, and forwards the complete response.
 class plain_call : public std::enable_shared_from_this<plain_call>
 {
 public:
@@ -35,7 +36,6 @@
     /// Tries again a moment later, since the same request is being tried elsewhere.
     void wait_for_trial();
     void end_trial();
-    void release_slot(bool refused);
     void refuse_quarantined();
     void send(const upstream_record& upstream);
     void on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
@@ -65,8 +65,7 @@
     std::optional<trial> trial_;
     /// When this request has waited long enough for the end of a trial; unset before the first wait.
     instant trial_deadline_{};
-    /// A brittle upstream whose slot this request has.
-    std::optional<upstream_id> slot_;
+    granted_slot slot_;
     /// Number of upstreams that may have executed the request.
     int accepted_ = 0;
     /// Number of upstreams to which the request was sent, including those that refused it.
--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <atomic>
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -25,10 +26,16 @@
     std::unique_ptr<node_fleet> fleet;
 
     void setup() override
+    {
+        start_fleet("engines");
+    }
+
+    void start_fleet(const std::string& stream_service)
     {
         node_fleet::options options;
         options.engines = 0;
         options.instances = 0;
+        options.stream_service = stream_service;
         fleet = std::make_unique<node_fleet>(options);
         fleet->configure(3);
     }
@@ -64,6 +71,62 @@
     CHECK(answer.body.find("id: 2") == std::string::npos);
 }
 
+// Guards against a stream that is taken for a plain answer because its service has no engine table: half an event then
+// reached the caller in an answer that looked complete.
+TEST(odd_answer, stream_of_a_service_without_engines_that_ends_inside_an_event_is_broken_off)
+{
+    start_fleet("registry");
+    scripted_upstream upstream(std::string(stream_head) + "id: 1\ndata: a\n\nid: 2\nda");
+    start_with("registry", upstream);
+    const auto answer = fleet->generate(1, "r-1", 20);
+    CHECK(!answer.complete());
+    CHECK(answer.body.find("id: 2") == std::string::npos);
+}
+
+// Guards against events that wait for the end of their stream because its service has no engine table.
+TEST(odd_answer, events_of_a_service_without_engines_are_passed_on_as_they_arrive)
+{
+    start_fleet("registry");
+    std::atomic<bool> first_seen{false};
+    scripted_upstream upstream([&](const std::string&, scripted_upstream::connection& peer) {
+        peer.send(std::string(stream_head) + "id: 1\ndata: a\n\n");
+        eventually([&] { return first_seen.load(); });
+        peer.send("id: 2\ndata: b\n\n");
+    });
+    start_with("registry", upstream);
+    const auto answer = fleet->open_generation(1, "r-1", 20);
+    first_seen = eventually([&] { return answer->head().body == "id: 1\ndata: a\n\n"; });
+    CHECK(first_seen);
+    CHECK(answer->wait_end());
+    CHECK(answer->head().complete());
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer->head().body.c_str());
+}
+
+// Guards against a stream that is refused by one instance and not offered to the next one.
+TEST(odd_answer, stream_of_a_service_without_engines_goes_to_another_instance_after_a_refusal)
+{
+    start_fleet("registry");
+    std::atomic<int> requests{0};
+    const auto serve = [&](const std::string& request, scripted_upstream::connection& peer) {
+        if (request.rfind("POST ", 0) == 0 && requests++ == 0) {
+            peer.send("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            peer.send(std::string(stream_head) + "id: 1\ndata: a\n\n");
+        }
+    };
+    scripted_upstream first(serve);
+    scripted_upstream second(serve);
+    fleet->write("servers", "second",
+                 {{"service", "registry"},
+                  {"address", second.address()},
+                  {"zone", "zone-a"},
+                  {"capacity", 24},
+                  {"phase", "ready"}});
+    start_with("registry", first);
+    CHECK(fleet->generate(1, "r-1", 20).complete());
+    LONGS_EQUAL(2, requests);
+}
+
 // Guards against losing an answer because it ends with its connection.
 TEST(odd_answer, stream_without_length_is_complete_when_its_connection_ends_between_events)
 {
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -172,8 +172,8 @@
                          {"bandwidth-mbps", 2700.0},
                          {"moves", true},
                          {"stride", 1}};
-    auto routes = json::array({route("sheet", "stream", "engines", 1), route("notice", "unsafe", "registry", 1),
-                               route("lookup", "safe", "registry", 2)});
+    auto routes = json::array({route("sheet", "stream", options_.stream_service, 1),
+                               route("notice", "unsafe", "registry", 1), route("lookup", "safe", "registry", 2)});
     for (int i = 1; i <= options_.extra_routes; ++i) {
         routes.push_back(route(fmt::format("extra-{}", i), "safe", "registry", 2));
     }
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -36,6 +36,8 @@
         int memory_mb = 0;
         /// Descriptors that each host may use; 0 for no statement.
         int max_descriptors = 0;
+        /// Service of the route whose answers are streams.
+        std::string stream_service = "engines";
         /// Routes of the configuration that no test uses.
         int extra_routes = 0;
     };
