Refuse heads that are no valid HTTP/1.1 in one place

Cause: Beast accepts continued lines (obs-fold), any three digits as a status, and takes a message whose transfer codings it does not know for one without framing. The host checked the framing of requests only.

Ruled out: status 000, names with a blank or a control byte and the other rows before it, which the parser refused already; that refusals hit sound answers (answers_with_an_unusual_head_are_passed_on, which passed before for the same rows).

Change: parse_head_part refuses them for each reader: requests get 400, calls count as lost. It says which field and byte; event 205 answer_rejected and the detail of the call carry that. The framing rule of requests moved there and holds for answers, too.

--- a/src/core/log.h
+++ b/src/core/log.h
@@ -27,6 +27,7 @@
     link_rejected = 202,
     message_rejected = 203,
     connection_evicted = 204,
+    answer_rejected = 205,
     configuration_applied = 300,
     configuration_accepted = 301,
     configuration_rejected = 302,
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "core/log.h"
 #include "transport/internal/http_head.h"
 #include "transport/internal/socket_state.h"
 #include "transport/internal/worker_pool_implementation.h"
@@ -260,7 +261,7 @@
         send_started_ = true;
         request_written_ = false;
         write_error_ = {};
-        head_bytes_ = 0;
+        head_ = {};
         start_timer(request_.head_timeout);
         http::async_write(*socket_, message_,
                           bind_to_strand([self = shared_from_this(), n = connection_number_](
@@ -287,7 +288,7 @@
 
     void parse_head()
     {
-        const auto ec = parse_head_part(*parser_, buffer_, {head_bytes_, head_lines_}, max_head_bytes);
+        const auto ec = parse_head_part(*parser_, buffer_, head_, max_head_bytes);
         if (ec != http::error::need_more) {
             on_head_read(ec);
             return;
@@ -325,7 +326,8 @@
             return;
         }
         if (ec) {
-            finish(http_call_outcome::lost, ec.message());
+            report_invalid_answer(ec);
+            finish(http_call_outcome::lost, head_.problem.empty() ? ec.message() : head_.problem);
             return;
         }
         if (parser_->get().result_int() < http_ok) {
@@ -343,6 +345,14 @@
         read_some();
     }
 
+    void report_invalid_answer(const boost::system::error_code& ec) const
+    {
+        if (is_protocol_error(ec)) {
+            log(log_level::warning, log_event::answer_rejected,
+                {{"peer", request_.address}, {"reason", ec.message()}, {"problem", head_.problem}});
+        }
+    }
+
     void read_some()
     {
         if (done_) {
@@ -385,6 +395,7 @@
             handlers_.on_data({body_buffer_.data(), count});
         }
         if (ec) {
+            report_invalid_answer(ec);
             finish(http_call_outcome::lost, ec.message());
             return;
         }
@@ -466,9 +477,8 @@
     http::request<http::span_body<const char>> message_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
-    /// Number of parsed bytes of the response head, including those of interim responses before it.
-    std::size_t head_bytes_ = 0;
-    std::size_t head_lines_ = 0;
+    /// The response head, with the interim responses before it.
+    parsed_head head_;
     std::array<char, body_read_bytes> body_buffer_ = {};
     std::uint64_t timer_wait_number_ = 0;
     /// Number of the current connection; completion handlers of earlier ones are ignored.
--- a/src/transport/internal/http_request_reader.cpp
+++ b/src/transport/internal/http_request_reader.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "transport/internal/http_head.h"
-
 namespace anvillead {
 
 namespace {
@@ -34,13 +32,12 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
     parser_->body_limit(limits_.body_bytes);
-    head_bytes_ = 0;
-    head_lines_ = 0;
+    head_ = {};
 }
 
 boost::system::error_code http_request_reader::parse_head()
 {
-    return parse_head_part(*parser_, buffer_, {head_bytes_, head_lines_}, limits_.header_bytes);
+    return parse_head_part(*parser_, buffer_, head_, limits_.header_bytes);
 }
 
 std::size_t http_request_reader::body_growth() const
@@ -100,7 +97,7 @@
 
 std::size_t http_request_reader::head_memory() const
 {
-    return head_bytes_ + head_lines_ * field_bytes;
+    return head_.bytes + head_.lines * field_bytes;
 }
 
 std::size_t http_request_reader::held_bytes() const
--- a/src/transport/internal/http_request_reader.h
+++ b/src/transport/internal/http_request_reader.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/http_types.h"
+#include "transport/internal/http_head.h"
 
 namespace anvillead {
 
@@ -66,6 +67,8 @@
     void begin();
     /// Parses received bytes of the head: `need_more` while it is incomplete.
     boost::system::error_code parse_head();
+    /// Which field or line of the head is not valid, and why.
+    const std::string& head_problem() const { return head_.problem; }
     /// Bytes that must be allocated before the received part of the body can be parsed; 0 if there is room.
     std::size_t body_growth() const;
     /// Allocates them.
@@ -96,8 +99,7 @@
     const http_limits& limits_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<bounded_string_body>> parser_;
-    std::size_t head_bytes_ = 0;
-    std::size_t head_lines_ = 0;
+    parsed_head head_;
 };
 
 } // namespace anvillead
--- a/src/transport/internal/http_session_receive.cpp
+++ b/src/transport/internal/http_session_receive.cpp
@@ -9,26 +9,6 @@
 
 constexpr unsigned http_1_0 = 10;
 
-/// Whether it is certain where the body of a request ends (RFC 9112, section 6). The parser takes a request whose
-/// transfer codings it does not know for one without a body.
-bool has_certain_end(const http_request_reader::message_type& head)
-{
-    const auto codings = head.count(http::field::transfer_encoding);
-    if (codings == 0) {
-        // A repeated length is refused, also where the repetitions are equal.
-        return head.count(http::field::content_length) <= 1 &&
-               head[http::field::content_length].find(',') == beast::string_view::npos;
-    }
-    return codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked") &&
-           head.count(http::field::content_length) == 0 && head.version() > http_1_0;
-}
-
-bool is_parse_error(const boost::system::error_code& ec)
-{
-    return ec.category() == make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream &&
-           ec != http::error::partial_message;
-}
-
 } // namespace
 
 void http_session::wait_for_request()
@@ -105,11 +85,6 @@
         reject(ec);
         return;
     }
-    if (!has_certain_end(reader_.message())) {
-        state_->counters->add("http_rejected_total");
-        reply_error_and_close(make_error(error_kind::invalid_request, "the end of the request body is not certain"));
-        return;
-    }
     start_read_timer(state_->limits.request_timeout);
     if (beast::iequals(reader_.message()[http::field::expect], "100-continue") && !refuse_early()) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -241,8 +216,10 @@
         rejection = make_error(error_kind::body_too_large, "the request body exceeds the size limit");
     } else if (ec == http::error::buffer_overflow) {
         rejection = make_error(error_kind::invalid_request, "the framing of the request body exceeds the size limit");
-    } else if (is_parse_error(ec)) {
-        rejection = make_error(error_kind::invalid_request, "the request is not valid HTTP/1.1: " + ec.message());
+    } else if (is_protocol_error(ec)) {
+        const auto& problem = reader_.head_problem();
+        rejection = make_error(error_kind::invalid_request,
+                               "the request is not valid HTTP/1.1: " + (problem.empty() ? ec.message() : problem));
     }
     if (!rejection || !socket_.is_open()) {
         close();
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -272,6 +272,28 @@
     }
 }
 
+// Guards against a head line that is joined to the field before it, and against a refusal that does not say why.
+TEST(http_client_test, invalid_head_is_lost_and_its_field_is_named)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {status + "Stamp: s\r\n t\r\n" + end, "byte 0x20 at the begin of the line after field \"Stamp\""},
+        {status + "St amp: s\r\n" + end, "byte 0x20 in the name of field \"St amp\""},
+        {status + "Stamp: s\x02\r\n" + end, "byte 0x02 in the value of field \"Stamp\""},
+        {status + "Stamp\r\n" + end, "line \"Stamp\" without a colon"},
+        {status + "Transfer-Encoding: xchunked\r\n\r\n", "field Transfer-Encoding does not name chunked alone"},
+        {"HTTP/1.1 999 OK\r\n" + end, "status 999"},
+        {"HTTP/1.1 2000 OK\r\n" + end, "start line \"HTTP/1.1 2000 OK\""}};
+    for (const auto& [answer, problem] : cases) {
+        const scripted_server server(answer, "", 0, "");
+        const auto out = fetch(server.address());
+        CHECK(out.call_result.end == http_call_outcome::lost);
+        LONGS_EQUAL(0, out.response.status);
+        STRCMP_EQUAL(problem.c_str(), out.call_result.detail.c_str());
+    }
+}
+
 // Guards against a limit that rejects heads of the permitted size, and against body bytes that are lost while the head
 // is parsed.
 TEST(http_client_test, a_head_at_the_limit_is_read_with_its_body)
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -394,6 +394,8 @@
     server_fixture f(echo);
     CHECK(contains(f.send_and_read("\x16\x03\x01 nonsense\r\n\r\n"), "\"invalid_request\""));
     CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\nbroken header\r\n\r\n"), "\"invalid_request\""));
+    CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\nX: a\r\n b\r\n\r\n"), "\"invalid_request\""));
+    CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\nX: a\r\n\tY: b\r\n\r\n"), "\"invalid_request\""));
     CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\nContent-Length: -5\r\n\r\n"), "\"invalid_request\""));
     CHECK(contains(f.send_and_read("GET / HTTP/1.1\r\nX: " + std::string(100'000, 'a') + "\r\n\r\n"),
                    "\"headers_too_large\""));
--- a/tests/invariants/raw_answer_test.cpp
+++ b/tests/invariants/raw_answer_test.cpp
@@ -34,13 +34,13 @@
 
 struct request_route
 {
-    const char* service;
     const char* path;
+    /// An answer of status 500 and above is replaced by that of another upstream.
+    bool repeatable = false;
 };
 
 // At most once, repeatable, and a stream.
-const std::vector<request_route> routes = {
-    {"registry", "/notice/1"}, {"registry", "/lookup/1"}, {"engines", "/sheet/week"}};
+const std::vector<request_route> routes = {{"/notice/1"}, {"/lookup/1", true}, {"/sheet/week"}};
 
 std::string readable(const std::string& bytes)
 {
@@ -169,3 +169,80 @@
               true, upload);
     }
 }
+
+// Guards against answers that are no valid HTTP and reach callers: as they are, with a line joined to another field, or
+// with a body whose end is not known.
+TEST(raw_answer, answers_with_an_invalid_head_are_not_passed_on)
+{
+    scripted_upstream upstream([this](const auto& request, auto& peer) { serve(request, peer); });
+    start_with(upstream);
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string fields = "Response-Stamp: s\r\nContent-Type: text/event-stream; charset=utf-8\r\n";
+    const std::string body = "id: 1\ndata: a\n\n";
+    const std::string length = fmt::format("Content-Length: {}\r\n", body.size());
+    const std::string end = "\r\n" + body;
+    const std::string chunks = fmt::format("\r\n{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+    std::vector<std::string> heads;
+    for (const char* it : {"000", "00", "0200", "20", "2000", "099", "600", "999", "1e2", "+200", "-200", "", "abc"}) {
+        heads.push_back(fmt::format("HTTP/1.1 {} OK\r\n", it) + fields + length + end);
+    }
+    for (const char* it : {"HTTP/2.0", "HTTP/1.2", "HTTP/0.9", "HTTPS/1.1", "http/1.1", "SSH-2.0"}) {
+        heads.push_back(it + std::string(" 200 OK\r\n") + fields + length + end);
+    }
+    for (const std::string& it : {std::string("X Y: a"),
+                                  std::string("X\tY: a"),
+                                  std::string("X\x01Y: a"),
+                                  std::string("X\x80: a"),
+                                  std::string("X : a"),
+                                  std::string(": a"),
+                                  std::string("X"),
+                                  std::string("X: a\0b", 6),
+                                  std::string("X: a\rb"),
+                                  std::string("X: a\vb"),
+                                  std::string(" X: a"),
+                                  std::string("X: a\r\n b"),
+                                  std::string("X: a\r\n\tb: c"),
+                                  std::string("Transfer-Encoding: xchunked"),
+                                  std::string("Transfer-Encoding: gzip"),
+                                  std::string("Transfer-Encoding: gzip, chunked"),
+                                  std::string("Transfer-Encoding: "),
+                                  std::string("Transfer-Encoding: identity"),
+                                  std::string("Content-Length: 1x"),
+                                  std::string("Content-Length: -1"),
+                                  std::string("Content-Length: 1, 1")}) {
+        heads.push_back(status + it + "\r\n" + fields + end);
+        heads.push_back(status + fields + it + "\r\n" + end);
+    }
+    heads.push_back(status + fields + " continued\r\n" + length + end);
+    heads.push_back(status + fields + length + length + end);
+    heads.push_back(status + fields + length + "Transfer-Encoding: chunked\r\n" + chunks);
+    heads.push_back(status + fields + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks);
+    heads.push_back("HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n" + chunks);
+    for (const auto& route : routes) {
+        for (const auto& it : heads) {
+            check(route, {it}, false);
+        }
+    }
+}
+
+// Guards against sound answers that the checks of a head refuse.
+TEST(raw_answer, answers_with_an_unusual_head_are_passed_on)
+{
+    scripted_upstream upstream([this](const auto& request, auto& peer) { serve(request, peer); });
+    start_with(upstream);
+    const std::string body = "id: 1\ndata: a\n\n";
+    for (const auto& route : routes) {
+        for (const char* status : {"200 ", "200 All\tright \xe9", "299 X", "404 Not Found", "500 Error", "599 X"}) {
+            if (route.repeatable && status[0] == '5') {
+                continue;
+            }
+            for (const auto& field : {std::string(), std::string("X:\r\n"), std::string("X:  a \t\r\n"),
+                                      std::string("x!#$%&'*+-.^_`|~9: \xe9\r\n")}) {
+                const auto head = fmt::format("HTTP/1.1 {}\r\nResponse-Stamp: s\r\n"
+                                              "Content-Type: text/event-stream; charset=utf-8\r\n{}\r\n",
+                                              status, field);
+                check(route, {head + body}, true);
+            }
+        }
+    }
+}
