End a cut answer without framing with a reset

Callers would see: a client of HTTP/1.0 gets a part of a stream as a complete answer when the host gives it up.

Cause: such an answer ends with its connection, and the host closed that in order, whatever the reason. Before a reset it ended its own side, too, so that an orderly end could arrive first.

Evidence: found by reading the host's own answers for the cause of the answers that were reset during an upload. Ruled out: chunked answers, whose cut shows.

Change: close() resets a connection whose answer is not complete and has no framing, and does not end a connection in order that is to be reset.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -441,6 +441,7 @@
 
 void http_session::discard_unacknowledged_bytes()
 {
+    resets_on_close_ = true;
     boost::system::error_code ec;
     socket_.set_option(net::socket_base::linger(true, 0), ec);
 }
@@ -456,6 +457,12 @@
     if (phase_ == phase::closed) {
         return;
     }
+    const bool answer_is_cut =
+        phase_ == phase::streaming || phase_ == phase::dropped || (phase_ == phase::finishing && unsent_bytes() > 0);
+    if (answer_is_cut && framing_ == framing::until_close) {
+        // An orderly end of the connection would be the end of the answer.
+        discard_unacknowledged_bytes();
+    }
     phase_ = phase::closed;
     --connection_count_;
     set_busy(false);
@@ -467,7 +474,9 @@
         --state_->exchanges;
     }
     boost::system::error_code ec;
-    socket_.shutdown(net::ip::tcp::socket::shutdown_send, ec);
+    if (!resets_on_close_) {
+        socket_.shutdown(net::ip::tcp::socket::shutdown_send, ec);
+    }
     socket_.close(ec);
     reader_.clear();
     free_string(pending_);
--- a/src/transport/internal/http_session.h
+++ b/src/transport/internal/http_session.h
@@ -133,7 +133,8 @@
     void close();
     /// For how long the client has read nothing of what it is sent; nothing if it has all.
     std::optional<milliseconds> delivery_stalled_for();
-    /// Lets the kernel discard these when the socket is closed, instead of keeping them for minutes.
+    /// Lets the connection end with a reset, for which the kernel discards what the client has not acknowledged instead
+    /// of keeping it for minutes.
     void discard_unacknowledged_bytes();
     void start_read_timer(milliseconds timeout);
     void stop_read_timer();
@@ -166,6 +167,7 @@
     bool read_timed_out_ = false;
     bool keep_alive_ = true;
     bool linger_on_close_ = false;
+    bool resets_on_close_ = false;
     /// The client sends nothing more on this connection, which is about to be closed.
     bool input_ended_ = false;
     bool is_http_1_0_ = false;
--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -524,6 +524,28 @@
     CHECK(eventually([&] { return f.server->busy_connections() == 0; }));
 }
 
+// Guards against a part of an answer that looks complete to a client of HTTP/1.0, which reads until the connection
+// ends.
+TEST(http_server_test, answer_without_framing_that_is_given_up_ends_with_a_reset)
+{
+    server_fixture f([](const http_request& request, const std::shared_ptr<ihttp_exchange>& exchange) {
+        exchange->begin_stream(200, {});
+        exchange->write("part");
+        // The part is on its way before the answer ends.
+        exchange->on_drained([exchange, whole = request.target == "/whole"] {
+            exchange->on_drained(nullptr);
+            whole ? exchange->end_stream() : exchange->abort();
+        });
+    });
+    for (const char* target : {"/whole", "/part"}) {
+        raw_client client(f.server->address());
+        client.send(fmt::format("GET {} HTTP/1.0\r\n\r\n", target));
+        const auto answer = client.read_all();
+        CHECK(!contains(answer, "chunked"));
+        CHECK_EQUAL(std::string(target) == "/part", client.was_reset());
+    }
+}
+
 // Guards against a client that stops reading and keeps a draining server from its end.
 TEST(http_server_test, client_that_stops_reading_is_disconnected_while_draining)
 {
--- a/src/transport/tests/raw_client.cpp
+++ b/src/transport/tests/raw_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/tests/raw_client.h"
 
+#include <cerrno>
 #include <cstdio>
 
 #include <arpa/inet.h>
@@ -58,6 +59,7 @@
         }
         const auto n = ::recv(socket_, buf.data(), buf.size(), 0);
         if (n <= 0) {
+            reset_ = n < 0 && errno == ECONNRESET;
             break;
         }
         received_.append(buf.data(), static_cast<std::size_t>(n));
--- a/src/transport/tests/raw_client.h
+++ b/src/transport/tests/raw_client.h
@@ -24,6 +24,8 @@
     /// Returns at most `most` bytes, at once if some have arrived; empty when the connection has ended or the timeout
     /// expires.
     std::string read_some(std::size_t most, milliseconds timeout = milliseconds(5000));
+    /// The connection has ended with a reset.
+    bool was_reset() const { return reset_; }
     std::string read_all(milliseconds timeout = milliseconds(5000)) { return read_until({}, timeout); }
     /// Tells the peer that nothing more will be sent; reading goes on.
     void end_sending();
@@ -32,6 +34,7 @@
 private:
     int socket_ = -1;
     std::string received_;
+    bool reset_ = false;
 };
 
 /// Opens a connection, sends `data` and returns everything received until the peer closes the connection.
