Close clients that read an answer after all others

Cause: a connection counted as idle once its last answer was in the socket's buffer, and the oldest idle one is closed first.

Ruled out: the write timeout (30 s) and the bound of memory.

Change: client_budget asks each candidate whether its client goes on reading. Readers are closed last and only after ten seconds of reading; a client that has read nothing for a second is closed as before. Each check is one call of the kernel and moves the connection to the end of its list, so a search costs at most one for each connection and second.

--- a/src/transport/client_budget.h
+++ b/src/transport/client_budget.h
@@ -49,7 +49,7 @@
         request,
         /// The rest of a request of which more is held.
         rest_of_request,
-        /// That its client reads.
+        /// That its client reads the answer.
         reader
     };
     static constexpr std::size_t wait_kinds = 3;
@@ -61,7 +61,14 @@
     void release(const client_usage& less);
     bool fits(const client_usage& more, bool large) const;
     /// The connection to close first, or null.
-    connection_share* victim(bool for_bytes, const connection_share* requester) const;
+    connection_share* victim(bool for_bytes, const connection_share* requester);
+    /// The oldest of a list of connections that wait for a request. Those whose client has yet to read the end of an
+    /// answer are moved to the readers.
+    connection_share* oldest_without_answer(wait_kind kind, const connection_share* requester);
+    /// The oldest one whose client has stopped reading.
+    connection_share* oldest_stalled_reader(bool for_bytes, const connection_share* requester);
+    /// The one whose client has been reading for the longest time, if that is long.
+    connection_share* longest_reader(bool for_bytes, const connection_share* requester);
     waiting_list& list_of(wait_kind kind) { return waiting_[static_cast<std::size_t>(kind)]; }
 
     client_usage limit_;
@@ -117,6 +124,8 @@
     connection_hooks hooks_;
     client_usage usage_;
     instant since_{};
+    /// Since when it waits for a client that goes on reading; unset when it waits for a request.
+    std::optional<instant> reading_since_;
     client_budget::wait_kind kind_ = client_budget::wait_kind::request;
     /// Holds this connection while it does not wait; moved to the list of the budget otherwise.
     client_budget::waiting_list position_;
--- a/src/transport/internal/client_budget.cpp
+++ b/src/transport/internal/client_budget.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t reserved_part = 8;
 // A client that has read nothing for this long may lose its connection to others.
 constexpr milliseconds reader_patience{1000};
+// A client that reads an answer, however slowly, keeps its connection for this long while others need its room.
+constexpr milliseconds protected_reading_time{10000};
 constexpr client_usage one_connection = {1, 1, 0};
 
 } // namespace
@@ -26,27 +28,68 @@
            (more.bytes == 0 || used_.bytes + more.bytes + reserved <= limit_.bytes);
 }
 
-connection_share* client_budget::victim(bool for_bytes, const connection_share* requester) const
+connection_share* client_budget::oldest_without_answer(wait_kind kind, const connection_share* requester)
+{
+    const auto& list = list_of(kind);
+    for (auto it = list.begin(); it != list.end();) {
+        auto* const share = *it++;
+        if (share == requester) {
+            continue;
+        }
+        if (!share->delivery_stalled_for()) {
+            return share;
+        }
+        share->wait_for_reader(std::chrono::steady_clock::now());
+    }
+    return nullptr;
+}
+
+connection_share* client_budget::oldest_stalled_reader(bool for_bytes, const connection_share* requester)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto& list = list_of(wait_kind::reader);
+    for (auto it = list.begin(); it != list.end() && now - (*it)->since_ >= reader_patience;) {
+        auto* const share = *it++;
+        if (share == requester || (for_bytes && share->usage_.bytes == 0)) {
+            continue;
+        }
+        const auto stalled = share->delivery_stalled_for();
+        if (!stalled || *stalled >= reader_patience) {
+            return share;
+        }
+        share->wait_for_reader(now);
+    }
+    return nullptr;
+}
+
+connection_share* client_budget::longest_reader(bool for_bytes, const connection_share* requester)
+{
+    connection_share* out = nullptr;
+    for (auto* it : list_of(wait_kind::reader)) {
+        if (it != requester && !(for_bytes && it->usage_.bytes == 0) &&
+            (out == nullptr || it->reading_since_ < out->reading_since_)) {
+            out = it;
+        }
+    }
+    const bool long_enough =
+        out != nullptr && std::chrono::steady_clock::now() - *out->reading_since_ >= protected_reading_time;
+    return long_enough ? out : nullptr;
+}
+
+connection_share* client_budget::victim(bool for_bytes, const connection_share* requester)
 {
     connection_share* out = nullptr;
-    const auto consider = [&](wait_kind kind) {
-        const auto& list = waiting_[static_cast<std::size_t>(kind)];
-        const auto it =
-            std::find_if(list.begin(), list.end(), [requester](const auto* other) { return other != requester; });
-        if (it != list.end() && (out == nullptr || (*it)->since_ < out->since_)) {
-            out = *it;
+    const auto consider = [&out](connection_share* it) {
+        if (it != nullptr && (out == nullptr || it->since_ < out->since_)) {
+            out = it;
         }
     };
     if (!for_bytes) {
-        consider(wait_kind::request);
+        consider(oldest_without_answer(wait_kind::request, requester));
     }
-    consider(wait_kind::rest_of_request);
-    auto* const other = out;
-    consider(wait_kind::reader);
-    if (out != other && std::chrono::steady_clock::now() - out->since_ < reader_patience) {
-        return other;
-    }
-    return out;
+    consider(oldest_without_answer(wait_kind::rest_of_request, requester));
+    consider(oldest_stalled_reader(for_bytes, requester));
+    return out != nullptr ? out : longest_reader(for_bytes, requester);
 }
 
 bool client_budget::reserve(const client_usage& more, bool large, const connection_share* requester)
@@ -154,6 +197,11 @@
     }
     since_ = since;
     kind_ = kind;
+    if (kind != client_budget::wait_kind::reader) {
+        reading_since_.reset();
+    } else if (!reading_since_) {
+        reading_since_ = since;
+    }
     auto& list = budget_->list_of(kind);
     list.splice(list.end(), position_);
     waiting_ = true;
