Refuse waiting requests that may outlive their host

Cause: whether an answer may outlive the process was asked on arrival only. What waited at the signal, or was turned away by an upstream after it, was passed on whenever there was room.

Ruled out: requests that arrive after the signal, which are refused on arrival, and requests passed on to another host, which asks the same.

Change: admitted_request::may_outlive is asked before each placement and, at the signal, of all generations that wait; plain calls that have not run ask it before each attempt. The refusal is that of a new request: 503, not run.

--- a/src/node/caller_handler.h
+++ b/src/node/caller_handler.h
@@ -23,6 +23,8 @@
     std::function<void(ihttp_exchange&)> check_head(const http_request& head) const;
 
     void on_upstream_leaving(const upstream_id& upstream);
+    /// Called when the process begins to shut down.
+    void on_shutdown();
     /// Called when prompts were put under quarantine.
     void on_requests_quarantined();
     void on_upstream_restarted(const upstream_id& upstream);
@@ -39,8 +41,6 @@
     std::optional<error> resolve(const http_request& message, admitted_request& out) const;
     /// The error for a route or key that the configuration of this host does not have.
     error refuse_unknown(error_kind kind, std::string message) const;
-    /// Whether the process might exit before the request has ended.
-    bool may_outlive_process(const admitted_request& request) const;
     void start_generation(admitted_request request);
     void start_plain_call(admitted_request request);
     void for_each_generation(const std::function<void(generation_relay&)>& action);
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -32,6 +32,9 @@
     /// Called when an engine is known to have restarted under the same id. Its generations are lost if they ran at
     /// another address.
     void on_upstream_restarted(const upstream_id& upstream);
+    /// Called when the process begins to shut down. Refuses the request if it still waits for an engine and its answer
+    /// might not end in time.
+    void on_shutdown();
     /// Called when requests were put under quarantine. Ends the generation if it is one of them and has no output yet.
     void on_requests_quarantined();
     bool ended() const { return done_; }
--- a/src/node/internal/caller_handler.cpp
+++ b/src/node/internal/caller_handler.cpp
@@ -15,10 +15,6 @@
 constexpr milliseconds retry_after_start{300};
 // Retry-After while another host has a newer configuration; this host usually gets it within this time.
 constexpr milliseconds retry_after_configuration{100};
-// Retry-After during shutdown; callers choose another host with their next connection.
-constexpr milliseconds retry_after_leaving{10};
-// Longest time that a plain call without a deadline is expected to take.
-constexpr milliseconds call_time_without_deadline{2000};
 constexpr std::size_t min_plain_calls_limit = 64;
 // Requests of other hosts' callers that this host serves at the same time; each holds two connections and their
 // buffers.
@@ -116,10 +112,8 @@
     if (out.matched_route->timeout.count() > 0) {
         out.deadline = std::min(out.deadline, out.arrived + out.matched_route->timeout);
     }
-    if (context_.leaving && may_outlive_process(out)) {
-        auto reason = make_error(error_kind::leaving, "this host is shutting down");
-        reason.retry_after = retry_after_leaving;
-        return reason;
+    if (out.may_outlive(context_.exit_at)) {
+        return refusal_of_leaving_host();
     }
     return std::nullopt;
 }
@@ -134,14 +128,6 @@
     return reason;
 }
 
-bool caller_handler::may_outlive_process(const admitted_request& request) const
-{
-    if (request.deadline == instant::max() && !request.matched_route->event_stream) {
-        return request.arrived + call_time_without_deadline > context_.exit_at;
-    }
-    return request.deadline > context_.exit_at;
-}
-
 std::optional<error> caller_handler::admit_forwarded(http_request& message, admitted_request& out) const
 {
     if (message.header(forwarded_by_header).empty()) {
@@ -218,6 +204,11 @@
     for_each_generation([&upstream](generation_relay& it) { it.on_upstream_restarted(upstream); });
 }
 
+void caller_handler::on_shutdown()
+{
+    for_each_generation([](generation_relay& it) { it.on_shutdown(); });
+}
+
 void caller_handler::on_requests_quarantined()
 {
     for_each_generation([](generation_relay& it) { it.on_requests_quarantined(); });
--- a/src/node/internal/error_response.cpp
+++ b/src/node/internal/error_response.cpp
@@ -5,6 +5,20 @@
 
 namespace anvillead {
 
+namespace {
+
+// Callers choose another host with their next connection.
+constexpr milliseconds retry_after_leaving{10};
+
+} // namespace
+
+error refusal_of_leaving_host()
+{
+    auto out = make_error(error_kind::leaving, "this host is shutting down");
+    out.retry_after = retry_after_leaving;
+    return out;
+}
+
 void send_error_response(ihttp_exchange& exchange, const request_id& id, const error& reason)
 {
     const bool has_run = reason.outcome != run_outcome::not_run;
--- a/src/node/internal/generation_relay_placement.cpp
+++ b/src/node/internal/generation_relay_placement.cpp
@@ -4,6 +4,7 @@
 
 #include "core/crypto.h"
 #include "core/log.h"
+#include "node/error_response.h"
 #include "node/generation_relay.h"
 #include "node/placement_service.h"
 #include "node/quarantine_service.h"
@@ -192,9 +193,20 @@
     return out;
 }
 
+void generation_relay::on_shutdown()
+{
+    if (phase_ == phase::placing && !forwarder_ && request_.may_outlive(context_.exit_at)) {
+        fail(refusal_of_leaving_host());
+    }
+}
+
 void generation_relay::place()
 {
     phase_ = phase::placing;
+    if (request_.may_outlive(context_.exit_at)) {
+        fail(refusal_of_leaving_host());
+        return;
+    }
     if (context_.directory.all_evacuated(request_.service)) {
         refuse_for_capacity();
         return;
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -438,6 +438,7 @@
         {{"generations", std::to_string(callers_.open_generations())},
          {"requests", std::to_string(frontend_->open_exchanges())}});
     frontend_->drain();
+    callers_.on_shutdown();
     report_readiness();
     context_.timers.every(shutdown_check_period, [this] { check_shutdown(); });
 }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -149,6 +149,10 @@
         refuse_quarantined();
         return;
     }
+    if (accepted_ == 0 && request_.may_outlive(context_.exit_at)) {
+        reply_error(refusal_of_leaving_host());
+        return;
+    }
     auto excluded = excluded_;
     excluded.insert(excluded.end(), occupied_.begin(), occupied_.end());
     const auto chosen = select_instance(context_.selection(std::move(excluded)), request_.service,
--- a/src/node/types/admitted_request.h
+++ b/src/node/types/admitted_request.h
@@ -35,6 +35,16 @@
     instant arrived{};
     /// When the complete answer is due; `instant::max()` when neither the caller nor the route sets a time limit.
     instant deadline = instant::max();
+
+    /// Longest time that a plain call without a deadline is expected to take.
+    static constexpr milliseconds call_time_without_deadline{2000};
+
+    /// Whether the answer may be incomplete when the process ends at `exit_at`.
+    bool may_outlive(instant exit_at) const
+    {
+        const bool brief = deadline == instant::max() && !matched_route->event_stream;
+        return (brief ? arrived + call_time_without_deadline : deadline) > exit_at;
+    }
 };
 
 } // namespace anvillead
--- a/tests/invariants/waiting_request_test.cpp
+++ b/tests/invariants/waiting_request_test.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -106,3 +107,31 @@
     std::this_thread::sleep_for(milliseconds(1500));
     LONGS_EQUAL(0, fleet->runs_of("engine-1", "left"));
 }
+
+// Guards against a request that waits when its host gets a stop signal, is passed on late in the grace time and cut at
+// its end. One that ends in time is still served.
+TEST(waiting_request, is_refused_at_the_stop_signal_if_its_answer_may_not_end_in_time)
+{
+    start(2);
+    fill_engine(2);
+    const auto endangered = fleet->open_generation(1, "endangered", long_events);
+    const auto safe = fleet->client().open(fleet->address("node-1"), "POST", "/sheet/week", "draft the sheet",
+                                           {{"Host", "roster.example"},
+                                            {"Request-Id", "safe"},
+                                            {"Authorization", "Token key-galle"},
+                                            {"Token-Usage", fmt::format("100,{}", brief_events)},
+                                            {"Deadline-Ms", "6000"}});
+    CHECK(waits(1, "endangered"));
+    CHECK(waits(1, "safe"));
+    fleet->process_of("node-1").send_signal(SIGTERM);
+    CHECK(eventually([&] { return fleet->log_of(1).find("shutdown_began") != std::string::npos; }));
+    running.clear();
+    CHECK(endangered->wait_end(milliseconds(10'000)));
+    LONGS_EQUAL(503, endangered->head().status);
+    STRCMP_EQUAL("leaving", endangered->head().error_kind().c_str());
+    STRCMP_EQUAL("not_run", endangered->head().outcome().c_str());
+    CHECK(safe->wait_end(milliseconds(5000)));
+    STRCMP_EQUAL(expected_events("safe", brief_events).c_str(), safe->head().body.c_str());
+    LONGS_EQUAL(0, fleet->runs_of("engine-1", "endangered"));
+    CHECK(fleet->process_of("node-1").wait_exit().has_value());
+}
