Ask whether the engine runs when an answer has no framing

Cause: the kernel ends the connections of a killed process in order, which is the end of such an answer. generation_relay judged framing by the presence of a header, plain_call not at all, and neither asked whether the engine was still there.

Ruled out: answers with framing, and resets, which count as lost.

Change: http_call_result::framed says whether the end was certain; http_client decides it, for all that read answers. Otherwise crash_detector::confirm_end asks the engine; generation_relay and plain_call take a crash for a lost answer, and request_forwarder takes an answer of another host without framing for one.

--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -25,6 +25,10 @@
     /// begun. `done` is called exactly once, usually within milliseconds, and after the hook for the crash.
     void check(const upstream_record& upstream, const request_id& request, crash_suspect suspect, done_hook done = {});
 
+    /// An answer without framing ended in order, which shows that it is whole only if its upstream has not crashed.
+    /// `done` is called exactly once, usually within milliseconds.
+    void confirm_end(const upstream_record& upstream, done_hook done);
+
 private:
     /// A check in progress; requests that end meanwhile are added to it.
     struct pending_check
@@ -35,8 +39,9 @@
         int attempts = 0;
     };
 
+    /// Returns the check of the upstream, which is started if none is in progress.
+    pending_check& start_check(const upstream_record& upstream);
     void ask(const upstream_record& upstream);
-
     void check_ended(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
     /// Whether the upstream is known to leave, so that its end is no crash.
     bool is_leaving(const upstream_id& upstream) const;
--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -49,7 +49,9 @@
         sent,
         streaming,
         /// Stopped on its engine for the switch-over to another one.
-        switching_over
+        switching_over,
+        /// Its stream has ended in order, but without framing: its engine is asked whether it runs on.
+        confirming
     };
 
     /// About the time after which one of the running generations ends.
@@ -94,6 +96,9 @@
     void on_event(std::string_view bytes, std::optional<sequence_number> number);
     void on_end(const http_call_result& end);
     void stream_ended(const http_call_result& end);
+    /// Finishes the stream unless its engine has crashed.
+    void confirm_end();
+    void stream_lost(const std::string& reason);
     /// The connection was lost before any output or soon after it: the engine may have crashed because of this request.
     void check_for_crash(bool responded);
     void retry_or_fail(const error& reason, bool reached_engine);
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -40,16 +40,31 @@
         }
         return;
     }
-    const auto [found, started] = checks_.try_emplace(upstream.id);
-    found->second.suspects.push_back(std::move(suspect));
+    auto& value = start_check(upstream);
+    value.suspects.push_back(std::move(suspect));
     if (done) {
-        found->second.done.push_back(std::move(done));
+        value.done.push_back(std::move(done));
     }
-    if (!started) {
+}
+
+void crash_detector::confirm_end(const upstream_record& upstream, done_hook done)
+{
+    if (is_leaving(upstream.id)) {
+        // It may have ended as planned since.
+        done(false);
         return;
     }
-    found->second.at = context_.timers.now();
-    ask(upstream);
+    start_check(upstream).done.push_back(std::move(done));
+}
+
+crash_detector::pending_check& crash_detector::start_check(const upstream_record& upstream)
+{
+    const auto [found, started] = checks_.try_emplace(upstream.id);
+    if (started) {
+        found->second.at = context_.timers.now();
+        ask(upstream);
+    }
+    return found->second;
 }
 
 void crash_detector::ask(const upstream_record& upstream)
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -348,15 +348,13 @@
 
 void generation_relay::stream_ended(const http_call_result& end)
 {
-    const bool framed = !find_header(response_headers_, "Transfer-Encoding").empty() ||
-                        !find_header(response_headers_, "Content-Length").empty();
     // Without framing, the end of the connection looks the same for an answer and for an engine that crashed.
     // The same holds for an engine that has stopped the generation for a final copy.
-    const bool end_tells = framed || (events_ > 0 && !may_be_stopped_);
+    const bool end_tells = end.framed || (events_ > 0 && !may_be_stopped_);
     const bool complete = end.end == http_call_outcome::complete && !splitter_.has_partial_event() && end_tells;
     if (phase_ == phase::switching_over) {
         // Without framing, a stopped stream ends like a complete one; the answer to the copy call tells them apart.
-        if (complete && framed) {
+        if (complete && end.framed) {
             finish_stream();
             return;
         }
@@ -367,16 +365,39 @@
         }
         return;
     }
-    if (complete) {
+    if (!complete) {
+        stream_lost(end.detail);
+    } else if (end.framed) {
         finish_stream();
-        return;
+    } else {
+        confirm_end();
     }
+}
+
+void generation_relay::confirm_end()
+{
+    phase_ = phase::confirming;
+    context_.crashes->confirm_end(engine_, [self = shared_from_this(), n = call_epoch_](bool crashed) {
+        if (self->done_ || n != self->call_epoch_) {
+            return;
+        }
+        self->phase_ = phase::streaming;
+        if (crashed) {
+            self->stream_lost("the engine has crashed");
+        } else {
+            self->finish_stream();
+        }
+    });
+}
+
+void generation_relay::stream_lost(const std::string& reason)
+{
     if (!may_be_stopped_) {
         context_.loads.record_outcome(context_.timers.now(), engine_.id, true);
         check_for_crash(true);
     }
-    if (!continue_from_copy(end.detail)) {
-        fail(make_error(error_kind::generation_lost, "the engine's stream ended early: " + end.detail));
+    if (!continue_from_copy(reason)) {
+        fail(make_error(error_kind::generation_lost, "the engine's stream ended early: " + reason));
     }
 }
 
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -32,7 +32,7 @@
         drop_target();
         return;
     }
-    if (upstream != engine_.id || move_.begun() || phase_ == phase::placing) {
+    if (upstream != engine_.id || move_.begun() || phase_ == phase::placing || phase_ == phase::confirming) {
         return;
     }
     const auto* service = request_.table->service(request_.service);
@@ -174,7 +174,8 @@
 
 void generation_relay::move_step_due()
 {
-    if (!move_.begun() || target_requested_ || phase_ == phase::switching_over || phase_ == phase::placing) {
+    if (!move_.begun() || target_requested_ || phase_ == phase::switching_over || phase_ == phase::placing ||
+        phase_ == phase::confirming) {
         return;
     }
     // There is nothing to copy before the first event.
@@ -302,7 +303,7 @@
     const bool runs_on = copy.error().kind == error_kind::not_found || copy.error().kind == error_kind::conflict;
     may_be_stopped_ = may_be_stopped_ || (!runs_on && end.may_have_been_sent);
     if (source_closed_ && source_complete_ && !may_be_stopped_) {
-        finish_stream();
+        confirm_end();
         return;
     }
     if (source_closed_) {
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -331,6 +331,33 @@
         return;
     }
     ++accepted_;
+    if (end.end == http_call_outcome::complete && !end.framed) {
+        confirm_end(upstream, end, answer);
+    } else {
+        on_accepted_call_end(upstream, end, answer);
+    }
+}
+
+void plain_call::confirm_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer)
+{
+    context_.crashes->confirm_end(upstream, [self = shared_from_this(), upstream, end, answer](bool crashed) {
+        if (self->done_) {
+            return;
+        }
+        auto confirmed = end;
+        if (crashed) {
+            confirmed.end = http_call_outcome::lost;
+            confirmed.detail = "the upstream has crashed";
+        }
+        self->on_accepted_call_end(upstream, confirmed, answer);
+    });
+}
+
+void plain_call::on_accepted_call_end(const upstream_record& upstream, const http_call_result& end,
+                                      const http_response& answer)
+{
+    const auto now = context_.timers.now();
+    const auto facts = platform::read_upstream_response_head(answer.status, answer.headers, request_.caller.id);
     const bool usable = end.end == http_call_outcome::complete && facts.stamped && !facts.foreign && !facts.encoded;
     const bool server_error = usable && facts.status >= http_server_error;
     context_.loads.record_outcome(now, upstream.id, !usable || server_error);
--- a/src/node/internal/request_forwarder.cpp
+++ b/src/node/internal/request_forwarder.cpp
@@ -173,7 +173,8 @@
 
 void request_forwarder::on_end(const http_call_result& end)
 {
-    if (end.end == http_call_outcome::complete) {
+    // Hosts state where their answers end.
+    if (end.end == http_call_outcome::complete && end.framed) {
         if (refused_) {
             on_refusal();
         } else {
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -39,6 +39,11 @@
     void refuse_quarantined();
     void send(const upstream_record& upstream);
     void on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
+    /// The upstream has accepted the request and its call has ended.
+    void on_accepted_call_end(const upstream_record& upstream, const http_call_result& end,
+                              const http_response& answer);
+    /// An answer without framing is complete only if its upstream has not crashed.
+    void confirm_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
     /// The connection was lost; retries or fails when it is known whether the upstream has crashed.
     void check_for_crash(const upstream_record& upstream, const error& reason);
     /// Retries on another upstream, or replies with `reason` when no retry is allowed.
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -28,6 +28,9 @@
     /// The peer refused the connection: no process listens on the address.
     bool refused = false;
     std::string detail;
+    /// The end of the answer is certain from its framing: a length, chunks, or no body at all. Otherwise it was the
+    /// orderly end of the connection, which a peer that crashes may show, too.
+    bool framed = false;
 };
 
 struct http_call_request
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -449,7 +449,8 @@
         auto handlers = std::move(handlers_);
         handlers_ = {};
         if (handlers.on_end) {
-            handlers.on_end({outcome, send_started_, connection_refused_, detail});
+            const bool framed = parser_ && parser_->is_header_done() && !parser_->need_eof();
+            handlers.on_end({outcome, send_started_, connection_refused_, detail, framed});
         }
     }
 
--- a/tests/invariants/raw_answer_test.cpp
+++ b/tests/invariants/raw_answer_test.cpp
@@ -170,6 +170,27 @@
     }
 }
 
+// Guards against a part of an answer that looks whole because the kernel ends the connections of a killed engine in
+// order.
+TEST(raw_answer, answer_without_length_of_an_engine_that_has_crashed_is_not_whole)
+{
+    for (const auto& route : routes) {
+        setup();
+        scripted_upstream* crashing = nullptr;
+        scripted_upstream upstream([&](const auto& request, auto& peer) {
+            crashing->stop_listening();
+            serve(request, peer);
+        });
+        crashing = &upstream;
+        start_with(upstream);
+        check(route,
+              {"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n"
+               "id: 1\ndata: a\n\n"},
+              false);
+        fleet.reset();
+    }
+}
+
 // Guards against answers that are no valid HTTP and reach callers: as they are, with a line joined to another field, or
 // with a body whose end is not known.
 TEST(raw_answer, answers_with_an_invalid_head_are_not_passed_on)
