--- a/src/transport/tests/http_server_test.cpp
+++ b/src/transport/tests/http_server_test.cpp
@@ -530,6 +530,22 @@
     CHECK(eventually([&] { return f.server->busy_connections() == 0; }));
 }
 
+// Guards against a server that counts a connection as closed while its client, which has ended only its own side, reads
+// on.
+TEST(http_server_test, client_that_ends_its_side_is_waited_for_while_draining)
+{
+    slow_reader_fixture f;
+    f.server->drain();
+    raw_client client(f.server->address(), small_receive_buffer);
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(eventually([&] { return f.server->arrivals() == 2 && f.server->open_exchanges() == 0; }));
+    client.end_sending();
+    std::this_thread::sleep_for(milliseconds(300));
+    LONGS_EQUAL(1, f.server->busy_connections());
+    LONGS_EQUAL(slow_answer_bytes, read_slowly(client).size());
+    CHECK(eventually([&] { return f.server->busy_connections() == 0; }));
+}
+
 // Guards against a crowd that takes all connections, for which a client is cut off that reads its answer slowly: the
 // connection counted as idle once the answer was in the socket's buffer.
 TEST(http_server_test, slow_reader_gets_its_whole_answer_beside_a_crowd)
