Ask again for an answer that ended during a check

A check of an upstream that was sent before an answer without framing ended says nothing about what came after; the upstream may have answered it and crashed since.

Evidence: none with a test; the window is about a round trip.

--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -36,6 +36,8 @@
         instant at{};
         std::vector<crash_suspect> suspects;
         std::vector<done_hook> done;
+        /// What a further check has to tell, because it came after this one was sent.
+        std::vector<done_hook> next;
         int attempts = 0;
     };
 
--- a/src/node/internal/crash_detector.cpp
+++ b/src/node/internal/crash_detector.cpp
@@ -54,7 +54,13 @@
         done(false);
         return;
     }
-    start_check(upstream).done.push_back(std::move(done));
+    const auto found = checks_.find(upstream.id);
+    if (found != checks_.end()) {
+        // The upstream may have answered that check before it crashed.
+        found->second.next.push_back(std::move(done));
+    } else {
+        start_check(upstream).done.push_back(std::move(done));
+    }
 }
 
 crash_detector::pending_check& crash_detector::start_check(const upstream_record& upstream)
@@ -114,6 +120,9 @@
     for (const auto& it : value.done) {
         it(crashed);
     }
+    for (auto& it : value.next) {
+        start_check(upstream).done.push_back(std::move(it));
+    }
 }
 
 } // namespace anvillead
--- a/src/node/internal/granted_slot.cpp
+++ b/src/node/internal/granted_slot.cpp
@@ -1,5 +1,7 @@
 #include "node/granted_slot.h"
 
+#include <utility>
+
 #include "node/rate_service.h"
 
 namespace anvillead {
--- a/src/transport/internal/http_head.cpp
+++ b/src/transport/internal/http_head.cpp
@@ -89,7 +89,7 @@
          end = lines.find('\n', begin)) {
         const char next = lines[end + 1];
         if (next == ' ' || next == '\t') {
-            return fmt::format("byte 0x{:02x} at the begin of the line after field {}",
+            return fmt::format("byte 0x{:02x} at the beginning of the line after field {}",
                                static_cast<unsigned char>(next), quote(name_of(lines.substr(begin, end - begin))));
         }
         begin = end + 1;
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -278,7 +278,7 @@
     const std::string status = "HTTP/1.1 200 OK\r\n";
     const std::string end = "Content-Length: 0\r\n\r\n";
     const std::vector<std::pair<std::string, std::string>> cases = {
-        {status + "Stamp: s\r\n t\r\n" + end, "byte 0x20 at the begin of the line after field \"Stamp\""},
+        {status + "Stamp: s\r\n t\r\n" + end, "byte 0x20 at the beginning of the line after field \"Stamp\""},
         {status + "St amp: s\r\n" + end, "byte 0x20 in the name of field \"St amp\""},
         {status + "Stamp: s\x02\r\n" + end, "byte 0x02 in the value of field \"Stamp\""},
         {status + "Stamp\r\n" + end, "line \"Stamp\" without a colon"},
--- a/tests/invariants/odd_answer_test.cpp
+++ b/tests/invariants/odd_answer_test.cpp
@@ -42,12 +42,7 @@
 
     void start_with(const std::string& service, const scripted_upstream& upstream)
     {
-        fleet->write("servers", "scripted",
-                     {{"service", service},
-                      {"address", upstream.address()},
-                      {"zone", "zone-a"},
-                      {"capacity", 24},
-                      {"phase", "ready"}});
+        fleet->add_upstream("scripted", service, upstream.address());
         fleet->start_node(1);
         CHECK(fleet->wait_ready(1));
     }
@@ -116,12 +111,7 @@
     };
     scripted_upstream first(serve);
     scripted_upstream second(serve);
-    fleet->write("servers", "second",
-                 {{"service", "registry"},
-                  {"address", second.address()},
-                  {"zone", "zone-a"},
-                  {"capacity", 24},
-                  {"phase", "ready"}});
+    fleet->add_upstream("second", "registry", second.address());
     start_with("registry", first);
     CHECK(fleet->generate(1, "r-1", 20).complete());
     LONGS_EQUAL(2, requests);
@@ -176,12 +166,7 @@
         const auto answer = fleet->ask(1, "POST", "/notice/1", "r-1");
         LONGS_EQUAL_TEXT(502, answer.status, end);
         scripted_upstream engine(head + end);
-        fleet->write("servers", "scripted-engine",
-                     {{"service", "engines"},
-                      {"address", engine.address()},
-                      {"zone", "zone-a"},
-                      {"capacity", 24},
-                      {"phase", "ready"}});
+        fleet->add_upstream("scripted-engine", "engines", engine.address());
         CHECK(eventually([&] {
             const auto generated = fleet->generate(1, "r-2", 20);
             CHECK(generated.status != 200);
--- a/tests/invariants/raw_answer_test.cpp
+++ b/tests/invariants/raw_answer_test.cpp
@@ -74,12 +74,7 @@
     void start_with(const scripted_upstream& upstream)
     {
         for (const char* service : {"registry", "engines"}) {
-            fleet->write("servers", service,
-                         {{"service", service},
-                          {"address", upstream.address()},
-                          {"zone", "zone-a"},
-                          {"capacity", 24},
-                          {"phase", "ready"}});
+            fleet->add_upstream(service, service, upstream.address());
         }
         fleet->start_node(1);
         CHECK(fleet->wait_ready(1));
@@ -205,10 +200,10 @@
     const std::string chunks = fmt::format("\r\n{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
     std::vector<std::string> heads;
     for (const char* it : {"000", "00", "0200", "20", "2000", "099", "600", "999", "1e2", "+200", "-200", "", "abc"}) {
-        heads.push_back(fmt::format("HTTP/1.1 {} OK\r\n", it) + fields + length + end);
+        heads.push_back(fmt::format("HTTP/1.1 {} OK\r\n{}{}{}", it, fields, length, end));
     }
     for (const char* it : {"HTTP/2.0", "HTTP/1.2", "HTTP/0.9", "HTTPS/1.1", "http/1.1", "SSH-2.0"}) {
-        heads.push_back(it + std::string(" 200 OK\r\n") + fields + length + end);
+        heads.push_back(fmt::format("{} 200 OK\r\n{}{}{}", it, fields, length, end));
     }
     for (const std::string& it : {std::string("X Y: a"),
                                   std::string("X\tY: a"),
@@ -231,8 +226,8 @@
                                   std::string("Content-Length: 1x"),
                                   std::string("Content-Length: -1"),
                                   std::string("Content-Length: 1, 1")}) {
-        heads.push_back(status + it + "\r\n" + fields + end);
-        heads.push_back(status + fields + it + "\r\n" + end);
+        heads.push_back(fmt::format("{}{}\r\n{}{}", status, it, fields, end));
+        heads.push_back(fmt::format("{}{}{}\r\n{}", status, fields, it, end));
     }
     heads.push_back(status + fields + " continued\r\n" + length + end);
     heads.push_back(status + fields + length + length + end);
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -199,6 +199,12 @@
             {"born", 1'000'000}};
 }
 
+void node_fleet::add_upstream(const std::string& name, const std::string& service, const std::string& address)
+{
+    write("servers", name,
+          {{"service", service}, {"address", address}, {"zone", "zone-a"}, {"capacity", 24}, {"phase", "ready"}});
+}
+
 void node_fleet::set_phase(const std::string& engine, const std::string& phase)
 {
     const auto* service = engine.rfind("engine", 0) == 0 ? "engines" : "registry";
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -65,6 +65,8 @@
     void remove(const std::string& kind, const std::string& name);
     /// Writes the configuration with this version; `keys` are the API keys of the organisation "galle".
     void configure(int version, const std::vector<std::string>& keys = {"key-galle"});
+    /// Registers an upstream that the test runs itself.
+    void add_upstream(const std::string& name, const std::string& service, const std::string& address);
     void set_phase(const std::string& engine, const std::string& phase);
     /// Changes the number of slots with which a ready instance is registered.
     void set_slots(const std::string& instance, int slots);
