Stop listings that make no progress

Cause: collection_follower asked for the next page as soon as one had come. A store that goes on from another name than the one it was given sends the same page again, and the listing grew by it each time.

Change: a listing that would go on after the same name twice, or holds more than 20,000 objects, has failed and begins again after the backoff.

--- a/src/node/collection_follower.h
+++ b/src/node/collection_follower.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     /// Delay after the first failed call; doubled with each further failure.
     milliseconds initial_backoff{100};
     milliseconds max_backoff{800};
+    /// Objects that a listing may hold; the store is asked for no further ones.
+    std::size_t max_listed_objects = 20'000;
     /// Random share of each backoff and watch timeout, so that the hosts do not all reconnect at once after an outage
     /// and do not all miss changes during the same period.
     double jitter_share = 0.5;
@@ -61,6 +64,8 @@
 private:
     void list(const std::string& after);
     void on_list_page(const result<collection_page>& page);
+    /// Whether the listing goes on after a page; a store that returns to an earlier part of it would be asked for ever.
+    bool makes_progress(const collection_page& page);
     void watch_changes();
     void on_changes_page(const result<collection_page>& page);
     /// Whether an answer is from a later era than the known state, which then has to be listed again.
@@ -77,6 +82,8 @@
     hooks hooks_;
     follower_limits limits_;
     std::vector<collection_item> listing_;
+    /// Names after which the listing has been continued.
+    std::set<std::string> continued_after_;
     store_revision listing_revision_;
     store_revision revision_;
     /// Incremented by refresh() and stop(); results of calls of an earlier epoch are ignored.
--- a/src/node/internal/collection_follower.cpp
+++ b/src/node/internal/collection_follower.cpp
@@ -30,6 +30,7 @@
 {
     if (after.empty()) {
         listing_.clear();
+        continued_after_.clear();
         listing_revision_ = {};
     }
     // The first listing may be some seconds old, because the watch from its revision brings the later changes. It costs
@@ -61,6 +62,11 @@
         listing_revision_ = value.revision;
     }
     listing_.insert(listing_.end(), value.items.begin(), value.items.end());
+    if (!value.continue_after.empty() && !makes_progress(value)) {
+        on_failure(make_error(error_kind::platform_unavailable, "the listing of the store does not come to its end"),
+                   [this] { list({}); });
+        return;
+    }
     if (!value.continue_after.empty()) {
         list(value.continue_after);
         return;
@@ -71,6 +77,11 @@
     watch_changes();
 }
 
+bool collection_follower::makes_progress(const collection_page& page)
+{
+    return continued_after_.insert(page.continue_after).second && listing_.size() <= limits_.max_listed_objects;
+}
+
 void collection_follower::watch_changes()
 {
     source_.changes(revision_, with_jitter(limits_.watch_timeout),
--- a/src/node/tests/collection_follower_test.cpp
+++ b/src/node/tests/collection_follower_test.cpp
@@ -146,6 +146,39 @@
     LONGS_EQUAL(30, follower->revision().number());
 }
 
+// Guards against calls without a pause, and a listing that grows without a bound, while the store answers with a part
+// of the listing that it has sent before.
+TEST(collection_follower_test, listing_that_returns_to_an_earlier_part_is_repeated_with_backoff)
+{
+    source.answer(page(10, {"a", "b"}, "b"));
+    source.answer(page(10, {"c", "d"}, "d"));
+    const auto calls = source.calls.size();
+    source.answer(page(10, {"a", "b"}, "b"));
+    LONGS_EQUAL(calls, source.calls.size());
+    LONGS_EQUAL(1, disconnects);
+    LONGS_EQUAL(0, listings);
+    timers.advance(follower_limits().max_backoff);
+    LONGS_EQUAL(calls + 1, source.calls.size());
+    STRCMP_EQUAL("list ", source.calls.back().c_str());
+    source.answer(page(10, {"a", "b"}));
+    LONGS_EQUAL(2, listed_items);
+}
+
+// Guards against a listing that grows without a bound because each of its parts names a further one.
+TEST(collection_follower_test, listing_without_an_end_is_given_up)
+{
+    const auto objects_per_page = follower_limits().max_listed_objects / 4;
+    std::size_t pages = 0;
+    while (!source.pending.empty() && pages < 10) {
+        collection_page value = page(10, {}, std::to_string(++pages));
+        value.items.resize(objects_per_page, {"x", {}, false});
+        source.answer(std::move(value));
+    }
+    LONGS_EQUAL(5, pages);
+    LONGS_EQUAL(0, listings);
+    LONGS_EQUAL(1, disconnects);
+}
+
 // Guards against a busy loop while the store is down, and against a backoff that goes on for seconds after the store
 // is back.
 TEST(collection_follower_test, reports_failures_once_and_retries_with_backoff)
