Continue listings after names that cannot be read

Cause: a listing goes on after the last readable name of a page; where there was none, it counted as complete.

--- a/src/core/internal/json_slices.cpp
+++ b/src/core/internal/json_slices.cpp
@@ -1,6 +1,7 @@
 #include "core/json_slices.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "core/bounded_json.h"
 
@@ -92,6 +93,86 @@
     std::size_t at_ = 0;
 };
 
+constexpr std::uint32_t first_high_surrogate = 0xd800;
+constexpr std::uint32_t first_low_surrogate = 0xdc00;
+constexpr std::uint32_t last_low_surrogate = 0xdfff;
+
+/// Takes four hexadecimal digits after "\\u".
+std::optional<std::uint32_t> take_code_unit(std::string_view& text)
+{
+    constexpr std::size_t length = 6;
+    constexpr int hexadecimal = 16;
+    std::uint32_t out = 0;
+    const auto digits = text.size() < length ? std::string_view() : text.substr(2, length - 2);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), out, hexadecimal);
+    if (digits.empty() || ec != std::errc() || end != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    text.remove_prefix(length);
+    return out;
+}
+
+/// Takes an escape sequence, which `text` begins with, and returns its code point.
+std::optional<std::uint32_t> take_escape(std::string_view& text)
+{
+    constexpr std::string_view names = "\"\\/bfnrt";
+    constexpr std::string_view meanings = "\"\\/\b\f\n\r\t";
+    if (text.size() < 2) {
+        return std::nullopt;
+    }
+    if (text[1] != 'u') {
+        const auto found = names.find(text[1]);
+        text.remove_prefix(2);
+        return found == std::string_view::npos
+                   ? std::nullopt
+                   : std::optional<std::uint32_t>(static_cast<unsigned char>(meanings[found]));
+    }
+    const auto first = take_code_unit(text);
+    if (!first || *first < first_high_surrogate || *first >= first_low_surrogate || text.substr(0, 2) != "\\u") {
+        return first;
+    }
+    auto rest = text;
+    const auto second = take_code_unit(rest);
+    if (!second || *second < first_low_surrogate || *second > last_low_surrogate) {
+        return first;
+    }
+    text = rest;
+    constexpr std::uint32_t first_supplementary = 0x10000;
+    constexpr unsigned surrogate_bits = 10;
+    return first_supplementary + ((*first - first_high_surrogate) << surrogate_bits) + (*second - first_low_surrogate);
+}
+
+void append_code_point(std::string& out, std::uint32_t code)
+{
+    // Lone surrogates that stand for one byte.
+    constexpr std::uint32_t first_replaced = 0xdc80;
+    constexpr std::uint32_t last_replaced = 0xdcff;
+    constexpr unsigned trailing_bits = 6;
+    constexpr std::uint32_t trailing_mask = 0x3f;
+    constexpr std::uint32_t trailing_mark = 0x80;
+    const auto append = [&out](std::uint32_t byte) { out += static_cast<char>(byte); };
+    const auto append_trailing = [&](unsigned position) {
+        append(trailing_mark | ((code >> (position * trailing_bits)) & trailing_mask));
+    };
+    if (code >= first_replaced && code <= last_replaced) {
+        append(code - first_low_surrogate);
+    } else if (code < 0x80) {
+        append(code);
+    } else if (code < 0x800) {
+        append(0xc0 | (code >> trailing_bits));
+        append_trailing(0);
+    } else if (code < 0x10000) {
+        append(0xe0 | (code >> (2 * trailing_bits)));
+        append_trailing(1);
+        append_trailing(0);
+    } else {
+        append(0xf0 | (code >> (3 * trailing_bits)));
+        append_trailing(2);
+        append_trailing(1);
+        append_trailing(0);
+    }
+}
+
 /// Calls `read_entry` for each entry between `open` and `close`; returns false as soon as one cannot be read.
 template <typename Entry>
 bool scan_container(json_scanner& scanner, char open, char close, Entry read_entry)
@@ -154,4 +235,27 @@
     return found == members->end() ? std::string_view() : found->second;
 }
 
+std::optional<std::string> json_string_bytes(std::string_view text)
+{
+    if (text.size() < 2 || text.front() != '"' || text.back() != '"') {
+        return std::nullopt;
+    }
+    text = text.substr(1, text.size() - 2);
+    std::string out;
+    while (!text.empty()) {
+        const auto plain = std::min(text.find('\\'), text.size());
+        out += text.substr(0, plain);
+        text.remove_prefix(plain);
+        if (text.empty()) {
+            break;
+        }
+        const auto code = take_escape(text);
+        if (!code) {
+            return std::nullopt;
+        }
+        append_code_point(out, *code);
+    }
+    return out;
+}
+
 } // namespace anvillead
--- a/src/core/json_slices.h
+++ b/src/core/json_slices.h
@@ -17,4 +17,9 @@
 /// The text of a member of an object; empty if there is none or `object` is no object.
 std::string_view json_member(std::string_view object, std::string_view key);
 
+/// The bytes that the text of a JSON string stands for, also where they are no valid UTF-8: of a lone surrogate U+DC80
+/// to U+DCFF, with which programs replace a byte that is no text, that byte, and of others their three bytes. Nothing
+/// if `text` is no JSON string.
+std::optional<std::string> json_string_bytes(std::string_view text);
+
 } // namespace anvillead
--- a/src/core/tests/json_slices_test.cpp
+++ b/src/core/tests/json_slices_test.cpp
@@ -62,3 +62,25 @@
         CHECK_TEXT(!split_json_object(text).has_value(), text);
     }
 }
+
+// Guards against a list that cannot be continued after a name that is no valid text.
+TEST(json_slices_test, bytes_of_a_string)
+{
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {R"("")", ""},
+        {R"("a\"\\\/\b\f\n\r\tz")", "a\"\\/\b\f\n\r\tz"},
+        {R"("\u0041\u00e9\u20ac\ud83d\ude00")", "A\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80"},
+        {"\"\xff\xfe\"", "\xff\xfe"},
+        {R"("a\udcffb")", "a\xff"
+                          "b"},
+        {R"("\ud800")", "\xed\xa0\x80"},
+        {R"("\ud800\u0041")", "\xed\xa0\x80"
+                              "A"},
+        {R"("\ud800\ud83d\ude00")", "\xed\xa0\x80\xf0\x9f\x98\x80"}};
+    for (const auto& [text, bytes] : cases) {
+        CHECK_TEXT(json_string_bytes(text) == bytes, text.c_str());
+    }
+    for (const auto* it : {"", "\"", "5", "null", "{}", R"("\x")", R"("\u00")", R"("\u00zz")", R"("\")"}) {
+        CHECK_TEXT(!json_string_bytes(it), it);
+    }
+}
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -43,6 +43,7 @@
                                          {"header field", " HTTP/1.1\r\nHost: other\r\n\r\n"},
                                          {"letter of two bytes", "\xc3\xa9"},
                                          {"character of four bytes", "\xf0\x9f\x98\x80"},
+                                         {"byte that is no text", "\xee\x83\xbf"},
                                          {"parameter", "&after=zzz"},
                                          {"watch parameter", "&watch=1"}};
 
@@ -184,3 +185,35 @@
     STRCMP_EQUAL("", failed.c_str());
     LONGS_EQUAL(0, store_figure("invalid"));
 }
+
+// Guards against hosts that serve until such entries come, change or leave, by watch or by a new listing.
+TEST(odd_entry, hosts_that_run_follow_the_list_beside_hundreds_of_odd_entries)
+{
+    start_fleet(false);
+    CHECK(start_hosts());
+    CHECK(all_hosts_use(instances));
+    std::vector<std::string> names;
+    for (const auto& it : odd_names) {
+        for (int i = 1; i <= 3 * odd_entries; ++i) {
+            names.push_back(fmt::format("a{}{}", it.text, i));
+        }
+    }
+    write_all("servers", names);
+    fleet->set_phase("instance-1", "draining");
+    CHECK(all_hosts_use(instances - 1));
+    fleet->control("store", {{"compact", true}});
+    fleet->set_phase("instance-2", "draining");
+    CHECK(all_hosts_use(instances - 2));
+    for (const auto& it : names) {
+        fleet->write("servers", it, {{"changed", true}});
+    }
+    fleet->set_phase("instance-1", "ready");
+    CHECK(all_hosts_use(instances - 1));
+    kill_hosts();
+    CHECK(start_hosts());
+    CHECK(all_hosts_use(instances - 1));
+    remove_all("servers", names);
+    fleet->set_phase("instance-2", "ready");
+    CHECK(all_hosts_use(instances));
+    LONGS_EQUAL(0, store_figure("invalid"));
+}
