Send no request that would be read as another

Cause: the client wrote the target and the fields of a call as they were given.

Evidence: http_client_test.request_that_would_be_read_as_another_is_not_sent fails with the sources of: the request is sent. Ruled out: what callers send; the server's parser refuses such bytes before they are passed on.

Change: a call whose target holds a control byte, a blank or DEL, or whose fields hold bytes that HTTP/1.1 does not allow, is not sent; it counts as one that could not connect, and event 206 request_rejected names the byte. The printable form of texts in messages moves to core/quoted_text.

--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -163,6 +163,7 @@
         row(e::message_rejected, "message_rejected"),
         row(e::connection_evicted, "connection_evicted"),
         row(e::answer_rejected, "answer_rejected"),
+        row(e::request_rejected, "request_rejected"),
         row(e::configuration_applied, "configuration_applied"),
         row(e::configuration_accepted, "configuration_accepted"),
         row(e::configuration_rejected, "configuration_rejected"),
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -28,6 +28,7 @@
     message_rejected = 203,
     connection_evicted = 204,
     answer_rejected = 205,
+    request_rejected = 206,
     configuration_applied = 300,
     configuration_accepted = 301,
     configuration_rejected = 302,
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -138,6 +138,11 @@
 
     void start_call()
     {
+        if (const auto problem = find_invalid_part(request_.target, request_.headers); !problem.empty()) {
+            log(log_level::error, log_event::request_rejected, {{"peer", request_.address}, {"problem", problem}});
+            finish(http_call_outcome::connect_failed, problem);
+            return;
+        }
         if (request_.reuse_connection) {
             socket_ = pool_->acquire(request_.address);
         }
--- a/src/transport/internal/http_head.cpp
+++ b/src/transport/internal/http_head.cpp
@@ -4,26 +4,14 @@
 
 #include <fmt/format.h>
 
+#include "core/quoted_text.h"
+
 namespace anvillead {
 
 namespace {
 
 namespace http = boost::beast::http;
 
-// Of a name that is quoted in a message.
-constexpr std::size_t max_quoted_bytes = 40;
-
-/// The text as it may be printed: other bytes than printable ones as numbers, and not longer than the limit.
-std::string quote(std::string_view text)
-{
-    std::string out = "\"";
-    for (const char it : text.substr(0, max_quoted_bytes)) {
-        const auto byte = static_cast<unsigned char>(it);
-        out += std::isprint(byte) != 0 ? std::string(1, it) : fmt::format("[0x{:02x}]", byte);
-    }
-    return out + '"';
-}
-
 bool is_name_byte(char value)
 {
     constexpr std::string_view others = "!#$%&'*+-.^_`|~";
@@ -44,6 +32,14 @@
     return found == text.end() ? std::string() : fmt::format("byte 0x{:02x}", static_cast<unsigned char>(*found));
 }
 
+// A target with other bytes would end the request line (RFC 9112, section 3).
+bool is_target_byte(char value)
+{
+    constexpr unsigned char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(value);
+    return byte > ' ' && byte != del;
+}
+
 std::string_view name_of(std::string_view line)
 {
     return line.substr(0, line.find(':'));
@@ -64,22 +60,38 @@
         line.remove_suffix(1);
     }
     if (is_start_line) {
-        return fmt::format("start line {}", quote(line));
+        return fmt::format("start line {}", quote_printable(line));
     }
     const auto name = name_of(line);
     if (name.size() == line.size()) {
-        return fmt::format("line {} without a colon", quote(line));
+        return fmt::format("line {} without a colon", quote_printable(line));
     }
     if (name.empty()) {
         return "a field without a name";
     }
     if (const auto byte = describe_byte(name, is_name_byte); !byte.empty()) {
-        return fmt::format("{} in the name of field {}", byte, quote(name));
+        return fmt::format("{} in the name of field {}", byte, quote_printable(name));
     }
     if (const auto byte = describe_byte(line.substr(name.size() + 1), is_value_byte); !byte.empty()) {
-        return fmt::format("{} in the value of field {}", byte, quote(name));
+        return fmt::format("{} in the value of field {}", byte, quote_printable(name));
+    }
+    return fmt::format("field {}", quote_printable(name));
+}
+
+std::string find_invalid_part(const std::string& target, const http_headers& headers)
+{
+    if (const auto byte = describe_byte(target, is_target_byte); !byte.empty()) {
+        return fmt::format("{} in the target {}", byte, quote_printable(target));
     }
-    return fmt::format("field {}", quote(name));
+    for (const auto& [name, value] : headers) {
+        if (const auto byte = describe_byte(name, is_name_byte); name.empty() || !byte.empty()) {
+            return fmt::format("{} in the name of field {}", byte, quote_printable(name));
+        }
+        if (const auto byte = describe_byte(value, is_value_byte); !byte.empty()) {
+            return fmt::format("{} in the value of field {}", byte, quote_printable(name));
+        }
+    }
+    return {};
 }
 
 std::string find_continued_line(std::string_view lines)
@@ -90,7 +102,8 @@
         const char next = lines[end + 1];
         if (next == ' ' || next == '\t') {
             return fmt::format("byte 0x{:02x} at the beginning of the line after field {}",
-                               static_cast<unsigned char>(next), quote(name_of(lines.substr(begin, end - begin))));
+                               static_cast<unsigned char>(next),
+                               quote_printable(name_of(lines.substr(begin, end - begin))));
         }
         begin = end + 1;
     }
--- a/src/transport/internal/http_head.h
+++ b/src/transport/internal/http_head.h
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "transport/http_types.h"
+
 namespace anvillead {
 
 /// What has been parsed of a message head.
@@ -24,6 +26,10 @@
 /// Describes the first line of a rejected part of a head: its field and the first byte that is not allowed.
 std::string describe_invalid_line(std::string_view text, bool is_start_line);
 
+/// Returns which part of a request would not be read as it was meant, or an empty string: a byte that is not allowed in
+/// the target or a field could end it and begin another field or request.
+std::string find_invalid_part(const std::string& target, const http_headers& headers);
+
 /// Returns what is wrong with a line that continues the one before it (RFC 9112, section 5.2), or an empty string if no
 /// line of these complete ones does. The parser would join it to the value before it.
 std::string find_continued_line(std::string_view lines);
--- a/src/transport/tests/http_client_test.cpp
+++ b/src/transport/tests/http_client_test.cpp
@@ -149,12 +149,9 @@
     http_response response;
 };
 
-fetch_result fetch(worker_pool& pool, ihttp_client& client, const std::string& address, bool reuse)
+fetch_result fetch(worker_pool& pool, ihttp_client& client, http_call_request request)
 {
     std::promise<fetch_result> completed;
-    http_call_request request;
-    request.address = address;
-    request.reuse_connection = reuse;
     client.fetch(std::move(request), 1024, pool.make_sequence(),
                  [&](const http_call_result& call_result, const http_response& response) {
                      completed.set_value({call_result, response});
@@ -162,12 +159,21 @@
     return completed.get_future().get();
 }
 
-fetch_result fetch(const std::string& address)
+fetch_result fetch(worker_pool& pool, ihttp_client& client, const std::string& address)
+{
+    http_call_request request;
+    request.address = address;
+    request.reuse_connection = true;
+    return fetch(pool, client, std::move(request));
+}
+
+fetch_result fetch(const std::string& address, http_call_request request = {})
 {
     worker_pool pool{1};
     const auto client = make_http_client(pool);
     pool.start();
-    auto out = fetch(pool, *client, address, false);
+    request.address = address;
+    auto out = fetch(pool, *client, std::move(request));
     pool.stop();
     pool.join();
     return out;
@@ -181,11 +187,11 @@
     worker_pool pool{1};
     auto client = make_http_client(pool);
     pool.start();
-    fetch(pool, *client, server.address(), true);
+    fetch(pool, *client, server.address());
     while (!unasked.empty() && server.unasked_sent() == 0) {
         std::this_thread::sleep_for(milliseconds(1));
     }
-    auto out = fetch(pool, *client, server.address(), true);
+    auto out = fetch(pool, *client, server.address());
     const int connections = server.connections();
     pool.stop();
     pool.join();
@@ -294,6 +300,36 @@
     }
 }
 
+// Guards against a name of another program that ends a line of a request and begins another field or request.
+TEST(http_client_test, request_that_would_be_read_as_another_is_not_sent)
+{
+    struct invalid_request
+    {
+        std::string target;
+        http_headers headers;
+        std::string problem;
+    };
+    const std::vector<invalid_request> cases = {
+        {"/a b", {}, "byte 0x20 in the target \"/a b\""},
+        {"/a HTTP/1.1\r\nX: y", {}, "byte 0x20 in the target \"/a HTTP/1.1[0x0d][0x0a]X: y\""},
+        {"/a\r\n", {}, "byte 0x0d in the target \"/a[0x0d][0x0a]\""},
+        {"/\x7f", {}, "byte 0x7f in the target \"/[0x7f]\""},
+        {"/", {{"Id", "a\r\nX: y"}}, "byte 0x0d in the value of field \"Id\""},
+        {"/", {{"Id", std::string(1, '\0')}}, "byte 0x00 in the value of field \"Id\""},
+        {"/", {{"I d", "a"}}, "byte 0x20 in the name of field \"I d\""}};
+    for (const auto& [target, headers, problem] : cases) {
+        http_call_request request;
+        request.target = target;
+        request.headers = headers;
+        const keep_alive_server server("");
+        const auto out = fetch(server.address(), request);
+        CHECK(out.call_result.end == http_call_outcome::connect_failed);
+        CHECK(!out.call_result.may_have_been_sent);
+        STRCMP_EQUAL(problem.c_str(), out.call_result.detail.c_str());
+        LONGS_EQUAL(0, server.connections());
+    }
+}
+
 // Guards against a limit that rejects heads of the permitted size, and against body bytes that are lost while the head
 // is parsed.
 TEST(http_client_test, a_head_at_the_limit_is_read_with_its_body)
