--- a/src/node/internal/evacuation_feed.cpp
+++ b/src/node/internal/evacuation_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log.h"
+#include "core/quoted_text.h"
 
 namespace anvillead {
 
@@ -71,7 +72,7 @@
     if (item.name.empty() || item.name.size() > max_zone_bytes) {
         context_.counters.add("evacuation_entries_rejected_total");
         log(log_level::error, log_event::evacuation_entry_rejected,
-            {{"problem", "expected the name of an availability zone"}, {"name", item.name.substr(0, max_zone_bytes)}});
+            {{"problem", "expected the name of an availability zone"}, {"name", quote_printable(item.name)}});
         return std::nullopt;
     }
     return zone_name(item.name);
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -217,3 +217,32 @@
     CHECK(all_hosts_use(instances));
     LONGS_EQUAL(0, store_figure("invalid"));
 }
+
+// Guards against sound upstreams that are lost for their names, and against names that end a header field or a log
+// line.
+TEST(odd_entry, sound_upstreams_under_odd_names_are_used_or_named_in_the_log)
+{
+    start_fleet(false);
+    const std::vector<std::string> names = {"web &+#%0",          "a=b?c/d", "\"q\"\\;,", "caf\xc3\xa9",
+                                            "a\r\nTenant: other", " a"};
+    constexpr std::size_t usable = 3;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const auto instance = fmt::format("instance-{}", i + 1);
+        fleet->remove("servers", instance);
+        fleet->control(instance, {{"id", names[i]}});
+        fleet->add_upstream(names[i], "registry", fleet->address(instance));
+    }
+    CHECK(start_hosts());
+    const std::set<std::string> expected(names.begin(), names.begin() + usable);
+    for (int i = 1; i <= hosts; ++i) {
+        CHECK(eventually([&] { return used_upstreams(i) == expected; }, start_time));
+        const auto log = fleet->log_of(i);
+        for (const auto* it : {"caf[0xc3][0xa9]", "a[0x0d][0x0a]Tenant: other", "\\\" a\\\""}) {
+            CHECK_TEXT(log.find(it) != std::string::npos, it);
+        }
+        CHECK(log.find("caf\xc3\xa9") == std::string::npos);
+    }
+    for (std::size_t i = usable; i < names.size(); ++i) {
+        LONGS_EQUAL(0, fleet->ran(fmt::format("instance-{}", i + 1)).size());
+    }
+}
