Use each page of a listing when it arrives

Cause: collection_follower kept pages to itself until the last one had come, and began with the first one after each failure.

Ruled out: names in targets; the names in this test are plain.

Change: followers hand on each page as it arrives and repeat a failed call for its own page. Only a complete listing removes anything or has a revision that other hosts see, so messages between hosts are unchanged.

--- a/src/core/log.h
+++ b/src/core/log.h
@@ -43,6 +43,7 @@
     zone_returned = 311,
     evacuation_entry_rejected = 312,
     configuration_overdue = 313,
+    platform_listing_incomplete = 314,
     member_joined = 400,
     member_suspected = 401,
     member_lost = 402,
--- a/src/node/evacuation_feed.h
+++ b/src/node/evacuation_feed.h
@@ -28,11 +28,14 @@
     void expire();
     /// The evacuated zones with their upstreams, and the upstreams that are cold, as JSON for operators.
     std::string describe() const;
-    /// The list has been read at least once, or there is none in this deployment.
-    bool known() const { return !follower_ || known_; }
+    /// The list has been read at least once, or only a part of it can be read, or there is none in this deployment.
+    bool known() const { return !follower_ || known_ || partly_listed_; }
 
 private:
-    void apply_listing(const std::vector<collection_item>& items);
+    void read_part(const listing_part& part);
+    void apply_listing();
+    /// Puts the part of the list that can be read into force on this host, until it knows a complete one.
+    void apply_incomplete_listing();
     void apply_changes(const std::vector<collection_item>& items);
     /// Puts the list into force and announces it.
     void publish();
@@ -48,6 +51,9 @@
     std::shared_ptr<collection_follower> follower_;
     bool following_ = true;
     bool known_ = false;
+    bool partly_listed_ = false;
+    /// Zones of the listing that is being read.
+    std::set<zone_name> listing_;
 };
 
 } // namespace anvillead
--- a/src/node/internal/collection_follower.cpp
+++ b/src/node/internal/collection_follower.cpp
@@ -29,24 +29,26 @@
 void collection_follower::list(const std::string& after)
 {
     if (after.empty()) {
-        listing_.clear();
+        listed_names_.clear();
+        listed_objects_ = 0;
         continued_after_.clear();
         listing_revision_ = {};
+        page_failures_ = 0;
     }
     // The first listing may be some seconds old, because the watch from its revision brings the later changes. It costs
     // the store a fraction of a current one, and hundreds of hosts may start at the same time.
     const auto freshness = revision_.unset() ? read_freshness::stale : read_freshness::current;
-    source_.list(after, freshness, [self = shared_from_this(), n = epoch_](const result<collection_page>& page) {
+    source_.list(after, freshness, [self = shared_from_this(), n = epoch_, after](const result<collection_page>& page) {
         if (n == self->epoch_) {
-            self->on_list_page(page);
+            self->on_list_page(after, page);
         }
     });
 }
 
-void collection_follower::on_list_page(const result<collection_page>& page)
+void collection_follower::on_list_page(const std::string& after, const result<collection_page>& page)
 {
     if (!page) {
-        on_failure(page.error(), [this] { list({}); });
+        on_page_failure(after, page.error());
         return;
     }
     const auto& value = page.value();
@@ -58,13 +60,19 @@
     }
     // Later pages may already contain later changes. Watching from the revision of the first page applies those changes
     // a second time, but misses none.
-    if (listing_revision_.unset()) {
+    const bool is_first = listing_revision_.unset();
+    if (is_first) {
         listing_revision_ = value.revision;
     }
-    listing_.insert(listing_.end(), value.items.begin(), value.items.end());
+    page_failures_ = 0;
+    hooks_.on_listing_part({value.items, listing_revision_, is_first});
+    for (const auto& it : value.items) {
+        listed_names_.insert(it.name);
+    }
+    listed_objects_ += value.items.size();
     if (!value.continue_after.empty() && !makes_progress(value)) {
-        on_failure(make_error(error_kind::platform_unavailable, "the listing of the store does not come to its end"),
-                   [this] { list({}); });
+        abandon_listing(
+            make_error(error_kind::platform_unavailable, "the listing of the store does not come to its end"));
         return;
     }
     if (!value.continue_after.empty()) {
@@ -72,14 +80,38 @@
         return;
     }
     revision_ = listing_revision_;
+    incomplete_ = false;
     on_success();
-    hooks_.on_listing(std::exchange(listing_, {}));
+    hooks_.on_listing(std::exchange(listed_names_, {}));
     watch_changes();
 }
 
+void collection_follower::on_page_failure(const std::string& after, const error& reason)
+{
+    if (after.empty()) {
+        on_failure(reason, [this] { list({}); });
+    } else if (++page_failures_ < limits_.page_attempts) {
+        on_failure(reason, [this, after] { list(after); });
+    } else {
+        abandon_listing(reason);
+    }
+}
+
+void collection_follower::abandon_listing(const error& reason)
+{
+    if (!std::exchange(incomplete_, true)) {
+        log(log_level::warning, log_event::platform_listing_incomplete,
+            {{"collection", name_}, {"objects", std::to_string(listed_objects_)}, {"problem", reason.message}});
+    }
+    if (hooks_.on_incomplete_listing) {
+        hooks_.on_incomplete_listing();
+    }
+    on_failure(reason, [this] { list({}); });
+}
+
 bool collection_follower::makes_progress(const collection_page& page)
 {
-    return continued_after_.insert(page.continue_after).second && listing_.size() <= limits_.max_listed_objects;
+    return continued_after_.insert(page.continue_after).second && listed_objects_ <= limits_.max_listed_objects;
 }
 
 void collection_follower::watch_changes()
--- a/src/node/internal/evacuation_feed.cpp
+++ b/src/node/internal/evacuation_feed.cpp
@@ -57,7 +57,9 @@
 collection_follower::hooks evacuation_feed::follower_hooks()
 {
     collection_follower::hooks out;
-    out.on_listing = [this](const std::vector<collection_item>& items) { apply_listing(items); };
+    out.on_listing_part = [this](const listing_part& part) { read_part(part); };
+    out.on_listing = [this](const std::set<std::string>&) { apply_listing(); };
+    out.on_incomplete_listing = [this] { apply_incomplete_listing(); };
     out.on_changes = [this](const std::vector<collection_item>& items) { apply_changes(items); };
     out.on_disconnected = [](const error& reason) {
         log(log_level::warning, log_event::platform_unreachable,
@@ -78,15 +80,32 @@
     return zone_name(item.name);
 }
 
-void evacuation_feed::apply_listing(const std::vector<collection_item>& items)
+void evacuation_feed::read_part(const listing_part& part)
 {
-    evacuation_state value;
-    for (const auto& it : items) {
+    if (part.is_first) {
+        listing_.clear();
+    }
+    for (const auto& it : part.items) {
         // The name alone says what is asked for, so an entry with an unreadable value counts, too.
         if (const auto zone = read_zone(it); zone && !it.deleted) {
-            value.listed.insert(*zone);
+            listing_.insert(*zone);
         }
     }
+}
+
+void evacuation_feed::apply_incomplete_listing()
+{
+    partly_listed_ = true;
+    if (!known_) {
+        log_changes(context_.directory.evacuated(), listing_);
+        context_.directory.set_evacuated(context_.timers.now(), listing_);
+    }
+}
+
+void evacuation_feed::apply_listing()
+{
+    evacuation_state value;
+    value.listed = std::exchange(listing_, {});
     value.revision = follower_->revision();
     const auto& last = list_.state();
     if (known_ && last.listed == value.listed && last.revision.era() == value.revision.era()) {
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -104,7 +104,8 @@
 collection_follower::hooks platform_feed::configuration_hooks()
 {
     collection_follower::hooks out;
-    out.on_listing = [this](const std::vector<collection_item>& items) { apply_configuration_items(items); };
+    out.on_listing_part = [this](const listing_part& part) { apply_configuration_items(part.items); };
+    out.on_listing = [](const std::set<std::string>&) {};
     out.on_changes = [this](const std::vector<collection_item>& items) { apply_configuration_items(items); };
     out.on_disconnected = [](const error& reason) {
         log(log_level::warning, log_event::platform_unreachable,
@@ -117,7 +118,9 @@
 collection_follower::hooks platform_feed::upstream_hooks()
 {
     collection_follower::hooks out;
-    out.on_listing = [this](const std::vector<collection_item>& items) { replace_upstreams(items); };
+    out.on_listing_part = [this](const listing_part& part) { apply_upstream_part(part); };
+    out.on_listing = [this](const std::set<std::string>& names) { finish_upstream_listing(names); };
+    out.on_incomplete_listing = [this] { partly_listed_ = true; };
     out.on_changes = [this](const std::vector<collection_item>& items) { update_upstreams(items); };
     out.gather_time = [this] {
         return context_.peers.live_count() + 1 > relay_limits().max_direct_hosts ? gather_time : milliseconds(0);
@@ -177,22 +180,24 @@
     era_ = std::max(era_.value_or(era), era);
 }
 
-void platform_feed::replace_upstreams(const std::vector<collection_item>& items)
+void platform_feed::apply_upstream_part(const listing_part& part)
 {
-    const auto revision = upstream_follower_->revision();
-    begin_era(revision.era());
-    std::set<std::string> listed_names;
-    for (const auto& it : items) {
-        listed_names.insert(it.name);
+    begin_era(part.revision.era());
+    for (const auto& it : part.items) {
+        apply_upstream(it, part.revision);
     }
+    context_.on_work_changed();
+}
+
+void platform_feed::finish_upstream_listing(const std::set<std::string>& names)
+{
+    const auto revision = upstream_follower_->revision();
     for (const auto& [name, entry] : state_.upstreams) {
-        if (listed_names.count(name) == 0 && !entry.value.is_null()) {
+        if (names.count(name) == 0 && !entry.value.is_null()) {
             apply_upstream({name, nullptr, true}, revision);
         }
     }
-    for (const auto& it : items) {
-        apply_upstream(it, revision);
-    }
+    partly_listed_ = false;
     advance_upstream_revision(revision);
 }
 
--- a/src/node/platform_feed.h
+++ b/src/node/platform_feed.h
@@ -51,8 +51,11 @@
     /// This host follows the platform's upstream directory and its last call succeeded.
     bool connected() const { return following_ && upstream_follower_->connected(); }
     bool configuration_connected() const { return following_ && configuration_follower_->connected(); }
-    /// The directory has been read at least once.
-    bool has_upstreams() const { return !state_.upstream_revision.unset(); }
+    /// The directory has been read at least once, or upstreams are known from a part of it and its end cannot be read.
+    bool has_upstreams() const
+    {
+        return !state_.upstream_revision.unset() || (partly_listed_ && !context_.directory.entries().empty());
+    }
     /// All that is needed to serve requests is known.
     bool complete() const { return context_.routes != nullptr && has_upstreams() && evacuations_.known(); }
 
@@ -60,7 +63,8 @@
     void apply_configuration_items(const std::vector<collection_item>& items);
     /// `text` is the text of `object`, and `source` where it comes from, for the log.
     void apply_configuration(const nlohmann::json& object, std::string text, const std::string& source);
-    void replace_upstreams(const std::vector<collection_item>& items);
+    void apply_upstream_part(const listing_part& part);
+    void finish_upstream_listing(const std::set<std::string>& names);
     void update_upstreams(const std::vector<collection_item>& items);
     void apply_upstream(const collection_item& item, store_revision revision);
     void begin_era(std::uint32_t era);
@@ -77,6 +81,7 @@
     /// Names of the entries that could not be parsed; each is logged once.
     std::set<std::string> rejected_entries_;
     bool following_ = true;
+    bool partly_listed_ = false;
     /// While the configuration is read once: the version before, and when the reading is given up.
     config_generation fetched_after_ = 0;
     instant fetch_until_{};
--- a/src/node/tests/collection_follower_test.cpp
+++ b/src/node/tests/collection_follower_test.cpp
@@ -95,7 +95,10 @@
 {
     manual_timers timers;
     scripted_collection source;
+    /// The names of all parts of listings, "|" where a listing begins.
+    std::string parts;
     std::size_t listed_items = 0;
+    int incomplete_listings = 0;
     int listings = 0;
     int changes = 0;
     int disconnects = 0;
@@ -106,10 +109,18 @@
     void setup() override
     {
         collection_follower::hooks hooks;
-        hooks.on_listing = [this](const std::vector<collection_item>& items) {
+        hooks.on_listing_part = [this](const listing_part& part) {
+            const std::string begin = part.is_first ? "|" : "";
+            parts += begin;
+            for (const auto& it : part.items) {
+                parts += it.name;
+            }
+        };
+        hooks.on_listing = [this](const std::set<std::string>& names) {
             ++listings;
-            listed_items = items.size();
+            listed_items = names.size();
         };
+        hooks.on_incomplete_listing = [this] { ++incomplete_listings; };
         hooks.on_changes = [this](const std::vector<collection_item>&) { ++changes; };
         hooks.on_disconnected = [this](const error&) { ++disconnects; };
         hooks.on_connected = [this] { ++connects; };
@@ -179,6 +190,53 @@
     LONGS_EQUAL(1, disconnects);
 }
 
+// Guards against known objects that are not used, and read again, because another part of the listing fails once.
+TEST(collection_follower_test, page_that_fails_is_repeated)
+{
+    source.answer(page(10, {"a", "b"}, "b"));
+    STRCMP_EQUAL("|ab", parts.c_str());
+    source.answer(make_error(error_kind::platform_unavailable, "down"));
+    timers.advance(follower_limits().max_backoff);
+    STRCMP_EQUAL("list b", source.calls.back().c_str());
+    source.answer(page(12, {"c"}));
+    STRCMP_EQUAL("|abc", parts.c_str());
+    LONGS_EQUAL(3, listed_items);
+    LONGS_EQUAL(0, incomplete_listings);
+    STRCMP_EQUAL("changes 10", source.calls.back().c_str());
+}
+
+// Guards against hosts that wait for ever for a page that cannot be read, although they know other objects.
+TEST(collection_follower_test, listing_whose_end_cannot_be_read_is_reported_and_begins_again)
+{
+    source.answer(page(10, {"a", "b"}, "b"));
+    for (int i = 1; i <= follower_limits().page_attempts; ++i) {
+        LONGS_EQUAL(0, incomplete_listings);
+        source.answer(make_error(error_kind::platform_unavailable, "the store answered 400"));
+        timers.advance(follower_limits().max_backoff);
+    }
+    LONGS_EQUAL(1, incomplete_listings);
+    LONGS_EQUAL(0, listings);
+    LONGS_EQUAL(1, disconnects);
+    CHECK(follower->revision().unset());
+    STRCMP_EQUAL("list ", source.calls.back().c_str());
+    source.answer(page(11, {"a"}));
+    STRCMP_EQUAL("|ab|a", parts.c_str());
+    LONGS_EQUAL(1, listings);
+    LONGS_EQUAL(1, listed_items);
+    CHECK(follower->connected());
+}
+
+// Guards against a part of a listing that is taken for the whole one while the store is down from the beginning.
+TEST(collection_follower_test, listing_that_has_not_begun_is_not_incomplete)
+{
+    for (int i = 0; i < 8; ++i) {
+        source.answer(make_error(error_kind::platform_unavailable, "down"));
+        timers.advance(follower_limits().max_backoff);
+        STRCMP_EQUAL("list ", source.calls.back().c_str());
+    }
+    LONGS_EQUAL(0, incomplete_listings);
+}
+
 // Guards against a busy loop while the store is down, and against a backoff that goes on for seconds after the store
 // is back.
 TEST(collection_follower_test, reports_failures_once_and_retries_with_backoff)
--- a/standins/metadata_store/store_server.cpp
+++ b/standins/metadata_store/store_server.cpp
@@ -98,7 +98,9 @@
         answer(exchange, store_.get(kind, name));
     } else if (target->parameter("watch").empty()) {
         const auto after = replace_all(target->parameter("after"), odd_byte, odd_byte_character);
-        answer(exchange, store_.list(kind, after, page_size_));
+        const bool refused = !after.empty() && after == refused_after_;
+        answer(exchange,
+               refused ? metadata_store::response{400, json::object()} : store_.list(kind, after, page_size_));
     } else {
         const auto wait = milliseconds(parse_number(target->parameter("wait-ms")));
         watchers_.push_back({kind, parse_number(target->parameter("watch")), exchange, pool_.timers().now() + wait});
@@ -143,6 +145,7 @@
     outage_ = value.value("outage", outage_);
     withhold_changes_ = value.value("deaf", withhold_changes_);
     page_size_ = value.value("page", page_size_);
+    refused_after_ = value.value("refuse_after", refused_after_);
     if (value.value("compact", false)) {
         store_.compact();
     }
--- a/standins/metadata_store/store_server.h
+++ b/standins/metadata_store/store_server.h
@@ -15,7 +15,8 @@
 ///
 /// `POST /control` takes: `outage` ("", "busy", "reset" or "silent"), `deaf` (watches are not told of changes
 /// before they time out), `compact` (discards the history), `page` (maximum number of objects in a listing), `copy`
-/// (keeps a copy of everything) and `restore` (goes back to the copy in a new era). The response holds the numbers of
+/// (keeps a copy of everything), `restore` (goes back to the copy in a new era) and `refuse_after` (listings that go on
+/// after this name get status 400). The response holds the numbers of
 /// `calls`, of waiting `watches` and of `invalid` calls, which got status 400 because their target breaks the standard.
 ///
 /// The character U+E0FF in an object stands for the byte 0xff, which makes a text that is not UTF-8.
@@ -57,6 +58,7 @@
     std::string outage_;
     bool withhold_changes_ = false;
     std::size_t page_size_ = 500;
+    std::string refused_after_;
     std::int64_t call_count_ = 0;
     std::int64_t invalid_targets_ = 0;
     std::unique_ptr<anvillead::ihttp_server> server_;
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -1,4 +1,5 @@
 #include <set>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -18,6 +19,9 @@
 // Time from a start until a host serves, and from a change in the store until hosts act on it.
 constexpr milliseconds start_time{5000};
 
+// A host begins the list again every 0.4 s at the most, with a call for each page and each attempt.
+constexpr int max_calls_of_two_seconds = 100;
+
 struct odd_name
 {
     const char* what;
@@ -246,3 +250,21 @@
         LONGS_EQUAL(0, fleet->ran(fmt::format("instance-{}", i + 1)).size());
     }
 }
+
+// Guards against hosts that wait for a page that never comes, although they know upstreams, and that ask without a
+// pause meanwhile.
+TEST(odd_entry, hosts_that_cannot_read_the_end_of_the_list_use_its_beginning)
+{
+    start_fleet(false);
+    fleet->control("store", {{"refuse_after", "instance-4"}});
+    CHECK(start_hosts());
+    CHECK(all_hosts_use(page_size));
+    for (int i = 1; i <= hosts; ++i) {
+        CHECK(fleet->log_of(i).find("platform_listing_incomplete") != std::string::npos);
+    }
+    const auto calls = store_figure("calls");
+    std::this_thread::sleep_for(milliseconds(2000));
+    CHECK(store_figure("calls") - calls < max_calls_of_two_seconds);
+    fleet->control("store", {{"refuse_after", ""}});
+    CHECK(all_hosts_use(instances));
+}
