Hand on no entries that name no upstream

Callers saw: with 500 entries of other programs of 20 KB each among the engines, a host that the store did not serve never became ready.

Cause: hosts kept the value of each entry and handed it on; an update may have 8 MB and is refused whole beyond. The names of rejected entries were remembered for ever.

The names in this test are plain.

At most 1,000 rejected names are remembered, while they are listed. upstream_entries_rejected_total counts.

--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -21,6 +21,8 @@
 // Removals are kept for this many revisions to pass them to other hosts; a host that is further behind reads the
 // complete directory from the platform.
 constexpr std::uint64_t removal_retention = 2000;
+// Rejected entries that are remembered, so that each is logged once.
+constexpr std::size_t max_rejected_entries = 1000;
 // Longest time for which a host that does not follow the platform tries to read the configuration there.
 constexpr milliseconds fetch_time{2000};
 
@@ -197,6 +199,9 @@
             apply_upstream({name, nullptr, true}, revision);
         }
     }
+    for (auto it = rejected_entries_.begin(); it != rejected_entries_.end();) {
+        it = names.count(*it) == 0 ? rejected_entries_.erase(it) : std::next(it);
+    }
     partly_listed_ = false;
     advance_upstream_revision(revision);
 }
@@ -224,32 +229,48 @@
     context_.on_work_changed();
 }
 
+void platform_feed::report_rejected(const std::string& name, const error& problem)
+{
+    context_.counters.add("upstream_entries_rejected_total");
+    if (rejected_entries_.size() >= max_rejected_entries) {
+        // The lines of the entries that are still there are written again.
+        rejected_entries_.clear();
+    }
+    if (rejected_entries_.insert(name).second) {
+        log(log_level::warning, log_event::upstream_entry_rejected, {{"problem", problem.message}});
+    }
+}
+
 void platform_feed::apply_upstream(const collection_item& item, store_revision revision)
 {
     const auto now = context_.timers.now();
+    const auto record = platform::read_upstream(item.name, item.value);
+    if (!platform::is_upstream_id(item.name)) {
+        if (!item.deleted) {
+            report_rejected(item.name, record.error());
+        }
+        return;
+    }
     auto& entry = state_.upstreams[item.name];
     if (entry.revision > revision) {
         // Another host has already provided a later change.
         return;
     }
     entry.revision = revision;
-    if (item.deleted) {
-        entry.value = nullptr;
-        context_.directory.remove(now, upstream_id(item.name));
-        return;
-    }
-    entry.value = item.value;
-    const auto record = platform::read_upstream(item.name, item.value);
-    if (record) {
+    if (!item.deleted && record) {
+        entry.value = item.value;
         rejected_entries_.erase(item.name);
         context_.directory.apply(now, record.value());
         return;
     }
-    if (rejected_entries_.insert(item.name).second) {
-        log(log_level::warning, log_event::upstream_entry_rejected, {{"problem", record.error().message}});
-    }
-    // An entry that cannot be parsed describes no usable upstream.
+    // An entry that cannot be parsed describes no usable upstream, and other hosts need not get it.
+    entry.value = nullptr;
     context_.directory.remove(now, upstream_id(item.name));
+    if (item.deleted) {
+        rejected_entries_.erase(item.name);
+    } else {
+        report_rejected(item.name, record.error());
+    }
 }
 
 void platform_feed::apply_update(const state_update& value)
--- a/src/node/platform_feed.h
+++ b/src/node/platform_feed.h
@@ -67,6 +67,8 @@
     void finish_upstream_listing(const std::set<std::string>& names);
     void update_upstreams(const std::vector<collection_item>& items);
     void apply_upstream(const collection_item& item, store_revision revision);
+    /// Logs an entry that names no usable upstream, once.
+    void report_rejected(const std::string& name, const error& problem);
     void begin_era(std::uint32_t era);
     void advance_upstream_revision(store_revision revision);
     collection_follower::hooks configuration_hooks();
@@ -78,7 +80,7 @@
     /// The latest era of the store that this host has seen; unset before the first listing.
     std::optional<std::uint32_t> era_;
     platform_state state_;
-    /// Names of the entries that could not be parsed; each is logged once.
+    /// Names of the entries that could not be parsed.
     std::set<std::string> rejected_entries_;
     bool following_ = true;
     bool partly_listed_ = false;
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int hosts = 2;
+constexpr int known_hosts = 3;
 constexpr int instances = 6;
 // Objects in a page of the store, so that a few entries fill more than one.
 constexpr int page_size = 4;
@@ -59,13 +60,14 @@
     std::unique_ptr<node_fleet> fleet;
     int last_request = 0;
 
-    void start_fleet(bool evacuations)
+    void start_fleet(bool evacuations, int host_without_store = 0)
     {
         node_fleet::options options;
-        options.hosts = hosts;
+        options.hosts = known_hosts;
         options.engines = 0;
         options.instances = instances;
         options.evacuations = evacuations;
+        options.host_without_store = host_without_store;
         fleet = std::make_unique<node_fleet>(options);
         fleet->control("store", {{"page", page_size}});
         fleet->configure(3);
@@ -251,6 +253,22 @@
     }
 }
 
+// Guards against a state that grows with the entries of other programs until no host can hand it on.
+TEST(odd_entry, large_entries_of_other_programs_are_not_handed_on)
+{
+    start_fleet(false, 3);
+    const std::string text(20'000, 'x');
+    for (int i = 0; i < 500; ++i) {
+        fleet->write("servers", fmt::format("a-{}", i), {{"text", text}});
+    }
+    fleet->control("store", {{"page", 100}});
+    CHECK(start_hosts());
+    // Its store address is unreachable, so that it gets all it knows from the others.
+    fleet->start_node(3);
+    CHECK(fleet->wait_ready(3, start_time));
+    CHECK(eventually([&] { return used_upstreams(3).size() == instances; }, start_time));
+}
+
 // Guards against hosts that wait for a page that never comes, although they know upstreams, and that ask without a
 // pause meanwhile.
 TEST(odd_entry, hosts_that_cannot_read_the_end_of_the_list_use_its_beginning)
