Read all pages of the registered hosts

Callers saw: with all seeds down, the directory of a host named no other host while entries of other programs filled the first page of the list of hosts.

Cause: registration read one page.

Change: up to 16 pages are read; more are named in registration_failed. Addresses above 64 bytes are ignored.

--- a/src/node/internal/registration.cpp
+++ b/src/node/internal/registration.cpp
@@ -16,6 +16,10 @@
 // Random share of each period, so that hosts that start at the same time do not read at the same time.
 constexpr double jitter_share = 0.5;
 constexpr milliseconds write_retry_delay{2000};
+// Pages of registered hosts that are read at a time. Other programs may have written entries between them.
+constexpr int max_pages = 16;
+// Longer than any IP address with its port.
+constexpr std::size_t max_address_bytes = 64;
 // Time over which hosts write their entries again after the store has lost them.
 constexpr milliseconds rewrite_spread{4000};
 
@@ -40,7 +44,7 @@
         const double part = jitter_share * std::uniform_real_distribution<double>(0, 1)(random_);
         next_read_ = now + milliseconds(static_cast<std::int64_t>(read_period.count() * (1 - part)));
         read_once_ = true;
-        read();
+        read({}, max_pages);
     }
     context_.timers.after(check_period, [self = shared_from_this()] { self->check(); });
 }
@@ -67,19 +71,34 @@
     });
 }
 
-void registration::read()
+void registration::read(const std::string& after, int pages)
 {
-    hosts_.list({}, read_freshness::stale, [self = shared_from_this()](const result<collection_page>& page) {
+    hosts_.list(after, read_freshness::stale, [self = shared_from_this(), pages](const result<collection_page>& page) {
         if (!page) {
             log(log_level::info, log_event::registration_failed, {{"problem", page.error().message}});
             return;
         }
         for (const auto& it : page.value().items) {
-            if (it.value.is_object() && it.value.contains("report") && it.value["report"].is_string()) {
-                self->context_.peers.add_contact(self->context_.timers.now(), it.value["report"].get<std::string>());
-            }
+            self->add_contact(it.value);
+        }
+        const auto& next = page.value().continue_after;
+        if (!next.empty() && pages > 1) {
+            self->read(next, pages - 1);
+        } else if (!next.empty()) {
+            log(log_level::warning, log_event::registration_failed,
+                {{"problem", "the list of hosts is too long; its end was not read"}});
         }
     });
 }
 
+void registration::add_contact(const nlohmann::json& entry)
+{
+    if (!entry.is_object() || !entry.contains("report") || !entry["report"].is_string()) {
+        return;
+    }
+    if (auto address = entry["report"].get<std::string>(); address.size() <= max_address_bytes) {
+        context_.peers.add_contact(context_.timers.now(), address);
+    }
+}
+
 } // namespace anvillead
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -26,7 +26,9 @@
     bool isolated() const { return context_.peers.live_count() == 0; }
     void check();
     void write();
-    void read();
+    /// Reads up to `pages` pages of the registered hosts after a name.
+    void read(const std::string& after, int pages);
+    void add_contact(const nlohmann::json& entry);
 
     node_context& context_;
     iobject_collection& hosts_;
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr int hosts = 2;
+// One more than the others start.
 constexpr int known_hosts = 3;
 constexpr int instances = 6;
 // Objects in a page of the store, so that a few entries fill more than one.
@@ -286,3 +288,24 @@
     fleet->control("store", {{"refuse_after", ""}});
     CHECK(all_hosts_use(instances));
 }
+
+// Guards against hosts that do not find each other because entries of other programs fill the first page of their list.
+TEST(odd_entry, hosts_find_each_other_beside_entries_of_other_programs)
+{
+    start_fleet(false);
+    write_all("anvillead-hosts", names_with("&"));
+    // The only seed is down, so that the list is all they have.
+    fleet->start_node(2);
+    CHECK(fleet->wait_ready(2));
+    fleet->start_node(3);
+    CHECK(fleet->wait_ready(3));
+    for (const int host : {2, 3}) {
+        const int other = 5 - host;
+        CHECK(eventually([&] {
+            const auto answer = fleet->client().get(fleet->address(fmt::format("node-{}/directory", host)), "/resolve");
+            const auto addresses = answer.value("addresses", std::vector<std::string>());
+            const auto& wanted = fleet->address(fmt::format("node-{}", other));
+            return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
+        }));
+    }
+}
