--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -31,6 +31,8 @@
     /// The end of the answer is certain from its framing: a length, chunks, or no body at all. Otherwise it was the
     /// orderly end of the connection, which a peer that crashes may show, too.
     bool framed = false;
+    /// The answer exceeds the limit of its caller, so that asking again does not help. Set by `fetch` only.
+    bool oversized = false;
 };
 
 struct http_call_request
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -559,6 +559,7 @@
     handlers.on_end = [state, callback = std::move(callback)](http_call_result call_result) {
         if (state->oversized) {
             call_result.end = http_call_outcome::lost;
+            call_result.oversized = true;
             call_result.detail = "the answer exceeds the size limit";
         }
         callback(call_result, state->response);
