--- a/tests/invariants/node_chaos_main.cpp
+++ b/tests/invariants/node_chaos_main.cpp
@@ -10,6 +10,7 @@
 #include <tclap/CmdLine.h>
 
 #include "tests/support/node_fleet.h"
+#include "tests/support/odd_names.h"
 
 using namespace testing;
 using nlohmann::json;
@@ -39,6 +40,10 @@
 // A stopped host is killed at the end of its fault if it has not left by then.
 constexpr milliseconds min_stop_time{300};
 constexpr unsigned change_seed_offset = 2000;
+constexpr unsigned odd_entry_seed_offset = 3000;
+// Objects in a page of the store, so that the lists end on odd entries.
+constexpr int page_size = 4;
+constexpr std::size_t max_odd_entries = 60;
 constexpr int first_version = 3;
 // A call is sent, run and answered within this time; one that is open when its host is killed may get no answer.
 constexpr milliseconds longest_call{4000};
@@ -47,14 +52,15 @@
 /// Hosts running anvillead-node under load, with random faults that come in series and overlap: requests that crash
 /// upstreams, hosts without a path to upstreams, killed hosts, hosts that are stopped and started again in series,
 /// configurations in quick succession, signals to read the settings again, evacuated zones, crashed, silent and brittle
-/// upstreams, a silent store. Collects violated invariants.
+/// upstreams, a silent store, and entries of other programs in its lists. Collects violated invariants.
 class node_chaos
 {
 public:
     node_chaos(unsigned seed, int hosts)
         : random_(seed), evacuation_random_(seed + evacuation_seed_offset), change_random_(seed + change_seed_offset),
-          hosts_(hosts), fleet_(options(hosts))
+          odd_entry_random_(seed + odd_entry_seed_offset), hosts_(hosts), fleet_(options(hosts))
     {
+        fleet_.control("store", {{"page", page_size}});
         fleet_.configure(version_);
         for (int i = 1; i <= hosts_; ++i) {
             fleet_.start_node(i);
@@ -86,6 +92,7 @@
         auto next_fault = clock::now() + milliseconds(500);
         auto next_deadly = clock::now();
         auto next_evacuation = clock::now() + milliseconds(evacuation_random_() % 4000);
+        auto next_odd_entry = clock::now();
         auto next_change = clock::now() + milliseconds(change_random_() % 2000);
         while (clock::now() < end) {
             if (clock::now() >= next_fault) {
@@ -101,6 +108,10 @@
                 begin_change();
                 next_change = clock::now() + milliseconds(200 + change_random_() % 1800);
             }
+            if (clock::now() >= next_odd_entry) {
+                change_odd_entries();
+                next_odd_entry = clock::now() + milliseconds(100 + odd_entry_random_() % 500);
+            }
             if (clock::now() >= next_deadly) {
                 next_deadly += deadly_gap;
                 send(deadly_[random_() % deadly_.size()], false);
@@ -276,6 +287,26 @@
     }
 
     /// A host is stopped or told to read its settings, or the configuration changes.
+    /// Writes, changes or removes an entry of another program, or lets the store drop its history beside them.
+    void change_odd_entries()
+    {
+        constexpr const char* kinds[] = {"servers", "config", "anvillead-hosts"};
+        const auto action = odd_entry_random_() % 10;
+        if (action == 0) {
+            fleet_.control("store", {{"compact", true}});
+        } else if (odd_entries_.size() >= max_odd_entries || (action < 4 && !odd_entries_.empty())) {
+            const auto it = std::next(odd_entries_.begin(), odd_entry_random_() % odd_entries_.size());
+            fleet_.remove(it->first, it->second);
+            odd_entries_.erase(it);
+        } else {
+            const auto& text = odd_names()[odd_entry_random_() % odd_names().size()].text;
+            const std::pair<std::string, std::string> entry(kinds[odd_entry_random_() % std::size(kinds)],
+                                                            fmt::format("a{}{}", text, odd_entry_random_() % 5));
+            fleet_.write(entry.first, entry.second, {{"number", odd_entry_random_() % 1000}});
+            odd_entries_.insert(entry);
+        }
+    }
+
     void begin_change()
     {
         const int host = 1 + static_cast<int>(change_random_() % static_cast<unsigned>(hosts_));
@@ -524,6 +555,10 @@
     std::mt19937 evacuation_random_;
     /// Of its own for the same reason.
     std::mt19937 change_random_;
+    /// Of its own for the same reason.
+    std::mt19937 odd_entry_random_;
+    /// Kind and name of the entries of other programs.
+    std::set<std::pair<std::string, std::string>> odd_entries_;
     int version_ = first_version;
     int hosts_;
     node_fleet fleet_;
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "tests/support/node_fleet.h"
+#include "tests/support/odd_names.h"
 
 using namespace testing;
 using nlohmann::json;
@@ -25,35 +26,6 @@
 // A host begins the list again every 0.4 s at the most, with a call for each page and each attempt.
 constexpr int max_calls_of_two_seconds = 100;
 
-struct odd_name
-{
-    const char* what;
-    std::string text;
-};
-
-/// Parts of names that other programs may write. The stand-in of the store sends U+E0FF as the byte 0xff.
-const std::vector<odd_name> odd_names = {{"ampersand", "&"},
-                                         {"plus sign", "+"},
-                                         {"blank", " "},
-                                         {"number sign", "#"},
-                                         {"percent sign", "%"},
-                                         {"escape", "%41"},
-                                         {"malformed escape", "%zz"},
-                                         {"quotation mark", "\""},
-                                         {"backslash", "\\"},
-                                         {"slash", "/"},
-                                         {"question mark", "?"},
-                                         {"equals sign", "="},
-                                         {"DEL", "\x7f"},
-                                         {"NUL", std::string(1, '\0')},
-                                         {"line break", "\r\n"},
-                                         {"header field", " HTTP/1.1\r\nHost: other\r\n\r\n"},
-                                         {"letter of two bytes", "\xc3\xa9"},
-                                         {"character of four bytes", "\xf0\x9f\x98\x80"},
-                                         {"byte that is no text", "\xee\x83\xbf"},
-                                         {"parameter", "&after=zzz"},
-                                         {"watch parameter", "&watch=1"}};
-
 } // namespace
 
 // Entries of other programs in the lists of the store, under names that a target or a header cannot hold as they are.
@@ -160,7 +132,7 @@
 {
     start_fleet(false);
     std::string failed;
-    for (const auto& it : odd_names) {
+    for (const auto& it : odd_names()) {
         const auto names = names_with(it.text);
         write_all("servers", names);
         const bool served = start_hosts() && all_hosts_use(instances);
@@ -177,7 +149,7 @@
 {
     start_fleet(true);
     std::string failed;
-    for (const auto& it : odd_names) {
+    for (const auto& it : odd_names()) {
         const auto names = names_with(it.text);
         write_all("config", names);
         write_all("evacuations", names);
@@ -201,7 +173,7 @@
     CHECK(start_hosts());
     CHECK(all_hosts_use(instances));
     std::vector<std::string> names;
-    for (const auto& it : odd_names) {
+    for (const auto& it : odd_names()) {
         for (int i = 1; i <= 3 * odd_entries; ++i) {
             names.push_back(fmt::format("a{}{}", it.text, i));
         }
