--- a/src/core/internal/json_slices.cpp
+++ b/src/core/internal/json_slices.cpp
@@ -97,7 +97,7 @@
 constexpr std::uint32_t first_low_surrogate = 0xdc00;
 constexpr std::uint32_t last_low_surrogate = 0xdfff;
 
-/// Takes four hexadecimal digits after "\\u".
+/// Takes an escape of four hexadecimal digits, which `text` begins with.
 std::optional<std::uint32_t> take_code_unit(std::string_view& text)
 {
     constexpr std::size_t length = 6;
--- a/src/node/internal/platform_feed.cpp
+++ b/src/node/internal/platform_feed.cpp
@@ -245,10 +245,12 @@
 {
     const auto now = context_.timers.now();
     const auto record = platform::read_upstream(item.name, item.value);
+    if (item.deleted || record) {
+        rejected_entries_.erase(item.name);
+    } else {
+        report_rejected(item.name, record.error());
+    }
     if (!platform::is_upstream_id(item.name)) {
-        if (!item.deleted) {
-            report_rejected(item.name, record.error());
-        }
         return;
     }
     auto& entry = state_.upstreams[item.name];
@@ -259,18 +261,12 @@
     entry.revision = revision;
     if (!item.deleted && record) {
         entry.value = item.value;
-        rejected_entries_.erase(item.name);
         context_.directory.apply(now, record.value());
         return;
     }
     // An entry that cannot be parsed describes no usable upstream, and other hosts need not get it.
     entry.value = nullptr;
     context_.directory.remove(now, upstream_id(item.name));
-    if (item.deleted) {
-        rejected_entries_.erase(item.name);
-    } else {
-        report_rejected(item.name, record.error());
-    }
 }
 
 void platform_feed::apply_update(const state_update& value)
--- a/src/object_store/iobject_collection.h
+++ b/src/object_store/iobject_collection.h
@@ -27,8 +27,8 @@
     store_revision revision;
     /// Name after which the listing continues; empty on the last page.
     std::string continue_after;
-    /// The changes after the requested revision are no longer available, or too many for one answer; the collection must
-    /// be listed again.
+    /// The changes after the requested revision are no longer available, or too many for one answer; the collection
+    /// must be listed again.
     bool history_lost = false;
 };
 
--- a/tests/invariants/node_chaos_main.cpp
+++ b/tests/invariants/node_chaos_main.cpp
@@ -295,7 +295,8 @@
         if (action == 0) {
             fleet_.control("store", {{"compact", true}});
         } else if (odd_entries_.size() >= max_odd_entries || (action < 4 && !odd_entries_.empty())) {
-            const auto it = std::next(odd_entries_.begin(), odd_entry_random_() % odd_entries_.size());
+            const auto number = odd_entry_random_() % odd_entries_.size();
+            const auto it = std::next(odd_entries_.begin(), static_cast<std::ptrdiff_t>(number));
             fleet_.remove(it->first, it->second);
             odd_entries_.erase(it);
         } else {
