Refuse escapes in starting_after as before

Cause: http_request::query decodes now, so that a number has several spellings.

Change: a value of starting_after with an escape is refused before it is read.

--- a/src/apps/gateway/response_request.cpp
+++ b/src/apps/gateway/response_request.cpp
@@ -61,6 +61,15 @@
     return out;
 }
 
+/// Whether the value of a query parameter was sent without escapes. A number has one spelling only.
+bool is_sent_plainly(const http_request& request, const std::string& name)
+{
+    const std::string_view target = request.target;
+    const auto begin = target.find(name + "=");
+    return begin == std::string_view::npos ||
+           target.substr(begin, target.find('&', begin) - begin).find('%') == std::string_view::npos;
+}
+
 } // namespace
 
 result<const organisation*> authenticate_caller(const http_request& request, const document& configuration)
@@ -140,6 +149,9 @@
 
 result<sequence_number> parse_starting_after(const http_request& request)
 {
+    if (!is_sent_plainly(request, "starting_after")) {
+        return invalid("starting_after: expected a number without escapes");
+    }
     const auto in_query = parse_sequence_number(request.query("starting_after"), "starting_after");
     if (!in_query) {
         return in_query.error();
