Keep the logs of failed tests whose directory belongs to the test group

Cause: work_directory asks at its destruction whether the current test has failed. CppUTest destroys members of a test group when no test is current any more, so their directories were always removed.

Change: the directory remembers the test that made it.

No test of its own: it would have to fail.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -97,7 +97,8 @@
     return true;
 }
 
-work_directory::work_directory() : path_(std::filesystem::temp_directory_path() / "anvillead-test-XXXXXX")
+work_directory::work_directory()
+    : path_(std::filesystem::temp_directory_path() / "anvillead-test-XXXXXX"), test_(UtestShell::getCurrent())
 {
     if (::mkdtemp(path_.data()) == nullptr) {
         throw std::system_error(errno, std::generic_category(), path_);
@@ -106,8 +107,7 @@
 
 work_directory::~work_directory()
 {
-    const auto* test = UtestShell::getCurrent();
-    if (test != nullptr && test->hasFailed()) {
+    if (test_ != nullptr && test_->hasFailed()) {
         fmt::print("logs of the failed test: {}\n", path_);
         return;
     }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -8,6 +8,8 @@
 
 #include <sys/types.h>
 
+class UtestShell;
+
 namespace testing {
 
 using std::chrono::milliseconds;
@@ -32,6 +34,8 @@
 
 private:
     std::string path_;
+    /// The test that made the directory. A member of a test group is destroyed when no test is current any more.
+    const UtestShell* test_;
 };
 
 /// A child process whose output goes to a log file. The child is killed when this object or the test program ends.
