Report to the seeds again until one answers

What callers saw: after all hosts were started together, some served on their own for about a second.

Cause: a host reports to its seeds at its start, and to an address that doesn't answer once a second. A seed that starts some milliseconds later misses the first report, and doesn't read the list of registered hosts once it has met another host.

Ruled out: checks of crashed upstreams found the closed port after 26 ms each time; evidence between hosts that knew each other arrived.

Change: a host that knows no other one reports to its contacts again each 100 ms, up to nine times. The bound on addresses a report goes to is unchanged.

--- a/src/fleet/internal/peer_table.cpp
+++ b/src/fleet/internal/peer_table.cpp
@@ -257,6 +257,13 @@
     }
 }
 
+void peer_table::retry_contacts()
+{
+    for (auto& [address, value] : contacts_) {
+        value.last_tried = {};
+    }
+}
+
 std::vector<std::string> peer_table::due_contacts(instant now)
 {
     std::vector<std::pair<instant, std::string>> due;
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -73,6 +73,8 @@
     /// report directly to this one.
     void expire(instant now, const std::function<bool(const host_report&)>& expects_direct_reports);
 
+    /// Makes all contacts due.
+    void retry_contacts();
     /// Contacts to which the next periodic report is sent in addition to its usual targets.
     std::vector<std::string> due_contacts(instant now);
     /// Addresses of the live hosts.
--- a/src/fleet/tests/peer_table_test.cpp
+++ b/src/fleet/tests/peer_table_test.cpp
@@ -59,6 +59,18 @@
     CHECK(std::find(due.begin(), due.end(), "10.0.0.1:7200") == due.end());
 }
 
+// Guards against a host that waits for a second before it tries an address again at which nobody listened yet.
+TEST(peer_table_test, contacts_are_due_again_after_a_retry)
+{
+    table.add_contact(now, "10.0.0.7:7200");
+    LONGS_EQUAL(1, table.due_contacts(now).size());
+    now += peer_limits().period;
+    LONGS_EQUAL(0, table.due_contacts(now).size());
+    table.retry_contacts();
+    LONGS_EQUAL(1, table.due_contacts(now).size());
+    LONGS_EQUAL(0, table.due_contacts(now).size());
+}
+
 // Guards against callers that are directed to a host that is leaving or has no configuration.
 TEST(peer_table_test, members_offer_only_hosts_that_accept_callers)
 {
--- a/src/node/fleet_reporter.h
+++ b/src/node/fleet_reporter.h
@@ -31,6 +31,8 @@
 private:
     void receive(const std::string& text);
     void send_report(bool periodic);
+    /// Reports to the seeds again for a while if none has answered.
+    void schedule_seed_retry(int attempts_left);
     void schedule_relay();
     void send(const std::vector<report_exchange::outgoing>& messages);
 
--- a/src/node/internal/fleet_reporter.cpp
+++ b/src/node/internal/fleet_reporter.cpp
@@ -14,6 +14,9 @@
 // One of this many periodic reports lists the addresses of the other hosts.
 constexpr std::uint64_t reports_per_contact_list = 5;
 constexpr std::size_t incarnation_bytes = 4;
+// When hosts start at the same time, the first reports reach seeds that don't listen yet.
+constexpr milliseconds seed_retry_period{100};
+constexpr int max_seed_retries = 9;
 
 /// Ordered by start time; random in case two starts fall into one millisecond or the clock was adjusted.
 std::string make_incarnation(wall_time now)
@@ -55,6 +58,21 @@
         self->send_report(true);
     });
     send_report(true);
+    schedule_seed_retry(max_seed_retries);
+}
+
+void fleet_reporter::schedule_seed_retry(int attempts_left)
+{
+    if (attempts_left == 0) {
+        return;
+    }
+    context_.timers.after(seed_retry_period, [self = shared_from_this(), attempts_left] {
+        if (self->context_.peers.live_count() == 0) {
+            self->context_.peers.retry_contacts();
+            self->send_report(true);
+            self->schedule_seed_retry(attempts_left - 1);
+        }
+    });
 }
 
 void fleet_reporter::schedule_report()
--- a/tests/invariants/node_test.cpp
+++ b/tests/invariants/node_test.cpp
@@ -1,4 +1,6 @@
 #include <csignal>
+#include <sstream>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -32,6 +34,19 @@
     return value->head().body.size();
 }
 
+/// Time of the first line with this text in a host's log, in milliseconds; 0 if there is none.
+static std::int64_t logged_at(node_fleet& it, int host, const std::string& text)
+{
+    std::istringstream lines(it.log_of(host));
+    for (std::string line; std::getline(lines, line);) {
+        const auto value = json::parse(line, nullptr, false);
+        if (value.is_object() && line.find(text) != std::string::npos) {
+            return value.value("steady_ms", std::int64_t{0});
+        }
+    }
+    return 0;
+}
+
 /// Engine that runs the request; empty when none does.
 static std::string engine_of(node_fleet& it, const std::string& request)
 {
@@ -240,6 +255,31 @@
     STRCMP_EQUAL(expected_events("r-2", 20).c_str(), answer.body.c_str());
 }
 
+// Scenario: two hosts start just before their seed, which another host reaches at once. Guards against hosts that serve
+// on their own for a second, without what the others know, because their first report to the seed was lost.
+TEST(node, hosts_that_start_before_their_seed_join_when_it_has_started)
+{
+    // Time in which a host hears from the seeds (registration.cpp).
+    constexpr std::int64_t seed_answer_ms = 400;
+    constexpr milliseconds lead{100};
+    node_fleet it(sized(4));
+    it.configure(3);
+    it.start_node(2);
+    it.start_node(3);
+    CHECK(it.wait_ready(2));
+    CHECK(it.wait_ready(3));
+    std::this_thread::sleep_for(lead);
+    it.start_node(1);
+    CHECK(it.wait_ready(1));
+    it.start_node(4);
+    for (const auto* name : {"node-2", "node-3", "node-4"}) {
+        const auto joined = fmt::format("\"member_joined\",\"host\":\"{}\"", name);
+        CHECK(eventually([&] { return logged_at(it, 1, joined) != 0; }));
+        const auto passed = logged_at(it, 1, joined) - logged_at(it, 1, "\"readiness_changed\"");
+        CHECK_TEXT(passed <= seed_answer_ms, fmt::format("{} joined after {} ms", name, passed).c_str());
+    }
+}
+
 // Scenario: the store refuses one host while an engine's entry disappears without a notice. Guards against taking that
 // for a lease that expired in an outage of the store, and so losing the engine's generations (incident inc-c1ca).
 TEST(node, host_refused_by_the_store_learns_of_removed_engines)
