Let a crashed stand-in of an upstream serve nothing until it listens again

Cause: the stand-in ended what it ran when it crashed, but still served a request whose connection was accepted before its port was closed, and crashed a second time 100 ms later. The product counts that as one crash, since no process starts again so fast.

Change: from a crash until it listens again, the stand-in resets each connection, whatever time its port stays open. Checks of tests are unchanged.

--- a/standins/batch_engine/engine_server.cpp
+++ b/standins/batch_engine/engine_server.cpp
@@ -85,7 +85,7 @@
                {"crash_times", crash_times_},
                {"deadly_crashes", deadly_crashes_},
                {"refused", refused_}});
-    } else if (dying_) {
+    } else if (crashed_) {
         exchange->sequence()->post([exchange] { exchange->abort(); });
     } else if (cut_off(request, exchange)) {
         return;
@@ -307,17 +307,12 @@
         value->stopped = true;
         value->exchange->sequence()->post([exchange = value->exchange] { exchange->abort(); });
     }
+    crashed_ = true;
     const auto own_address = server_->address();
     if (dying_time_.count() == 0) {
         server_->stop_accepting();
     } else {
-        dying_ = true;
-        pool_.timers().after(dying_time_, [this] {
-            sequence_->post([this] {
-                dying_ = false;
-                server_->stop_accepting();
-            });
-        });
+        pool_.timers().after(dying_time_, [this] { sequence_->post([this] { server_->stop_accepting(); }); });
     }
     pool_.timers().after(down_time_,
                          [this, own_address] { sequence_->post([this, own_address] { listen(own_address); }); });
@@ -325,6 +320,7 @@
 
 void engine_server::listen(const std::string& own_address)
 {
+    crashed_ = false;
     server_ = make_http_server(
         pool_, {own_address, {}},
         [this](const http_request& request, const exchange_ptr& exchange) {
--- a/standins/batch_engine/engine_server.h
+++ b/standins/batch_engine/engine_server.h
@@ -119,7 +119,8 @@
     anvillead::milliseconds crash_delay_{100};
     anvillead::milliseconds down_time_{500};
     anvillead::milliseconds dying_time_{0};
-    bool dying_ = false;
+    /// From a crash until it listens again; connections that are still accepted are reset.
+    bool crashed_ = false;
     /// Milliseconds of the steady clock.
     std::vector<std::int64_t> crash_times_;
     /// Targets of the requests that caused a crash, with its time.
