Pass on no call to another host that is under quarantine

What callers saw: upstreams went down once more often than needed. A call that had just been put under quarantine, because it had crashed three upstreams, crashed a fourth one by way of another host.

Cause: a lost call is checked against the quarantine before it goes to another upstream, but not before it goes to another host, which hears of the quarantine 10 ms later.

Change: plain_call passes on nothing that its own quarantine forbids; such a call is refused as by any other host.

--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -67,8 +67,10 @@
 
 bool plain_call::can_forward() const
 {
+    // Another host may not know yet of a quarantine that has just begun.
     return !request_.forwarded && !forwarded_ && (unreachable_ > 0 || context_.paths.lost(request_.service)) &&
-           remaining_time() > min_attempt_time && request_forwarder::possible(context_);
+           remaining_time() > min_attempt_time && !context_.quarantine->forbids(request_.traits) &&
+           request_forwarder::possible(context_);
 }
 
 void plain_call::forward()
--- a/tests/invariants/deadly_request_test.cpp
+++ b/tests/invariants/deadly_request_test.cpp
@@ -16,6 +16,8 @@
 constexpr int instances = 3;
 constexpr const char* deadly_target = "/lookup/deadly";
 constexpr const char* common_target = "/lookup/common";
+// An address that no machine of a test has: connections from it fail at once.
+constexpr const char* foreign_address = "192.0.2.1";
 constexpr milliseconds down_time{1500};
 constexpr milliseconds call_time{60};
 constexpr milliseconds crash_delay{100};
@@ -372,3 +374,21 @@
     wait_for_upstreams();
     LONGS_EQUAL(crashes.size(), crash_times().size());
 }
+
+// Guards against a host that passes the request on to another one, which may not know of the quarantine yet.
+TEST(deadly_request, host_without_path_refuses_it_itself)
+{
+    start(0, {deadly_target});
+    send_calls(milliseconds(4000));
+    wait_for_upstreams();
+    fleet->set_upstream_source(1, foreign_address);
+    const auto forwards = [&](const request& value) {
+        value.answer->wait_end();
+        const auto line = fmt::format("\"request_forwarded\",\"request\":\"{}\"", value.id);
+        return fleet->log_of(1).find(line) != std::string::npos;
+    };
+    CHECK(eventually([&] { return forwards(call(common_target, 1)); }));
+    const auto it = call(deadly_target, 1);
+    CHECK(!forwards(it));
+    check_refused(it);
+}
