Keep the zones of the fleet where too many evacuations are listed

Cause: a host holds 256 evacuated zones and dropped those with the last names.

Evidence: 301 entries, evacuation_entry_rejected with 45 ignored, and hosts used the upstreams of the evacuated zone.

Ruled out: names and pages; the list was read to its end.

Change: where there are more than 256, the zones of hosts and upstreams go first, then plain names, then others. Messages between hosts are unchanged.

--- a/src/dispatch/evacuation_list.h
+++ b/src/dispatch/evacuation_list.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -38,7 +39,12 @@
 class evacuation_list
 {
 public:
-    explicit evacuation_list(evacuation_limits limits = {}) : limits_(limits) {}
+    using zones_hook = std::function<std::set<zone_name>()>;
+
+    /// `zones_in_use` returns the zones of the fleet, which go first where there are more than the list holds.
+    explicit evacuation_list(evacuation_limits limits = {}, zones_hook zones_in_use = {})
+        : limits_(limits), zones_in_use_(std::move(zones_in_use))
+    {}
 
     /// Takes over a complete list. Returns false for one that is older than the known one.
     bool replace(instant now, const evacuation_state& value);
@@ -55,8 +61,11 @@
 
 private:
     void set_listed(instant now, std::set<zone_name> zones);
+    /// The zones that the list holds of these.
+    std::set<zone_name> bounded(std::set<zone_name> zones) const;
 
     evacuation_limits limits_;
+    zones_hook zones_in_use_;
     evacuation_state state_;
     /// When evacuations ended, as far as this host saw it.
     std::map<zone_name, instant> ended_;
--- a/src/dispatch/tests/evacuation_list_test.cpp
+++ b/src/dispatch/tests/evacuation_list_test.cpp
@@ -123,3 +123,21 @@
     LONGS_EQUAL(most, list.in_force().size());
     LONGS_EQUAL(5, list.ignored());
 }
+
+// Guards against entries of other programs that displace the zones of the fleet, by a listing or by one change.
+TEST(evacuation_list_test, zones_in_use_go_before_others_and_plain_names_before_odd_ones)
+{
+    evacuation_list bounded_list({}, [] { return zones({"z in use"}); });
+    std::set<zone_name> many;
+    for (std::size_t i = 0; i < evacuation_limits().max_zones; ++i) {
+        many.insert(zone_name(fmt::format("a &{}", i)));
+    }
+    bounded_list.replace(now, {many, {}, {1, 20}});
+    bounded_list.apply(now, zone_name("z in use"), true, {1, 21});
+    bounded_list.apply(now, zone_name("z-plain_1."), true, {1, 22});
+    LONGS_EQUAL(evacuation_limits().max_zones, bounded_list.in_force().size());
+    CHECK(bounded_list.in_force().count(zone_name("z in use")) != 0);
+    CHECK(bounded_list.in_force().count(zone_name("z-plain_1.")) != 0);
+    bounded_list.apply(now, zone_name("z in use"), false, {1, 23});
+    CHECK(bounded_list.in_force().count(zone_name("z in use")) == 0);
+}
--- a/src/node/evacuation_feed.h
+++ b/src/node/evacuation_feed.h
@@ -41,6 +41,8 @@
     void publish();
     /// The zone that an entry names; logs an entry that names none.
     std::optional<zone_name> read_zone(const collection_item& item);
+    /// Zones in which there are hosts or upstreams, as far as this host knows.
+    std::set<zone_name> zones_in_use() const;
     void log_changes(const std::set<zone_name>& before, const std::set<zone_name>& after) const;
     collection_follower::hooks follower_hooks();
 
--- a/src/node/internal/evacuation_feed.cpp
+++ b/src/node/internal/evacuation_feed.cpp
@@ -26,6 +26,7 @@
 evacuation_feed::evacuation_feed(node_context& context, iobject_collection* source,
                                  std::function<void(const evacuation_state&)> on_change)
     : context_(context), on_change_(std::move(on_change)),
+      list_(evacuation_limits(), [this] { return zones_in_use(); }),
       follower_(source == nullptr ? nullptr
                                   : std::make_shared<collection_follower>(*source, context.timers, "evacuations",
                                                                           follower_hooks(), limits()))
@@ -181,6 +182,18 @@
     on_change_(list_.state());
 }
 
+std::set<zone_name> evacuation_feed::zones_in_use() const
+{
+    std::set<zone_name> out = {context_.settings.availability_zone};
+    for (const auto* it : context_.peers.live()) {
+        out.insert(it->availability_zone);
+    }
+    for (const auto& [id, entry] : context_.directory.entries()) {
+        out.insert(entry.record.availability_zone);
+    }
+    return out;
+}
+
 void evacuation_feed::log_changes(const std::set<zone_name>& before, const std::set<zone_name>& after) const
 {
     for (const auto& it : after) {
--- a/tests/invariants/odd_entry_test.cpp
+++ b/tests/invariants/odd_entry_test.cpp
@@ -120,6 +120,21 @@
         return true;
     }
 
+    /// Whether each host uses exactly the upstreams of this zone, the other one being evacuated.
+    bool all_hosts_use_zone(const std::string& zone)
+    {
+        std::set<std::string> expected;
+        for (int i = zone == "colombo-a" ? 1 : 2; i <= instances; i += 2) {
+            expected.insert(fmt::format("instance-{}", i));
+        }
+        for (int i = 1; i <= hosts; ++i) {
+            if (!eventually([&] { return used_upstreams(i) == expected; }, start_time)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     std::int64_t store_figure(const std::string& name)
     {
         return fleet->control("store", json::object()).value(name, std::int64_t{-1});
@@ -155,7 +170,7 @@
         write_all("evacuations", names);
         write_all("anvillead-hosts", names);
         fleet->set_evacuated("colombo-b", true);
-        const bool served = start_hosts() && all_hosts_use(instances / 2);
+        const bool served = start_hosts() && all_hosts_use_zone("colombo-a");
         kill_hosts();
         remove_all("config", names);
         remove_all("evacuations", names);
@@ -166,6 +181,30 @@
     LONGS_EQUAL(0, store_figure("invalid"));
 }
 
+// Guards against other programs' entries among the evacuations that are more than a host keeps, and displace a zone of
+// the fleet.
+TEST(odd_entry, hundreds_of_odd_evacuations_displace_no_zone)
+{
+    constexpr int many_entries = 300;
+    start_fleet(true);
+    fleet->control("store", {{"page", 100}});
+    std::vector<std::string> names;
+    for (int i = 1; i <= many_entries; ++i) {
+        names.push_back(fmt::format("a &+#%{}", i));
+    }
+    write_all("evacuations", names);
+    fleet->set_evacuated("colombo-b", true);
+    CHECK(start_hosts());
+    CHECK(all_hosts_use_zone("colombo-a"));
+    fleet->set_evacuated("colombo-b", false);
+    fleet->set_evacuated("colombo-a", true);
+    CHECK(all_hosts_use_zone("colombo-b"));
+    fleet->control("store", {{"compact", true}});
+    fleet->set_evacuated("colombo-a", false);
+    fleet->set_evacuated("colombo-b", true);
+    CHECK(all_hosts_use_zone("colombo-a"));
+}
+
 // Guards against hosts that serve until such entries come, change or leave, by watch or by a new listing.
 TEST(odd_entry, hosts_that_run_follow_the_list_beside_hundreds_of_odd_entries)
 {
