Wait until a stop signal has taken effect in tests

Cause: the test sends SIGSTOP to a host and then a request, which is to wait in the kernel. A process runs on until the signal is delivered, so the host still read the request and sent it to its upstream; it was stopped for 1.7 s and found the request's deadline passed.

Evidence, in the kept log: request_failed, deadline_exceeded, may_have_run, 5 ms after SIGCONT; a request that is read after it has its whole time. So the case is none that the test guards against, and the answer was right.

Change: process::send_signal returns after SIGSTOP when the process is stopped. No check of a test is changed.

--- a/tests/invariants/harness_test.cpp
+++ b/tests/invariants/harness_test.cpp
@@ -1,3 +1,7 @@
+#include <csignal>
+#include <fstream>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 #include "tests/support/cluster.h"
@@ -39,3 +43,19 @@
     }
     CHECK(it.wait_ready());
 }
+
+// Guards against a process that handles what a test sends it after a stop signal, which it has not received yet.
+TEST(harness, stop_signal_has_taken_effect_when_it_was_sent)
+{
+    const work_directory logs;
+    process stopped(logs.file("store.log"), {program("standin-metadata-store")});
+    CHECK(!stopped.find_output("listening (\\S+)").empty());
+    for (int i = 0; i < 100; ++i) {
+        stopped.send_signal(SIGSTOP);
+        std::ifstream in("/proc/" + std::to_string(stopped.pid()) + "/stat");
+        std::string field;
+        in >> field >> field >> field;
+        STRCMP_EQUAL("T", field.c_str());
+        stopped.send_signal(SIGCONT);
+    }
+}
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -155,8 +155,14 @@
 
 void process::send_signal(int number) const
 {
-    if (!exit_code_) {
-        ::kill(pid_, number);
+    if (exit_code_) {
+        return;
+    }
+    ::kill(pid_, number);
+    if (number == SIGSTOP) {
+        // The process runs on until the signal is delivered.
+        siginfo_t state{};
+        ::waitid(P_PID, static_cast<id_t>(pid_), &state, WSTOPPED | WEXITED | WNOWAIT);
     }
 }
 
