--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -8,6 +8,10 @@
   copy_ms           time that one copy of a generation's memory takes; copies take turns
   unframed          answers have neither a length nor chunks and end with their connection
   keeps_running     a run goes on when its connection closes (PROTOCOL.md: "Most engines drop a request ...")
+  slots, queue      plain requests that run at once, and that wait for a slot; further ones are turned away
+  work_ms           time that a plain request runs
+  brittle           N of Server-Brittle, said in all answers; after more than N refusals in a second the engine falls
+                    over, and is back after down_ms
 Prints "listening IP:PORT". POST /control takes the same fields, and: draining; lose_answers (so many answers end early
 while their runs go on: those of generations whose memory has just been copied while another copy waits for the link).
 """
@@ -21,7 +25,11 @@
 runs = {}      # request id -> run
 copies = {}    # handle -> (request id, events made)
 link = None    # copies take turns
-state = {"handles": 0, "draining": False, "lose_answers": 0, "waiting": 0}
+plain_runs = set()  # writers of the plain requests that run or wait
+refusals = []
+server = None
+port = 0
+state = {"falls": 0, "handles": 0, "draining": False, "lose_answers": 0, "waiting": 0}
 
 
 def say(what, **fields):
@@ -71,9 +79,43 @@
            "Instance-Load": f"{len(runs)},0,24"}
     if state["draining"]:
         out["Server-Leaving"] = "1"
+    if options.get("brittle") is not None:
+        out["Server-Brittle"] = str(options["brittle"])
     return out
 
 
+async def turn_away(writer, request):
+    headers = {"Not-Executed": "1"}
+    if options.get("brittle") is not None:
+        headers["Server-Brittle"] = str(options["brittle"])
+    answer(writer, 503, headers)
+    await writer.drain()
+    now = time.monotonic()
+    refusals[:] = [it for it in refusals if it[0] > now - 1] + [(now, request)]
+    if options.get("brittle") is not None and len(refusals) > options["brittle"]:
+        await fall()
+
+
+async def fall():
+    """The engine falls over, and starts again under its id."""
+    global server
+    say("falls over", refused=[it[1] for it in refusals], running=len(plain_runs))
+    refusals.clear()
+    state["falls"] += 1
+    server.close()
+    for it in list(plain_runs):
+        it.transport.abort()
+    plain_runs.clear()
+
+    async def start_again():
+        global server
+        await asyncio.sleep(options["down_ms"] / 1000)
+        options["born"] = int(time.time() * 1000)
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        say("is back")
+    state["starting"] = asyncio.ensure_future(start_again())
+
+
 def send(run, data):
     if not run.connected:
         return
@@ -133,8 +175,21 @@
 
 
 async def plain(headers, writer):
-    """An answer of 800 bytes in four parts."""
+    """An answer of 800 bytes."""
     request = headers["request-id"]
+    if len(plain_runs) >= options["slots"] + options["queue"]:
+        await turn_away(writer, request)
+        return
+    plain_runs.add(writer)
+    falls = state["falls"]
+    gate = state.setdefault("gate", asyncio.Semaphore(options["slots"]))
+    async with gate:
+        if falls == state["falls"]:
+            await run_plain(headers, writer, request)
+    plain_runs.discard(writer)
+
+
+async def run_plain(headers, writer, request):
     say("run", request=request, tenant=headers.get("tenant", ""))
     body = f"{request}:".encode().ljust(800, b".")
     fields = stamp_headers(request)
@@ -142,11 +197,11 @@
         fields["Connection"] = "close"
     else:
         fields["Content-Length"] = str(len(body))
-    writer.write(head_of(200, fields))
-    for i in range(4):
-        writer.write(body[i * 200:(i + 1) * 200])
-        await writer.drain()
-        await asyncio.sleep(options["event_ms"] / 1000)
+    falls = state["falls"]
+    await asyncio.sleep(options["work_ms"] / 1000)
+    if falls != state["falls"]:
+        return
+    writer.write(head_of(200, fields) + body)
     say("ended", request=request, bytes=len(body))
 
 
@@ -234,8 +289,10 @@
 
 
 async def main():
+    global server, port
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    print("listening 127.0.0.1:%d" % server.sockets[0].getsockname()[1], flush=True)
+    port = server.sockets[0].getsockname()[1]
+    print(f"listening 127.0.0.1:{port}", flush=True)
     parent = os.getppid()
     while os.getppid() == parent:
         await asyncio.sleep(0.5)
--- a/review/lib3/stand.py
+++ b/review/lib3/stand.py
@@ -18,6 +18,10 @@
 KEY = "key-galle"
 
 
+def dump(value):
+    return json.dumps(value, separators=(",", ":"))
+
+
 class CannotRun(Exception):
     pass
 
@@ -87,17 +91,23 @@
         self.kinds = {}
         self.events = []
         self.changed = None
-        self.address = ""
+        self.link = None
+        self.refuses = set()  # numbers of the hosts that the store turns away with 503
+        self.addresses = {}  # a port for each host, which tells the store who calls
 
-    async def start(self):
+    async def start(self, hosts):
         self.changed = asyncio.Condition()
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.link = asyncio.Lock()
+        for number in range(1, hosts + 1):
+            server = await asyncio.start_server(lambda r, w, n=number: self.serve(r, w, n), "127.0.0.1", 0)
+            self.addresses[number] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
     async def put(self, kind, name, spec):
+        """`spec` may also be a JSON text."""
         self.revision += 1
-        value = {"metadata": {"name": name, "revision": self.revision, "created": 1, "finalizers": [],
-                              "deletion-pending": False}, "spec": spec, "status": None}
+        metadata = {"name": name, "revision": self.revision, "created": 1, "finalizers": [], "deletion-pending": False}
+        text = spec if isinstance(spec, str) else dump(spec)
+        value = f'{{"metadata":{dump(metadata)},"spec":{text},"status":null}}'
         self.kinds.setdefault(kind, {})[name] = value
         self.events.append((self.revision, kind, value, False))
         async with self.changed:
@@ -115,11 +125,11 @@
     async def watch(self, kind, after, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         while True:
-            found = [{"object": value, "deleted": gone} for revision, k, value, gone in self.events
+            found = [f'{{"deleted":{dump(gone)},"object":{value}}}' for revision, k, value, gone in self.events
                      if k == kind and revision > after]
             left = until - time.monotonic()
             if found or left <= 0:
-                return {"events": found, "at": self.revision}
+                return f'{{"events":[{",".join(found)}],"at":{self.revision}}}'
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(), left)
@@ -131,32 +141,48 @@
         query = dict(urllib.parse.parse_qsl(parts.query))
         path = [urllib.parse.unquote(it) for it in parts.path.split("/")[1:]]
         if len(path) < 2 or path[0] != "objects":
-            return 404, {}
+            return 404, "{}"
         kind = path[1]
         objects = self.kinds.get(kind, {})
         if method == "GET" and len(path) == 2 and "watch" in query:
             return 200, await self.watch(kind, int(query["watch"]), int(query.get("wait-ms", "0")))
         if method == "GET" and len(path) == 2:
-            names = sorted(it for it in objects if it > query.get("after", ""))
-            return 200, {"items": [objects[it] for it in names], "has-more": False, "at": self.revision}
+            return 200, self.page([it for it in sorted(objects) if it > query.get("after", "")], objects)
         if method == "GET":
-            return (200, objects[path[2]]) if path[2] in objects else (404, {})
+            return (200, objects[path[2]]) if path[2] in objects else (404, "{}")
         value = json.loads(body) if body else {}
         if method == "POST":
             name = value["metadata"]["name"]
             return (409, objects[name]) if name in objects else (200, await self.put(kind, name, value["spec"]))
         if method == "PUT" and path[2] in objects:
             return 200, await self.put(kind, path[2], value["spec"])
-        return 404, {}
-
-    async def serve(self, reader, writer):
+        return 404, "{}"
+
+    def page(self, names, objects):
+        """PROTOCOL.md: about 500 objects or 1 MB at most."""
+        items, size = [], 0
+        for it in names:
+            if items and (len(items) == 500 or size + len(objects[it]) > 1_048_576):
+                break
+            items.append(objects[it])
+            size += len(objects[it])
+        return f'{{"items":[{",".join(items)}],"has-more":{dump(len(items) < len(names))},"at":{self.revision}}}'
+
+    async def serve(self, reader, writer, number):
         try:
             while True:
                 start, headers = await read_head(reader)
                 method, target, _ = start.split(" ")
                 body, _ = await read_body(reader, {"content-length": "0", **headers})
-                status, value = await self.handle(method, target, body)
-                data = json.dumps(value).encode()
+                if number in self.refuses:
+                    status, value = 503, "{}"
+                else:
+                    status, value = await self.handle(method, target, body)
+                data = value.encode()
+                # The sheet: 4 ms an answer, and a link of 1,000 Mbit/s for all.
+                await asyncio.sleep(0.004)
+                async with self.link:
+                    await asyncio.sleep(len(data) * 8 / 1e9)
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(data)) + data)
                 await writer.drain()
@@ -195,7 +221,7 @@
         self.engines = {}
 
     async def start(self, timeout_ms=30000, services=None):
-        await self.store.start()
+        await self.store.start(self.hosts)
         self.version = 1
         self.config = {
             "version": 1,
@@ -224,7 +250,8 @@
 
     async def start_engine(self, name, service="anvil-roster", **options):
         options = {"id": name, "service": service, "log": self.engine_log, "born": int(time.time() * 1000),
-                   "event_ms": 20, "copy_ms": 200, "unframed": False, "keeps_running": False, **options}
+                   "event_ms": 20, "copy_ms": 200, "unframed": False, "keeps_running": False,
+                   "slots": 6, "queue": 24, "work_ms": 60, "down_ms": 2000, "brittle": None, **options}
         process = subprocess.Popen([sys.executable, os.path.join(os.path.dirname(__file__), "engine.py"),
                                     json.dumps(options)], stdout=subprocess.PIPE, text=True)
         self.processes[name] = process
@@ -275,7 +302,7 @@
                            "bandwidth-mbps": 1000.0, "disk-mb": 0},
                 "bounds": {"drain-ms": 2000, "contact-ms": 3000, "grace-s": 8, "retry-budget-ratio": 0.2,
                            "retry-window-s": 10, "retry-slack": 54, "ttl_max_s": 5},
-                "platform": {"address": self.store.address, "form": "objects", "writes-per-s": 400,
+                "platform": {"address": self.store.addresses[number], "form": "objects", "writes-per-s": 400,
                              "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576}}
 
     def start_node(self, number):
@@ -304,12 +331,13 @@
             await asyncio.sleep(0.05)
         raise CannotRun(f"edge-{number} does not get ready")
 
-    async def ask(self, number, method, path, request, headers=None, body=b"", on_data=None):
+    async def ask(self, number, method, path, request, headers=None, body=b"", quiet=False):
         """One client attempt on a new connection: (status, headers, body, whether the answer came to its end)."""
         fields = {"Host": HOST_NAME, "Request-Id": request, "Authorization": f"Token {KEY}", **(headers or {})}
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
-        self.record.say(f"client sends {request}: {method} {path} to edge-{number}")
+        if not quiet:
+            self.record.say(f"client sends {request}: {method} {path} to edge-{number}")
         try:
             reader, writer = await asyncio.open_connection(f"127.0.0.{number}", self.ports["frontend"])
             writer.write((f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items()) +
@@ -344,6 +372,8 @@
             process.wait()
         for it in self.engine_lines():
             fields = ", ".join(f"{k} {v}" for k, v in it.items() if k not in ("at", "engine", "what"))
+            if it["what"] == "ended" and "bytes" in it:
+                continue
             self.record.say(f"{it['engine']} {it['what']}: {fields}", it["at"])
         self.record.write()
         if not os.environ.get("KEEP"):
