Review case 14: streams of an engine that is back under its id are cut

Shows: rule LOST. An engine crashes and is back 2 s later under its id; its entry says so a second after that. Streams without a length or chunks that it ends in full meanwhile reach their clients without an end, and the host closes their kept connections, four and more a host. Cause: crash_detector::check_ended compares the start that the engine reports with the entry of the process before, though the request was sent to the one that reports.

--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -8,11 +8,9 @@
   copy_ms           time that one copy of a generation's memory takes; copies take turns
   unframed          answers have neither a length nor chunks and end with their connection
   keeps_running     a run goes on when its connection closes (PROTOCOL.md: "Most engines drop a request ...")
-  slots, queue      plain requests that run at once, and that wait for a slot; further ones are turned away
   work_ms           time that a plain request runs
-  brittle           N of Server-Brittle, said in all answers; after more than N refusals in a second the engine falls
-                    over, and is back after down_ms
-Prints "listening IP:PORT". POST /control takes the same fields, and: draining; lose_answers (so many answers end early
+  down_ms           time after a crash until the engine starts again, under its id and at its address
+Prints "listening IP:PORT". POST /control takes: draining; crash; lose_answers (so many answers end early
 while their runs go on: those of generations whose memory has just been copied while another copy waits for the link).
 """
 import asyncio
@@ -25,11 +23,9 @@
 runs = {}      # request id -> run
 copies = {}    # handle -> (request id, events made)
 link = None    # copies take turns
-plain_runs = set()  # writers of the plain requests that run or wait
-refusals = []
 server = None
 port = 0
-state = {"falls": 0, "handles": 0, "draining": False, "lose_answers": 0, "waiting": 0}
+state = {"handles": 0, "draining": False, "lose_answers": 0, "waiting": 0}
 
 
 def say(what, **fields):
@@ -79,41 +75,23 @@
            "Instance-Load": f"{len(runs)},0,24"}
     if state["draining"]:
         out["Server-Leaving"] = "1"
-    if options.get("brittle") is not None:
-        out["Server-Brittle"] = str(options["brittle"])
     return out
 
 
-async def turn_away(writer, request):
-    headers = {"Not-Executed": "1"}
-    if options.get("brittle") is not None:
-        headers["Server-Brittle"] = str(options["brittle"])
-    answer(writer, 503, headers)
-    await writer.drain()
-    now = time.monotonic()
-    refusals[:] = [it for it in refusals if it[0] > now - 1] + [(now, request)]
-    if options.get("brittle") is not None and len(refusals) > options["brittle"]:
-        await fall()
-
-
-async def fall():
-    """The engine falls over, and starts again under its id."""
+async def crash():
     global server
-    say("falls over", refused=[it[1] for it in refusals], running=len(plain_runs))
-    refusals.clear()
-    state["falls"] += 1
+    say("crashes", running=len(runs))
     server.close()
-    for it in list(plain_runs):
-        it.transport.abort()
-    plain_runs.clear()
-
-    async def start_again():
-        global server
-        await asyncio.sleep(options["down_ms"] / 1000)
-        options["born"] = int(time.time() * 1000)
-        server = await asyncio.start_server(serve, "127.0.0.1", port)
-        say("is back")
-    state["starting"] = asyncio.ensure_future(start_again())
+    for it in list(runs.values()):
+        it.stopped = True
+        it.writer.transport.abort()
+        it.connected = False
+    runs.clear()
+    copies.clear()
+    await asyncio.sleep(options["down_ms"] / 1000)
+    options["born"] = int(time.time() * 1000)
+    server = await asyncio.start_server(serve, "127.0.0.1", port)
+    say("is back", born=options["born"])
 
 
 def send(run, data):
@@ -177,19 +155,6 @@
 async def plain(headers, writer):
     """An answer of 800 bytes."""
     request = headers["request-id"]
-    if len(plain_runs) >= options["slots"] + options["queue"]:
-        await turn_away(writer, request)
-        return
-    plain_runs.add(writer)
-    falls = state["falls"]
-    gate = state.setdefault("gate", asyncio.Semaphore(options["slots"]))
-    async with gate:
-        if falls == state["falls"]:
-            await run_plain(headers, writer, request)
-    plain_runs.discard(writer)
-
-
-async def run_plain(headers, writer, request):
     say("run", request=request, tenant=headers.get("tenant", ""))
     body = f"{request}:".encode().ljust(800, b".")
     fields = stamp_headers(request)
@@ -197,10 +162,7 @@
         fields["Connection"] = "close"
     else:
         fields["Content-Length"] = str(len(body))
-    falls = state["falls"]
     await asyncio.sleep(options["work_ms"] / 1000)
-    if falls != state["falls"]:
-        return
     writer.write(head_of(200, fields) + body)
     say("ended", request=request, bytes=len(body))
 
@@ -260,7 +222,8 @@
             value = json.loads(body)
             state["draining"] = value.get("draining", state["draining"])
             state["lose_answers"] = value.get("lose_answers", state["lose_answers"])
-            options.update({k: value[k] for k in options if k in value})
+            if value.get("crash"):
+                state["crash"] = asyncio.ensure_future(crash())
             answer_json(writer, 200, {})
         elif target == "/report":
             answer_json(writer, 200, {"stage": "both", "born": options["born"], "queued": 0, "active": len(runs),
--- a/review/lib3/stand.py
+++ b/review/lib3/stand.py
@@ -213,7 +213,8 @@
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="anvillead-case-")
         self.hosts = hosts
-        self.ports = {it: free_port(hosts) for it in ("frontend", "ready", "control-plane", "registry", "internal")}
+        self.ports = {it: free_port(hosts) for it in ("frontend", "ready", "control-plane", "registry", "internal",
+                                                          "metrics")}
         self.store = Store()
         self.processes = {}
         self.engine_log = os.path.join(self.folder, "engines.log")
@@ -251,7 +252,7 @@
     async def start_engine(self, name, service="anvil-roster", **options):
         options = {"id": name, "service": service, "log": self.engine_log, "born": int(time.time() * 1000),
                    "event_ms": 20, "copy_ms": 200, "unframed": False, "keeps_running": False,
-                   "slots": 6, "queue": 24, "work_ms": 60, "down_ms": 2000, "brittle": None, **options}
+                   "work_ms": 60, "down_ms": 2000, **options}
         process = subprocess.Popen([sys.executable, os.path.join(os.path.dirname(__file__), "engine.py"),
                                     json.dumps(options)], stdout=subprocess.PIPE, text=True)
         self.processes[name] = process
@@ -261,6 +262,22 @@
         self.engines[name] = {"address": line.split()[1], "born": options["born"], "service": service}
         await self.list_engine(name, "ready")
 
+    async def put_link_before(self, name):
+        """From now on hosts reach the engine over a link that can go dark."""
+        link = subprocess.Popen([sys.executable, os.path.join(os.path.dirname(__file__), "link.py"),
+                                 self.engines[name]["address"]], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        self.processes[f"link of {name}"] = link
+        line = await asyncio.get_running_loop().run_in_executor(None, link.stdout.readline)
+        if not line.startswith("listening "):
+            raise CannotRun(f"the link of {name} did not start")
+        self.engines[name]["address"] = line.split()[1]
+
+    def make_dark(self, name):
+        self.record.say(f"the machine of {name} has no power: new connections to it hang")
+        link = self.processes[f"link of {name}"]
+        link.stdin.write("dark\n")
+        link.stdin.flush()
+
     async def list_engine(self, name, phase):
         """What the engine writes of itself into the platform's store."""
         it = self.engines[name]
@@ -311,8 +328,8 @@
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(number), file)
         log = open(os.path.join(self.folder, f"{name}.log"), "ab")
-        # The command of the deploy file without its port for metrics, which is one number for all hosts.
-        self.processes[name] = subprocess.Popen([NODE], cwd=ROOT, stdout=log, stderr=log,
+        # The command of the deploy file, with a free port for metrics.
+        self.processes[name] = subprocess.Popen([NODE, "--metrics-port", str(self.ports["metrics"])], cwd=ROOT, stdout=log, stderr=log,
                                                 env={"PATH": os.environ["PATH"], "ANVILLEAD_BOOT": path})
         self.record.say(f"{name} started")
 
@@ -385,6 +402,7 @@
     one, with 0 if there is none and with 2 if the case could not run."""
     code = 2
     stand = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         stand = Stand(os.path.dirname(os.path.abspath(folder)), hosts)
         loop = asyncio.new_event_loop()
@@ -394,7 +412,7 @@
             print(it)
         stand.record.say(f"result: {'the rule was broken' if broken else 'the rule held'}")
         code = 1 if broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+    except (CannotRun, OSError, asyncio.TimeoutError, SystemExit, KeyboardInterrupt) as problem:
         print(f"cannot run: {problem!r}")
         if stand:
             stand.record.say(f"result: could not run: {problem!r}")
