--- a/review/lib3/link.py
+++ b/review/lib3/link.py
@@ -11,6 +11,7 @@
 
 host, _, port = sys.argv[1].rpartition(":")
 dark = False
+carried = set()  # the loop itself doesn't keep tasks
 kept = []  # connections that fill the queue of the port, as nobody accepts them
 
 
@@ -53,7 +54,9 @@
         while not dark:
             connection, _ = await loop.sock_accept(listener)
             connection.setblocking(False)
-            asyncio.ensure_future(carry(connection))
+            task = asyncio.ensure_future(carry(connection))
+            carried.add(task)
+            task.add_done_callback(carried.discard)
 
     accepting = asyncio.ensure_future(accept())
     await loop.run_in_executor(None, sys.stdin.readline)
--- a/review/lib3/stand.py
+++ b/review/lib3/stand.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -190,20 +191,21 @@
             writer.close()
 
 
-def free_port(hosts):
-    """A port that is free on the addresses of all hosts."""
-    while True:
-        with socket.socket() as first:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
+def free_ports(hosts, count):
+    """Ports that are free on the addresses of all hosts, below those that the kernel gives to outgoing connections."""
+    out = []
+    while len(out) < count:
+        port = random.randint(12000, 30000)
         try:
             for i in range(1, hosts + 1):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
                         probe.bind((f"127.0.0.{i}", port))
-            return port
         except OSError:
             continue
+        if port not in out:
+            out.append(port)
+    return out
 
 
 class Stand:
@@ -213,8 +215,8 @@
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="anvillead-case-")
         self.hosts = hosts
-        self.ports = {it: free_port(hosts) for it in ("frontend", "ready", "control-plane", "registry", "internal",
-                                                          "metrics")}
+        names = ("frontend", "ready", "control-plane", "registry", "internal", "metrics")
+        self.ports = dict(zip(names, free_ports(hosts, len(names))))
         self.store = Store()
         self.processes = {}
         self.engine_log = os.path.join(self.folder, "engines.log")
