Compare the start of the process that took a request with the one that ends

Cause: where framing does not show the end of an answer, the host asks the engine for its start and compares it with that of the record with which the request was placed, which is the process before until the entry comes.

Ruled out: clocks, as starts are in the engines'; news of the store while the request is open, as it may overtake the end of the connection after a partition; taking the start as unknown from the first sign of a crash, as a host with nothing open sees none.

Change: crash_detector::identify asks for the start while the connection is open, when the head of a stream without framing has come, or when a plain call is sent to an upstream whose last answer had none. It counts only if the peer has not ended the connection, also not behind unread bytes (ihttp_call::peer_connected). The same comparison decides about suspects: a reset by a process whose start was not known is no evidence against a request.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -7,6 +7,7 @@
 #include "dispatch/generation_move.h"
 #include "dispatch/types/placement.h"
 #include "dispatch/types/upstream_call.h"
+#include "node/crash_detector.h"
 #include "node/granted_slot.h"
 #include "node/node_context.h"
 #include "node/placement_service.h"
@@ -101,6 +102,9 @@
     void stream_lost(const std::string& reason);
     /// The connection was lost before any output or soon after it: the engine may have crashed because of this request.
     void check_for_crash(bool responded);
+    /// Finds out which process of the engine runs the generation.
+    void identify_process();
+    upstream_process process() const { return {engine_, process_start_ms_}; }
     void retry_or_fail(const error& reason, bool reached_engine);
     void resume_refused();
     void forward_error_response();
@@ -167,6 +171,8 @@
     double first_event_ms_ = 0;
     instant first_event_at_{};
     instant sent_at_{};
+    /// Start that the process at the engine has stated while it held the connection; zero if unknown.
+    std::int64_t process_start_ms_ = 0;
     /// Number of engines that could not be reached.
     int unreachable_ = 0;
     instant last_event_at_{};
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -4,7 +4,6 @@
 
 #include "core/log.h"
 #include "dispatch/length_forecast.h"
-#include "node/crash_detector.h"
 #include "node/error_response.h"
 #include "node/quarantine_service.h"
 #include "node/rate_service.h"
@@ -142,6 +141,7 @@
     ++offers_;
 
     sent_at_ = context_.timers.now();
+    process_start_ms_ = 0;
     ++call_epoch_;
     http_call_handlers handlers;
     const auto guarded = [this](auto action) {
@@ -191,6 +191,18 @@
     if (!std::exchange(response_started_, true)) {
         request_.exchange->begin_stream(status, platform::caller_headers(headers));
     }
+    if (!call_->framed()) {
+        identify_process();
+    }
+}
+
+void generation_relay::identify_process()
+{
+    context_.crashes->identify(engine_, sent_at_, [self = shared_from_this(), n = call_epoch_](std::int64_t start) {
+        if (!self->done_ && n == self->call_epoch_ && self->call_->peer_connected()) {
+            self->process_start_ms_ = start;
+        }
+    });
 }
 
 void generation_relay::on_data(std::string_view data)
@@ -315,7 +327,7 @@
         // Its prompt has been read, so no part of that is suspected.
         suspect.traits = {request_.traits.front()};
     }
-    context_.crashes->check(engine_, request_.caller.id, std::move(suspect),
+    context_.crashes->check(process(), request_.caller.id, std::move(suspect),
                             [self = shared_from_this(), started = std::exchange(trial_, std::nullopt)](bool crashed) {
                                 if (started && !crashed) {
                                     self->context_.quarantine->end_trial(*started);
@@ -377,7 +389,7 @@
 void generation_relay::confirm_end()
 {
     phase_ = phase::confirming;
-    context_.crashes->confirm_end(engine_, [self = shared_from_this(), n = call_epoch_](bool crashed) {
+    context_.crashes->confirm_end(process(), [self = shared_from_this(), n = call_epoch_](bool crashed) {
         if (self->done_ || n != self->call_epoch_) {
             return;
         }
--- a/src/node/internal/plain_call.cpp
+++ b/src/node/internal/plain_call.cpp
@@ -4,7 +4,6 @@
 
 #include "core/crypto.h"
 #include "core/log.h"
-#include "node/crash_detector.h"
 #include "node/error_response.h"
 #include "node/quarantine_service.h"
 #include "node/rate_service.h"
@@ -296,6 +295,20 @@
                 self->on_call_end(upstream, end, answer);
             }
         });
+    identify_process(upstream);
+}
+
+void plain_call::identify_process(const upstream_record& upstream)
+{
+    process_start_ms_ = 0;
+    if (!context_.crashes->answers_without_framing(upstream.id)) {
+        return;
+    }
+    context_.crashes->identify(upstream, sent_at_, [self = shared_from_this(), call = call_](std::int64_t start) {
+        if (call == self->call_ && call->peer_connected()) {
+            self->process_start_ms_ = start;
+        }
+    });
 }
 
 void plain_call::on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer)
@@ -315,6 +328,9 @@
         retry_or_fail(make_error(error_kind::no_upstream, "the upstream cannot be reached: " + end.detail));
         return;
     }
+    if (answer.status != 0) {
+        context_.crashes->record_framing(upstream.id, end.framed);
+    }
     if (answer.status != 0 || end.end == http_call_outcome::lost) {
         context_.record_path(sent_at_, upstream, answer.status != 0);
     }
@@ -342,7 +358,7 @@
 
 void plain_call::confirm_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer)
 {
-    context_.crashes->confirm_end(upstream, [self = shared_from_this(), upstream, end, answer](bool crashed) {
+    context_.crashes->confirm_end(process(upstream), [self = shared_from_this(), upstream, end, answer](bool crashed) {
         if (self->done_) {
             return;
         }
@@ -394,7 +410,7 @@
     };
     step_timer_ = context_.timers.after(crash_check_timeout, go_on);
     context_.crashes->check(
-        upstream, request_.caller.id, {false, {request_.traits.front()}},
+        process(upstream), request_.caller.id, {false, {request_.traits.front()}},
         [self = shared_from_this(), go_on, started = std::exchange(trial_, std::nullopt)](bool crashed) {
             if (started && !crashed) {
                 self->context_.quarantine->end_trial(*started);
--- a/src/node/plain_call.h
+++ b/src/node/plain_call.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 
+#include "node/crash_detector.h"
 #include "node/granted_slot.h"
 #include "node/node_context.h"
 #include "node/request_forwarder.h"
@@ -38,6 +39,9 @@
     void end_trial();
     void refuse_quarantined();
     void send(const upstream_record& upstream);
+    /// Finds out which process of the upstream runs the request, if its answer may come without framing.
+    void identify_process(const upstream_record& upstream);
+    upstream_process process(const upstream_record& upstream) const { return {upstream, process_start_ms_}; }
     void on_call_end(const upstream_record& upstream, const http_call_result& end, const http_response& answer);
     /// The upstream has accepted the request and its call has ended.
     void on_accepted_call_end(const upstream_record& upstream, const http_call_result& end,
@@ -78,6 +82,8 @@
     /// Number of upstreams that could not be reached.
     int unreachable_ = 0;
     instant sent_at_{};
+    /// Start that the process at the upstream has stated while it held the connection; zero if unknown.
+    std::int64_t process_start_ms_ = 0;
     /// Why the request was passed on, for the caller if no other host takes it.
     std::optional<error> forwarding_reason_;
     bool forwarded_ = false;
--- a/src/transport/ihttp_client.h
+++ b/src/transport/ihttp_client.h
@@ -76,6 +76,11 @@
     /// Stops reading from the peer until resume().
     virtual void pause() = 0;
     virtual void resume() = 0;
+    /// The end of the answer, whose head has arrived, will be certain from its framing.
+    virtual bool framed() const = 0;
+    /// The request is being sent or answered, and the peer has neither ended nor reset the connection, also not behind
+    /// bytes that have not been read yet. For use on the sequence of the call.
+    virtual bool peer_connected() const = 0;
 };
 
 /// A complete response held in memory.
--- a/src/transport/internal/http_client.cpp
+++ b/src/transport/internal/http_client.cpp
@@ -172,6 +172,13 @@
         }
     }
 
+    bool framed() const override { return parser_ && parser_->is_header_done() && !parser_->need_eof(); }
+
+    bool peer_connected() const override
+    {
+        return !done_ && send_started_ && socket_ && !peer_has_ended(socket_->native_handle());
+    }
+
 private:
     template <typename Handler>
     auto bind_to_strand(Handler handler)
@@ -454,8 +461,7 @@
         auto handlers = std::move(handlers_);
         handlers_ = {};
         if (handlers.on_end) {
-            const bool framed = parser_ && parser_->is_header_done() && !parser_->need_eof();
-            handlers.on_end({outcome, send_started_, connection_refused_, detail, framed});
+            handlers.on_end({outcome, send_started_, connection_refused_, detail, framed()});
         }
     }
 
--- a/src/transport/internal/socket_state.cpp
+++ b/src/transport/internal/socket_state.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -23,4 +24,10 @@
     return {value, boost::system::system_category()};
 }
 
+bool peer_has_ended(int socket)
+{
+    pollfd it = {socket, POLLRDHUP, 0};
+    return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 } // namespace anvillead
