Stop a generation whose stream is lost before it continues elsewhere

The request goes on at the other engine at once; both execute it for seconds.

Cause: continue_from_copy took a lost stream for a lost generation and left out the final copy call, which stops it.

Ruled out: failing such a generation, which loses what the copy is for; asking for the runs in the engine's report, which is some hundred milliseconds old.

Change: the relay makes the final copy call first (leave_source). 200, or 503 with a handle, continue as in any move; 404 or a refused connection from the earlier copy. A call without an answer is repeated for at most a second, after which the engine has stopped the generation or can't be reached. An engine that answers otherwise each time keeps the generation. The same for a stream that ends while the final copy is under way, and for an engine that has started again at another address.

--- a/src/node/generation_relay.h
+++ b/src/node/generation_relay.h
@@ -112,7 +112,16 @@
     void schedule_move_step(milliseconds delay);
     void move_step_due();
     void start_copy(const upstream_record& target, bool final_copy);
+    /// The stream is lost, but the engine may work on: stops the generation there before it continues from the copy.
+    /// Without a copy it fails.
+    void leave_source(const std::string& reason);
+    /// Stops the generation with the final copy call. `source_closed`: its stream has ended.
+    void start_final_copy(bool source_closed);
     void copy_ended(bool final_copy, const http_call_result& end, const http_response& answer);
+    /// The final copy call has failed, and the stream has ended.
+    void final_copy_failed(const http_call_result& end, const error& reason);
+    /// Bounds the time until the generation continues, whether or not the engine answers the final copy call.
+    void limit_final_copy();
     bool others_copying() const;
     bool worth_moving() const;
     std::int64_t generated_tokens() const;
@@ -123,7 +132,9 @@
     void finish_target_request(const upstream_id& source, const std::optional<upstream_record>& target);
     void on_target_chosen(const std::optional<upstream_record>& target);
     void switch_over();
-    bool continue_from_copy(const std::string& reason);
+    bool can_continue_from_copy() const;
+    /// Continues from the copy, or fails. The generation must not run at its engine any more.
+    void continue_from_copy(const std::string& reason);
     void release_copy();
     void drop_target();
 
@@ -200,6 +211,11 @@
     bool source_closed_ = false;
     bool source_complete_ = false;
     bool final_copy_done_ = false;
+    /// A final copy call of this move got no answer: the engine has stopped the generation, or cannot be reached.
+    bool final_copy_unanswered_ = false;
+    /// Final copy calls since the stream ended, and until when there may be further ones.
+    int final_copies_ = 0;
+    instant final_copy_deadline_{};
     /// The engine may have stopped the generation for a final copy whose answer is missing.
     bool may_be_stopped_ = false;
     bool reported_sound_ = false;
--- a/src/node/internal/generation_relay.cpp
+++ b/src/node/internal/generation_relay.cpp
@@ -408,9 +408,7 @@
         context_.loads.record_outcome(context_.timers.now(), engine_.id, true);
         check_for_crash(true);
     }
-    if (!continue_from_copy(reason)) {
-        fail(make_error(error_kind::generation_lost, "the engine's stream ended early: " + reason));
-    }
+    leave_source(reason);
 }
 
 void generation_relay::retry_or_fail(const error& reason, bool reached_engine)
--- a/src/node/internal/generation_relay_move.cpp
+++ b/src/node/internal/generation_relay_move.cpp
@@ -15,6 +15,11 @@
 // The stream of a stopped generation ends within a few milliseconds after the answer to its final copy call.
 constexpr milliseconds stopped_stream_wait{120};
 constexpr std::size_t max_copy_answer_bytes = 16 * 1024;
+// Time in which an engine whose stream is lost has to answer the final copy call, about that in which this host finds
+// out that an engine is gone; and calls within it, with the pause between them.
+constexpr milliseconds final_copy_wait{1000};
+constexpr int max_final_copies = 10;
+constexpr milliseconds final_copy_retry_pause{40};
 // Tokens that an engine still generates for certain between its notice and its end, at less than 10 ms per token.
 constexpr std::int64_t tokens_within_notice = 100;
 // Longest wait for room on another engine: engines leave within about two seconds of their notice, and the copy takes
@@ -70,8 +75,12 @@
     if (entry != nullptr && entry->record.address == engine_.address) {
         return;
     }
-    if (!continue_from_copy("the engine restarted")) {
-        fail(make_error(error_kind::generation_lost, "the engine restarted"));
+    if (phase_ == phase::switching_over) {
+        source_closed_ = true;
+        source_complete_ = false;
+        limit_final_copy();
+    } else {
+        leave_source("the engine restarted");
     }
 }
 
@@ -199,7 +208,7 @@
         request_target();
         return;
     case move_step::change_over:
-        start_copy(*target_, true);
+        start_final_copy(false);
         return;
     case move_step::stay: {
         auto fields = log_context();
@@ -217,12 +226,7 @@
     fields.emplace_back("target", target.id.str());
     fields.emplace_back("last", final_copy ? "yes" : "no");
     log(log_level::info, log_event::generation_copy_started, fields);
-    if (final_copy) {
-        phase_ = phase::switching_over;
-        source_closed_ = false;
-        source_complete_ = false;
-        final_copy_done_ = false;
-    } else {
+    if (!final_copy) {
         target_work_.assign(target.id, {1, 0, request_.caller.prompt_tokens + planned_output_, 1});
         move_.copy_started();
         work_.set_copying(true);
@@ -239,6 +243,71 @@
                           });
 }
 
+void generation_relay::leave_source(const std::string& reason)
+{
+    if (!can_continue_from_copy()) {
+        fail(make_error(error_kind::generation_lost, "the engine's stream ended early: " + reason));
+        return;
+    }
+    auto fields = log_context();
+    fields.emplace_back("problem", reason);
+    log(log_level::warning, log_event::generation_lost, fields);
+    start_final_copy(true);
+}
+
+void generation_relay::start_final_copy(bool source_closed)
+{
+    phase_ = phase::switching_over;
+    source_closed_ = source_closed;
+    source_complete_ = false;
+    final_copy_done_ = false;
+    final_copy_unanswered_ = false;
+    final_copies_ = 0;
+    final_copy_deadline_ = {};
+    if (source_closed) {
+        limit_final_copy();
+    }
+    start_copy(*target_, true);
+}
+
+void generation_relay::limit_final_copy()
+{
+    final_copy_deadline_ = context_.timers.now() + final_copy_wait;
+    context_.timers.cancel(step_timer_);
+    step_timer_ = context_.timers.after(final_copy_wait, [self = shared_from_this(), n = call_epoch_] {
+        if (!self->done_ && n == self->call_epoch_ && self->phase_ == phase::switching_over) {
+            self->continue_from_copy("the engine did not answer the final copy call");
+        }
+    });
+}
+
+void generation_relay::final_copy_failed(const http_call_result& end, const error& reason)
+{
+    if (final_copy_deadline_ == instant{}) {
+        limit_final_copy();
+    }
+    const bool answered = end.end == http_call_outcome::complete;
+    final_copy_unanswered_ = final_copy_unanswered_ || !answered;
+    // The call stops the generation before it copies; a copy in progress is that of an earlier call.
+    const bool stopped = reason.kind == error_kind::not_found || end.refused || end.end == http_call_outcome::timeout ||
+                         (reason.kind == error_kind::conflict && final_copy_unanswered_);
+    const bool last =
+        ++final_copies_ >= max_final_copies || context_.timers.now() + final_copy_retry_pause >= final_copy_deadline_;
+    if (stopped || (last && final_copy_unanswered_)) {
+        continue_from_copy(reason.message);
+        return;
+    }
+    if (last) {
+        fail(make_error(error_kind::generation_lost, "the engine may work on without a stream: " + reason.message));
+        return;
+    }
+    context_.timers.after(final_copy_retry_pause, [self = shared_from_this(), n = copy_epoch_] {
+        if (!self->done_ && n == self->copy_epoch_) {
+            self->start_copy(*self->target_, true);
+        }
+    });
+}
+
 void generation_relay::copy_ended(bool final_copy, const http_call_result& end, const http_response& answer)
 {
     const auto copy = platform::parse_copy_response(end, answer);
@@ -307,9 +376,7 @@
         return;
     }
     if (source_closed_) {
-        if (!continue_from_copy(copy.error().message)) {
-            fail(make_error(error_kind::generation_lost, "the engine was lost before the final copy"));
-        }
+        final_copy_failed(end, copy.error());
         return;
     }
     // The generation is still running or has just ended; its stream shows which.
@@ -337,19 +404,18 @@
     send(target, resume_point{platform::copy_source(engine_.address, handle), last_event_, events_ > 0});
 }
 
-bool generation_relay::continue_from_copy(const std::string& reason)
+bool generation_relay::can_continue_from_copy() const
 {
-    if (copy_handle_.empty() || !target_ || is_quarantined()) {
-        return false;
-    }
-    if (!context_.directory.accepts(target_->id)) {
-        return false;
+    return !copy_handle_.empty() && target_ && !is_quarantined() && context_.directory.accepts(target_->id);
+}
+
+void generation_relay::continue_from_copy(const std::string& reason)
+{
+    if (can_continue_from_copy()) {
+        switch_over();
+    } else {
+        fail(make_error(error_kind::generation_lost, "the engine was lost before the final copy: " + reason));
     }
-    auto fields = log_context();
-    fields.emplace_back("problem", reason);
-    log(log_level::warning, log_event::generation_lost, fields);
-    switch_over();
-    return true;
 }
 
 void generation_relay::resume_refused()
