Hold one object of an answer of the store at a time

Cause: an answer of up to 8 MB was held whole, a JSON value was made of the spec of each object before the first one was looked at (15 to 25 times its text), and accepted entries were kept and handed on with members that nobody reads.

Ruled out: a smaller limit of an answer, as a single object of 1 MB takes 20 MB as a value, and a configuration of that size has to be read.

Whether an entry can be read is still asked of all of it (is_bounded_json), so that those that named no upstream before name none now. Entries that a host of an earlier build hands on are reduced in the same way; it reads those of this build as before. Connections to the store have a bounded receive buffer.

--- a/src/core/internal/bounded_json.cpp
+++ b/src/core/internal/bounded_json.cpp
@@ -11,25 +11,29 @@
 // Maximum declared number of elements; the library throws on sizes that no message can hold.
 constexpr std::size_t max_elements = 16'000'000;
 
-/// Builds the value like the library's parser, but stops at the depth and size limits.
-class bounded_parser : public dom_parser
+/// Handles the text like a handler of the library, but stops at the depth and size limits.
+template <typename Handler>
+class bounded_handler : public Handler
 {
 public:
-    bounded_parser(json& target, int depth_limit) : dom_parser(target, false), depth_limit_(depth_limit) {}
+    template <typename... Arguments>
+    explicit bounded_handler(int depth_limit, Arguments&&... arguments)
+        : Handler(std::forward<Arguments>(arguments)...), depth_limit_(depth_limit)
+    {}
 
-    bool start_object(std::size_t size) { return begin_container(size) && dom_parser::start_object(size); }
-    bool start_array(std::size_t size) { return begin_container(size) && dom_parser::start_array(size); }
+    bool start_object(std::size_t size) { return begin_container(size) && Handler::start_object(size); }
+    bool start_array(std::size_t size) { return begin_container(size) && Handler::start_array(size); }
 
     bool end_object()
     {
         --depth_;
-        return dom_parser::end_object();
+        return Handler::end_object();
     }
 
     bool end_array()
     {
         --depth_;
-        return dom_parser::end_array();
+        return Handler::end_array();
     }
 
 private:
@@ -42,30 +46,40 @@
     int depth_ = 0;
 };
 
-std::optional<json> parse(std::string_view data, json::input_format_t format, int depth_limit)
+template <typename Handler>
+bool parse(std::string_view data, json::input_format_t format, Handler& handler)
 {
-    json root;
-    bounded_parser parser(root, depth_limit);
     try {
-        if (!json::sax_parse(data.begin(), data.end(), &parser, format) || parser.is_errored()) {
-            return std::nullopt;
-        }
+        return json::sax_parse(data.begin(), data.end(), &handler, format);
     } catch (const json::exception&) {
-        return std::nullopt;
+        return false;
     }
-    return root;
+}
+
+std::optional<json> parse_value(std::string_view data, json::input_format_t format, int depth_limit)
+{
+    json out;
+    bounded_handler<dom_parser> handler(depth_limit, out, false);
+    const bool parsed = parse(data, format, handler) && !handler.is_errored();
+    return parsed ? std::optional(std::move(out)) : std::nullopt;
 }
 
 } // namespace
 
 std::optional<json> parse_bounded_json(std::string_view text, int depth_limit)
 {
-    return parse(text, json::input_format_t::json, depth_limit);
+    return parse_value(text, json::input_format_t::json, depth_limit);
+}
+
+bool is_bounded_json(std::string_view text, int depth_limit)
+{
+    bounded_handler<nlohmann::detail::json_sax_acceptor<json>> handler(depth_limit);
+    return parse(text, json::input_format_t::json, handler);
 }
 
 std::optional<json> parse_bounded_cbor(std::string_view data)
 {
-    return parse(data, json::input_format_t::cbor, json_depth_limit);
+    return parse_value(data, json::input_format_t::cbor, json_depth_limit);
 }
 
 } // namespace anvillead
--- a/src/core/internal/json_slices.cpp
+++ b/src/core/internal/json_slices.cpp
@@ -205,34 +205,55 @@
     return complete ? std::optional(out) : std::nullopt;
 }
 
-std::optional<std::vector<std::pair<std::string, std::string_view>>> split_json_object(std::string_view text)
+bool visit_json_object(std::string_view text, const std::function<void(std::string_view, std::string_view)>& visit)
 {
-    std::vector<std::pair<std::string, std::string_view>> out;
     json_scanner scanner(text);
-    const bool complete = scan_container(scanner, '{', '}', [&] {
+    return scan_container(scanner, '{', '}', [&] {
         const auto key = scanner.value();
         const auto value = key && scanner.skip(':') ? scanner.value() : std::nullopt;
         if (!value) {
             return false;
         }
-        const auto name = parse_bounded_json(*key);
+        visit(*key, *value);
+        return true;
+    });
+}
+
+std::optional<std::vector<std::pair<std::string, std::string_view>>> split_json_object(std::string_view text)
+{
+    std::vector<std::pair<std::string, std::string_view>> out;
+    const bool complete = visit_json_object(text, [&out](std::string_view key, std::string_view value) {
+        const auto name = parse_bounded_json(key);
         if (name && name->is_string()) {
-            out.emplace_back(name->get<std::string>(), *value);
+            out.emplace_back(name->get<std::string>(), value);
         }
-        return true;
     });
     return complete ? std::optional(out) : std::nullopt;
 }
 
-std::string_view json_member(std::string_view object, std::string_view key)
+bool is_json_key(std::string_view text, std::string_view key)
 {
-    const auto members = split_json_object(object);
-    if (!members) {
-        return {};
+    // Each character of a key takes at most as many bytes of text as an escape.
+    constexpr std::size_t escape_bytes = 6;
+    if (text.size() < 2 || text.size() > escape_bytes * key.size() + 2) {
+        return false;
+    }
+    if (text.find('\\') == std::string_view::npos) {
+        return text.front() == '"' && text.substr(1, text.size() - 2) == key;
     }
-    const auto found =
-        std::find_if(members->begin(), members->end(), [key](const auto& it) { return it.first == key; });
-    return found == members->end() ? std::string_view() : found->second;
+    const auto name = parse_bounded_json(text);
+    return name && name->is_string() && name->get<std::string>() == key;
+}
+
+std::string_view json_member(std::string_view object, std::string_view key)
+{
+    std::string_view out;
+    const bool complete = visit_json_object(object, [&](std::string_view name, std::string_view value) {
+        if (out.empty() && is_json_key(name, key)) {
+            out = value;
+        }
+    });
+    return complete ? out : std::string_view();
 }
 
 std::optional<std::string> json_string_bytes(std::string_view text)
--- a/src/core/internal/log.cpp
+++ b/src/core/internal/log.cpp
@@ -179,6 +179,7 @@
         row(e::evacuation_entry_rejected, "evacuation_entry_rejected"),
         row(e::configuration_overdue, "configuration_overdue"),
         row(e::platform_listing_incomplete, "platform_listing_incomplete"),
+        row(e::platform_object_rejected, "platform_object_rejected"),
         row(e::member_joined, "member_joined"),
         row(e::member_suspected, "member_suspected"),
         row(e::member_lost, "member_lost"),
--- a/src/core/json_slices.h
+++ b/src/core/json_slices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,11 @@
 std::optional<std::vector<std::string_view>> split_json_array(std::string_view text);
 /// The keys are unescaped; members whose keys cannot be are left out.
 std::optional<std::vector<std::pair<std::string, std::string_view>>> split_json_object(std::string_view text);
+/// Calls `visit` with the text of each key and its value, and returns whether the bounds of all values were found.
+bool visit_json_object(std::string_view text,
+                       const std::function<void(std::string_view key, std::string_view value)>& visit);
+/// Whether the text of a key stands for `key`.
+bool is_json_key(std::string_view text, std::string_view key);
 /// The text of a member of an object; empty if there is none or `object` is no object.
 std::string_view json_member(std::string_view object, std::string_view key);
 
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -44,6 +44,7 @@
     evacuation_entry_rejected = 312,
     configuration_overdue = 313,
     platform_listing_incomplete = 314,
+    platform_object_rejected = 315,
     member_joined = 400,
     member_suspected = 401,
     member_lost = 402,
--- a/src/node/internal/node_daemon.cpp
+++ b/src/node/internal/node_daemon.cpp
@@ -56,6 +56,8 @@
 
 // Size of the receive buffer of a connection to an upstream, which fills while the caller does not read.
 constexpr std::size_t upstream_receive_bytes = 8 * 1024;
+// Size of that of a connection to the store or to another host, which fills while this host is busy with other work.
+constexpr std::size_t store_receive_bytes = 256 * 1024;
 
 std::chrono::nanoseconds read_clock(clockid_t clock)
 {
@@ -75,7 +77,8 @@
 node_daemon::node_daemon(worker_pool& pool, node_settings settings,
                          std::function<result<node_settings>()> read_settings)
     : pool_(pool), settings_(std::move(settings)), read_settings_(std::move(read_settings)),
-      sequence_(pool.make_sequence()), client_(make_http_client(pool, {{}, 0, idle_connection_limit(settings_) / 2})),
+      sequence_(pool.make_sequence()),
+      client_(make_http_client(pool, {{}, store_receive_bytes, idle_connection_limit(settings_) / 2})),
       upstream_client_(make_http_client(pool, {[this] { return settings_.upstream_source; }, upstream_receive_bytes,
                                                idle_connection_limit(settings_) / 2})),
       context_{settings_,
@@ -103,13 +106,17 @@
                {},
                {},
                [] {}},
-      callers_(context_), configuration_(platform::make_object_collection(
-                              *client_, settings_.store, platform::configuration_collection, sequence_)),
-      upstreams_(platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_)),
-      hosts_(platform::make_object_collection(*client_, settings_.store, host_collection, sequence_)),
-      evacuations_(settings_.evacuations ? platform::make_object_collection(*client_, settings_.store,
-                                                                            platform::evacuation_collection, sequence_)
-                                         : nullptr),
+      callers_(context_),
+      configuration_(platform::make_object_collection(*client_, settings_.store, platform::configuration_collection,
+                                                      sequence_, platform::select_configuration)),
+      upstreams_(platform::make_object_collection(*client_, settings_.store, platform::upstream_collection, sequence_,
+                                                  platform::select_upstream)),
+      hosts_(platform::make_object_collection(*client_, settings_.store, host_collection, sequence_,
+                                              registration::select_entry)),
+      evacuations_(settings_.evacuations
+                       ? platform::make_object_collection(*client_, settings_.store, platform::evacuation_collection,
+                                                          sequence_, platform::no_value)
+                       : nullptr),
       feed_(context_, {*configuration_, *upstreams_, evacuations_.get()}, [this] { announce_configuration(); })
 {
     reporter_ = std::make_shared<fleet_reporter>(context_, sequence_, [this](host_report& report) {
--- a/src/node/internal/registration.cpp
+++ b/src/node/internal/registration.cpp
@@ -1,5 +1,8 @@
 #include "node/registration.h"
 
+#include <fmt/format.h>
+
+#include "core/json_slices.h"
 #include "core/log.h"
 
 namespace anvillead {
@@ -20,11 +23,22 @@
 constexpr int max_pages = 16;
 // Longer than any IP address with its port.
 constexpr std::size_t max_address_bytes = 64;
+// The text of such an address, if each of its bytes is written as an escape.
+constexpr std::size_t max_address_text_bytes = 6 * max_address_bytes + 2;
+constexpr const char* address_field = "report";
 // Time over which hosts write their entries again after the store has lost them.
 constexpr milliseconds rewrite_spread{4000};
 
 } // namespace
 
+std::string registration::select_entry(const std::string& /*name*/, std::string_view value)
+{
+    const auto address = json_member(value, address_field);
+    return address.empty() || address.size() > max_address_text_bytes
+               ? std::string()
+               : fmt::format("{{\"{}\":{}}}", address_field, address);
+}
+
 void registration::start()
 {
     next_read_ = context_.timers.now() + read_period;
@@ -59,7 +73,7 @@
 void registration::write()
 {
     writing_ = true;
-    const nlohmann::json value = {{"report", context_.settings.report}};
+    const nlohmann::json value = {{address_field, context_.settings.report}};
     hosts_.put(context_.settings.host.str(), value, [self = shared_from_this()](const result<void>& written) {
         if (written) {
             self->written_ = true;
@@ -93,10 +107,10 @@
 
 void registration::add_contact(const nlohmann::json& entry)
 {
-    if (!entry.is_object() || !entry.contains("report") || !entry["report"].is_string()) {
+    if (!entry.is_object() || !entry.contains(address_field) || !entry[address_field].is_string()) {
         return;
     }
-    if (auto address = entry["report"].get<std::string>(); address.size() <= max_address_bytes) {
+    if (auto address = entry[address_field].get<std::string>(); address.size() <= max_address_bytes) {
         context_.peers.add_contact(context_.timers.now(), address);
     }
 }
--- a/src/node/internal/state_exchange.cpp
+++ b/src/node/internal/state_exchange.cpp
@@ -8,6 +8,7 @@
 #include "core/json_slices.h"
 #include "core/log.h"
 #include "fleet/report_exchange.h"
+#include "platform/upstream_reader.h"
 #include "transport/request_target.h"
 
 namespace anvillead {
@@ -133,8 +134,9 @@
     state_update out;
     out.configuration = configuration == "null" ? std::string_view() : configuration;
     for (const auto& [name, value] : *upstreams) {
-        // An entry that cannot be read describes no upstream, like one that was removed.
-        out.upstreams.emplace(name, parse_bounded_json(value).value_or(nullptr));
+        // An entry that cannot be read describes no upstream, like one that was removed. A host of an earlier build
+        // hands on entries as they were written.
+        out.upstreams.emplace(name, parse_bounded_json(platform::select_upstream(name, value)).value_or(nullptr));
     }
     out.upstream_revision = store_revision::from_packed(revision->get<std::uint64_t>());
     out.whole = whole->get<bool>();
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
+#include <string_view>
 
 #include "node/node_context.h"
 #include "object_store/iobject_collection.h"
@@ -19,6 +21,8 @@
         : context_(context), hosts_(hosts), is_needed_(std::move(is_needed))
     {}
     void start();
+    /// What is kept of a host's entry: its address.
+    static std::string select_entry(const std::string& name, std::string_view value);
     /// The store has lost the entry of this host; it is written again, at a random time so that the hosts take turns.
     void on_entry_lost();
 
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -83,6 +83,21 @@
     return out;
 }
 
+/// A size in /proc/PID/status, which is stated in kB; 0 if it is not there.
+std::size_t read_status_bytes(pid_t pid, const std::string& name)
+{
+    constexpr std::size_t bytes_per_kb = 1024;
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::size_t out = 0;
+    for (std::string word; status >> word;) {
+        if (word == name) {
+            status >> out;
+            return out * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 bool eventually(const std::function<bool()>& condition, milliseconds bound)
@@ -207,19 +222,16 @@
     return (resident - shared) * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::size_t process::peak_bytes() const
+{
+    return read_status_bytes(pid_, "VmHWM:");
+}
+
 std::size_t process::held_bytes() const
 {
     static const std::string listening = "0A";
     static const std::string not_accepted = "0";
-    std::size_t out = 0;
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string word; status >> word;) {
-        if (word == "VmRSS:") {
-            status >> out;
-            out *= 1024;
-            break;
-        }
-    }
+    std::size_t out = read_status_bytes(pid_, "VmRSS:");
     const auto inodes = socket_inodes(pid_);
     const auto sockets = read_sockets();
     std::set<std::string> servers;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -64,6 +64,8 @@
     /// Memory of the process (VmRSS) and what the kernel holds for its sockets: bytes that were received and not read,
     /// also on connections that it has not accepted, or sent and not acknowledged.
     std::size_t held_bytes() const;
+    /// The most memory that the process has had so far (VmHWM).
+    std::size_t peak_bytes() const;
     std::size_t open_descriptors() const;
     /// Returns all output of the process, including that of earlier processes with the same log file.
     std::string output() const;
