Read no line of a stand-in in part while it is being written

Cause: a write that crosses a page of the file is seen up to the end of the page for a moment. cluster::ran reads the outputs of running stand-ins and parsed the part.

Evidence: in the kept logs of the failed test, four engines' outputs have the bytes 'ran {"gene' right before offset 4,096, the part that was read. Ruled out: a process killed within a line, as the whole lines are in the files; the product, as the line is the stand-in's and the daemons of that test are unchanged.

Change: ran() leaves out a last line without its end, and fails the test if a stand-in has ended within such a line, which ended the test program before. Test support only.

--- a/tests/invariants/harness_test.cpp
+++ b/tests/invariants/harness_test.cpp
@@ -59,3 +59,14 @@
         stopped.send_signal(SIGCONT);
     }
 }
+
+// Guards against a line of a stand-in that is read in part while it is written, at the end of a page of the file.
+TEST(harness, line_that_is_being_written_is_not_read)
+{
+    cluster it;
+    const auto output = "/proc/" + std::to_string(it.running("engine-1").pid()) + "/fd/1";
+    std::ofstream(output, std::ios::app) << R"(ran {"generation":"g","ta)";
+    LONGS_EQUAL(0, it.count_ran("a line"));
+    std::ofstream(output, std::ios::app) << "g\":\"a line\"}\n";
+    LONGS_EQUAL(1, it.count_ran("a line"));
+}
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
 namespace testing {
@@ -353,7 +354,13 @@
 {
     std::vector<run_record> out;
     for (const auto& [name, it] : nodes_) {
-        std::istringstream lines(it.running->output());
+        const bool ended = !it.running->running();
+        const auto text = it.running->output();
+        // A line that is being written may be seen in part.
+        const auto whole = text.rfind('\n') + 1;
+        CHECK_TEXT(!ended || text.compare(whole, ran_prefix.size(), ran_prefix) != 0,
+                   "a stand-in has ended within the line of a request");
+        std::istringstream lines(text.substr(0, whole));
         for (std::string line; std::getline(lines, line);) {
             if (line.rfind(ran_prefix, 0) != 0) {
                 continue;
